Set up the workspace, the checks and the design page

Cause: the repository is empty; later packages need one build, one formatter and one linter. Change: CMake workspace with one package per aggregate, the base package (result codes, hybrid clock, hashing, time line), the scripts for setup, build, format, lint and test, and docs/design.md. Ruled out: precompiled headers, because clang-tidy 14 then needs the same flags as g++; ccache serves repeated builds instead.

--- /dev/null
+++ b/cmake/dependencies.cmake
@@ -0,0 +1,16 @@
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+find_package(Boost 1.81 EXACT REQUIRED COMPONENTS context json)
+find_package(OpenSSL REQUIRED)
+find_package(glog REQUIRED)
+find_package(prometheus-cpp CONFIG REQUIRED)
+find_package(rapidcheck REQUIRED)
+find_package(tomlplusplus REQUIRED)
+pkg_check_modules(thrift REQUIRED IMPORTED_TARGET thrift)
+pkg_check_modules(cppunit REQUIRED IMPORTED_TARGET cppunit)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+
+# CAF ships no CMake package file.
+find_library(CAF_CORE_LIBRARY caf_core REQUIRED)
+add_library(caf_core INTERFACE)
+target_link_libraries(caf_core INTERFACE ${CAF_CORE_LIBRARY} Threads::Threads)
--- /dev/null
+++ b/packages/testing/src/test_main.cpp
@@ -0,0 +1,29 @@
+#include <cppunit/CompilerOutputter.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/TestRunner.h>
+
+#include <iostream>
+#include <string>
+
+// Runs all registered tests, or the one named by the first argument, and prints the totals.
+int main(int argc, char **argv)
+{
+    CppUnit::TestResult result;
+    CppUnit::TestResultCollector collector;
+    CppUnit::BriefTestProgressListener progress;
+    result.addListener(&collector);
+    result.addListener(&progress);
+
+    CppUnit::TestRunner runner;
+    runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+    runner.run(result, argc > 1 ? std::string(argv[1]) : std::string());
+
+    CppUnit::CompilerOutputter outputter(&collector, std::cerr);
+    outputter.write();
+    const int failed = collector.testFailuresTotal();
+    std::cout << collector.runTests() - failed << " passed, " << failed << " failed" << std::endl;
+    return failed == 0 ? 0 : 1;
+}
