Add the state machine of orders that must not be repeated

A retry at another instance, a lost answer of the store or a crash must neither run an order twice nor report `not-run` about an order that ran or may still run.

packages/orders: identities and fingerprints, the table row and its JSON, the attempt state machine (`step`), the intents of one process life, and single-use tickets. The result codes order-closed (5005) and answer-expired (5006) are new.

--- a/packages/base/include/base/result.h
+++ b/packages/base/include/base/result.h
@@ -49,6 +49,8 @@
     OrderUndecided = 5002,
     TicketUnknown = 5003,
     TicketSpent = 5004,
+    OrderClosed = 5005,
+    AnswerExpired = 5006,
 
     SettingsInvalid = 6001,
 
--- a/packages/base/src/result.cpp
+++ b/packages/base/src/result.cpp
@@ -66,6 +66,10 @@
     ResultInfo{ Result::TicketUnknown, "ticket-unknown", 409,
                 "The ticket was not issued by this process life." },
     ResultInfo{ Result::TicketSpent, "ticket-spent", 409, "The ticket was redeemed before." },
+    ResultInfo{ Result::OrderClosed, "order-closed", 409,
+                "The order was closed before it ran; place it again with a new key." },
+    ResultInfo{ Result::AnswerExpired, "answer-expired", 410,
+                "The order ran; its answer is no longer stored." },
     ResultInfo{ Result::SettingsInvalid, "settings-invalid", 500, "The settings are not valid." },
     ResultInfo{ Result::Internal, "internal", 500, "An internal error occurred." },
 };
--- /dev/null
+++ b/packages/orders/src/order_attempt.cpp
@@ -0,0 +1,392 @@
+#include "orders/order_attempt.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilfield::orders {
+
+namespace {
+
+using base::Result;
+using base::WorkStatus;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kFirstDelay{ 20 };
+constexpr milliseconds kLongestSettleDelay{ 5000 };
+constexpr milliseconds kLongestPollDelay{ 500 };
+
+milliseconds backoff(int round, milliseconds longest)
+{
+    constexpr int kMaxShift = 10;
+    return std::min(longest, kFirstDelay * (1 << std::clamp(round, 0, kMaxShift)));
+}
+
+/// Applies events to one attempt and collects the actions.
+class Stepper
+{
+public:
+    Stepper(Attempt &attempt, OwnIntents &own, WallTime now)
+        : attempt_(attempt), own_(own), now_(now)
+    {
+    }
+
+    std::vector<Action> takeActions() { return std::move(actions_); }
+
+    void handle(const Begin &)
+    {
+        if (attempt_.phase != AttemptPhase::Idle)
+            return;
+        attempt_.phase = AttemptPhase::Inserting;
+        attempt_.intentId = attempt_.request.attemptId + "/intent";
+        own_.add(intentId());
+        startWrite(makeRow(RowState::Intent), 0, intentId());
+    }
+
+    void handle(const Refuse &event)
+    {
+        if (attempt_.phase != AttemptPhase::Idle)
+            return;
+        startClose(0, { .work = WorkStatus::NotRun, .code = event.code, .answer = std::nullopt });
+    }
+
+    void handle(const WriteApplied &event)
+    {
+        if (isWriting())
+            onApplied(event.version);
+    }
+
+    void handle(const WriteConflict &event)
+    {
+        if (!isWriting())
+            return;
+        if (event.row.writeId == attempt_.write.writeId)
+            onApplied(event.row.version);
+        else
+            onOtherRow(event.row, event.ownerEnded);
+    }
+
+    void handle(const WriteNotApplied &)
+    {
+        if (!isWriting())
+            return;
+        if (attempt_.mayBeApplied) {
+            readBack();
+        } else if (attempt_.phase == AttemptPhase::Inserting) {
+            own_.remove(intentId());
+            reply(WorkStatus::Unknown, Result::StoreUnavailable);
+            attempt_.phase = AttemptPhase::Finished;
+        } else {
+            onStoreFailure();
+            resendWrite();
+        }
+    }
+
+    void handle(const WriteLost &)
+    {
+        if (!isWriting())
+            return;
+        attempt_.mayBeApplied = true;
+        onStoreFailure();
+        readBack();
+    }
+
+    void handle(const RowRead &event)
+    {
+        if (attempt_.phase == AttemptPhase::Following) {
+            if (event.row)
+                follow(*event.row, event.ownerEnded);
+            else
+                poll();
+            return;
+        }
+        if (!isWriting())
+            return;
+        const std::uint64_t version = event.row ? event.row->version : 0;
+        if (event.row && event.row->writeId == attempt_.write.writeId)
+            onApplied(version);
+        else if (version == attempt_.write.ifVersion)
+            onUnchangedRow();
+        else if (version < attempt_.write.ifVersion)
+            readBack(); // The store answered with an older state than it had confirmed before.
+        else
+            onOtherRow(*event.row, event.ownerEnded);
+    }
+
+    void handle(const ReadLost &)
+    {
+        if (attempt_.phase == AttemptPhase::Following)
+            poll();
+        else if (isWriting())
+            readBack();
+    }
+
+    void handle(const DispatchNotSent &event)
+    {
+        if (attempt_.phase != AttemptPhase::Dispatching)
+            return;
+        own_.giveUp(intentId(), true);
+        // The row holds this attempt's intent, so no other attempt can dispatch: the statement is
+        // proven before the row is closed.
+        reply(WorkStatus::NotRun, event.code);
+        startClose(attempt_.version, {});
+    }
+
+    void handle(const TargetAnswered &event)
+    {
+        if (attempt_.phase != AttemptPhase::Dispatching)
+            return;
+        OrderRow row = makeRow(RowState::Ran);
+        row.answerExpires = now_ + attempt_.request.options.answerLifetime;
+        if (event.answer.body.size() <= attempt_.request.options.maxStoredBody)
+            row.answer = event.answer;
+        attempt_.pendingReply = { .work = WorkStatus::Ran,
+                                  .code = Result::Ok,
+                                  .answer = event.answer };
+        attempt_.phase = AttemptPhase::Recording;
+        startWrite(std::move(row), attempt_.version, outcomeId());
+    }
+
+    void handle(const TargetLost &)
+    {
+        if (attempt_.phase != AttemptPhase::Dispatching)
+            return;
+        reply(WorkStatus::Unknown, Result::OrderUndecided);
+        attempt_.phase = AttemptPhase::Recording;
+        startWrite(makeRow(RowState::Undecided), attempt_.version, outcomeId());
+    }
+
+    void handle(const CallerGone &)
+    {
+        switch (attempt_.phase) {
+        case AttemptPhase::Idle:
+            attempt_.phase = AttemptPhase::Finished;
+            reply(WorkStatus::Unknown, Result::RequestTimeout);
+            break;
+        case AttemptPhase::Inserting:
+            own_.giveUp(intentId(), false);
+            reply(WorkStatus::Unknown, Result::WriteUndecided);
+            break;
+        case AttemptPhase::Dispatching:
+            reply(WorkStatus::Unknown, Result::ProgressTimeout);
+            break;
+        case AttemptPhase::Recording:
+            replyPending();
+            break;
+        case AttemptPhase::Closing:
+            reply(WorkStatus::Unknown, Result::WriteUndecided);
+            break;
+        case AttemptPhase::Following:
+            reply(WorkStatus::Unknown, Result::OrderInProgress);
+            attempt_.phase = AttemptPhase::Finished;
+            break;
+        case AttemptPhase::Finished:
+            break;
+        }
+    }
+
+private:
+    const std::string &intentId() const { return attempt_.intentId; }
+    std::string outcomeId() const { return attempt_.request.attemptId + "/outcome"; }
+    std::string closeId() const { return attempt_.request.attemptId + "/close"; }
+
+    bool isWriting() const
+    {
+        return attempt_.phase == AttemptPhase::Inserting
+               || attempt_.phase == AttemptPhase::Recording
+               || attempt_.phase == AttemptPhase::Closing;
+    }
+
+    OrderRow makeRow(RowState state) const
+    {
+        return { .state = state,
+                 .ownerLife = attempt_.request.ownLife,
+                 .fingerprint = attempt_.request.fingerprint,
+                 .created = now_,
+                 .answerExpires = {},
+                 .answer = std::nullopt };
+    }
+
+    void startWrite(OrderRow row, std::uint64_t ifVersion, std::string writeId)
+    {
+        attempt_.write = { .row = std::move(row),
+                           .ifVersion = ifVersion,
+                           .writeId = std::move(writeId) };
+        attempt_.mayBeApplied = false;
+        attempt_.settleRounds = 0;
+        actions_.emplace_back(WriteRow{ attempt_.write, milliseconds(0) });
+    }
+
+    void startClose(std::uint64_t ifVersion, Reply whenClosed)
+    {
+        attempt_.phase = AttemptPhase::Closing;
+        attempt_.pendingReply = std::move(whenClosed);
+        startWrite(makeRow(RowState::Closed), ifVersion, closeId());
+    }
+
+    void reply(WorkStatus work, Result code, std::optional<Answer> answer = std::nullopt)
+    {
+        if (attempt_.replied)
+            return;
+        attempt_.replied = true;
+        actions_.emplace_back(Reply{ work, code, std::move(answer) });
+    }
+
+    void replyPending()
+    {
+        reply(attempt_.pendingReply.work, attempt_.pendingReply.code, attempt_.pendingReply.answer);
+    }
+
+    /// The first failure to record an outcome does not delay an answer that is known.
+    void onStoreFailure()
+    {
+        if (attempt_.phase == AttemptPhase::Recording)
+            replyPending();
+    }
+
+    /// Counts a round of settling. Returns false if the attempt has ended.
+    bool startRound()
+    {
+        ++attempt_.settleRounds;
+        if (!attempt_.replied || attempt_.settleRounds < attempt_.request.options.maxSettleRounds)
+            return true;
+        attempt_.phase = AttemptPhase::Finished;
+        return false;
+    }
+
+    void readBack()
+    {
+        const milliseconds delay = attempt_.settleRounds == 0
+                                           ? milliseconds(0)
+                                           : backoff(attempt_.settleRounds, kLongestSettleDelay);
+        if (startRound())
+            actions_.emplace_back(ReadRow{ delay });
+    }
+
+    void resendWrite()
+    {
+        const milliseconds delay = backoff(attempt_.settleRounds, kLongestSettleDelay);
+        if (startRound())
+            actions_.emplace_back(WriteRow{ attempt_.write, delay });
+    }
+
+    void poll()
+    {
+        actions_.emplace_back(ReadRow{ backoff(attempt_.settleRounds++, kLongestPollDelay) });
+    }
+
+    /// The write of the current phase is known to have taken effect.
+    void onApplied(std::uint64_t version)
+    {
+        if (attempt_.phase != AttemptPhase::Inserting) {
+            own_.remove(intentId());
+            replyPending();
+            attempt_.phase = AttemptPhase::Finished;
+            return;
+        }
+        attempt_.version = version;
+        if (!attempt_.replied && own_.claimDispatch(intentId())) {
+            attempt_.phase = AttemptPhase::Dispatching;
+            actions_.emplace_back(Dispatch{});
+            return;
+        }
+        startClose(version, {});
+    }
+
+    /// The row is as it was before the write; a lost copy of the write may still arrive.
+    void onUnchangedRow()
+    {
+        if (attempt_.phase == AttemptPhase::Inserting && attempt_.replied)
+            startClose(0, {});
+        else
+            resendWrite();
+    }
+
+    /// The row was written by another write than the current one.
+    void onOtherRow(const StoredRow &row, bool ownerEnded)
+    {
+        switch (attempt_.phase) {
+        case AttemptPhase::Closing:
+            if (row.writeId == intentId()) {
+                // A lost copy of the intent arrived before the closing write.
+                attempt_.write.ifVersion = row.version;
+                actions_.emplace_back(WriteRow{ attempt_.write, milliseconds(0) });
+                return;
+            }
+            break;
+        case AttemptPhase::Recording:
+            replyPending();
+            break;
+        default:
+            break;
+        }
+        own_.remove(intentId());
+        if (attempt_.replied) {
+            attempt_.phase = AttemptPhase::Finished;
+            return;
+        }
+        attempt_.settleRounds = 0;
+        follow(row, ownerEnded);
+    }
+
+    /// Replies from the row of another attempt, or waits while that attempt may still decide it.
+    void follow(const StoredRow &stored, bool ownerEnded)
+    {
+        attempt_.phase = AttemptPhase::Following;
+        const OrderRow &row = stored.row;
+        if (row.fingerprint != attempt_.request.fingerprint) {
+            finish(WorkStatus::NotRun, Result::FingerprintMismatch);
+            return;
+        }
+        switch (row.state) {
+        case RowState::Ran:
+            finish(WorkStatus::Ran, row.answer ? Result::Ok : Result::AnswerExpired, row.answer);
+            break;
+        case RowState::Undecided:
+            finish(WorkStatus::Unknown, Result::OrderUndecided);
+            break;
+        case RowState::Closed:
+            finish(WorkStatus::NotRun, Result::OrderClosed);
+            break;
+        case RowState::Intent:
+            followIntent(stored, ownerEnded);
+            break;
+        }
+    }
+
+    void followIntent(const StoredRow &stored, bool ownerEnded)
+    {
+        const bool isOwn = stored.row.ownerLife == attempt_.request.ownLife;
+        if (isOwn && own_.mayClose(stored.writeId)) {
+            // This life knows that it never dispatched the order, and nobody else may.
+            reply(WorkStatus::NotRun, Result::OrderClosed);
+            attempt_.intentId = stored.writeId;
+            startClose(stored.version, {});
+        } else if (!isOwn && ownerEnded) {
+            finish(WorkStatus::Unknown, Result::OrderUndecided);
+        } else {
+            poll();
+        }
+    }
+
+    void finish(WorkStatus work, Result code, std::optional<Answer> answer = std::nullopt)
+    {
+        reply(work, code, std::move(answer));
+        attempt_.phase = AttemptPhase::Finished;
+    }
+
+    Attempt &attempt_;
+    OwnIntents &own_;
+    WallTime now_;
+    std::vector<Action> actions_;
+};
+
+} // namespace
+
+std::vector<Action> step(Attempt &attempt, OwnIntents &own, const Event &event, WallTime now)
+{
+    Stepper stepper(attempt, own, now);
+    std::visit([&stepper](const auto &concrete) { stepper.handle(concrete); }, event);
+    return stepper.takeActions();
+}
+
+} // namespace chervilfield::orders
--- /dev/null
+++ b/packages/orders/src/tickets.cpp
@@ -0,0 +1,144 @@
+#include "orders/tickets.h"
+
+#include "base/hash.h"
+
+#include <utility>
+
+namespace chervilfield::orders {
+
+using base::Result;
+using base::WorkStatus;
+
+namespace {
+
+Reply refusal(WorkStatus work, Result code)
+{
+    return { .work = work, .code = code, .answer = std::nullopt };
+}
+
+} // namespace
+
+TicketBook::TicketBook(std::string life, TicketOptions options)
+    : life_(std::move(life)), options_(options)
+{
+}
+
+std::optional<std::string> TicketBook::issue(std::string_view customer, std::uint64_t nonce,
+                                             SteadyTime now)
+{
+    forgetExpired(now);
+    std::size_t &count = perCustomer_[std::string(customer)];
+    if (tickets_.size() >= options_.capacity || count >= options_.capacityPerCustomer)
+        return std::nullopt;
+    ++count;
+    std::string value = life_ + '.' + base::toHex(++issued_) + '.' + base::toHex(nonce);
+    tickets_.emplace(value, Ticket{ .customer = std::string(customer),
+                                    .state = TicketState::Issued,
+                                    .expires = now + options_.lifetime,
+                                    .fingerprint = {},
+                                    .answer = std::nullopt });
+    byExpiry_.push_back(value);
+    return value;
+}
+
+Redemption TicketBook::redeem(const Identity &identity, std::string_view print, SteadyTime now)
+{
+    if (auto reply = replyFor(identity, print, now))
+        return { std::move(reply) };
+    Ticket *ticket = find(identity);
+    ticket->state = TicketState::Dispatched;
+    ticket->fingerprint = print;
+    return {};
+}
+
+Redemption TicketBook::close(const Identity &identity, std::string_view print, Result code,
+                             SteadyTime now)
+{
+    if (auto reply = replyFor(identity, print, now))
+        return { std::move(reply) };
+    Ticket *ticket = find(identity);
+    ticket->state = TicketState::Closed;
+    ticket->fingerprint = print;
+    return { refusal(WorkStatus::NotRun, code) };
+}
+
+void TicketBook::recordAnswer(const Identity &identity, Answer answer)
+{
+    Ticket *ticket = find(identity);
+    if (!ticket || ticket->state != TicketState::Dispatched)
+        return;
+    ticket->state = TicketState::Ran;
+    if (answer.body.size() <= options_.maxStoredBody)
+        ticket->answer = std::move(answer);
+}
+
+void TicketBook::recordLost(const Identity &identity)
+{
+    Ticket *ticket = find(identity);
+    if (ticket && ticket->state == TicketState::Dispatched)
+        ticket->state = TicketState::Undecided;
+}
+
+void TicketBook::recordNotSent(const Identity &identity)
+{
+    Ticket *ticket = find(identity);
+    if (ticket && ticket->state == TicketState::Dispatched)
+        ticket->state = TicketState::Closed;
+}
+
+Ticket *TicketBook::find(const Identity &identity)
+{
+    if (identity.kind != IdentityKind::Ticket)
+        return nullptr;
+    const auto found = tickets_.find(identity.value);
+    if (found == tickets_.end() || found->second.customer != identity.customer)
+        return nullptr;
+    return &found->second;
+}
+
+/// Returns the reply to a call whose ticket cannot be redeemed any more, or nothing if it can.
+std::optional<Reply> TicketBook::replyFor(const Identity &identity, std::string_view print,
+                                          SteadyTime now)
+{
+    forgetExpired(now);
+    const Ticket *ticket = find(identity);
+    if (!ticket) {
+        // The ticket may belong to another life, or may be forgotten; it may have run either way.
+        return refusal(WorkStatus::Unknown, Result::TicketUnknown);
+    }
+    if (ticket->state == TicketState::Issued)
+        return std::nullopt;
+    if (ticket->fingerprint != print)
+        return refusal(WorkStatus::NotRun, Result::FingerprintMismatch);
+    switch (ticket->state) {
+    case TicketState::Issued:
+    case TicketState::Dispatched:
+        break;
+    case TicketState::Ran:
+        if (ticket->answer) {
+            return Reply{ .work = WorkStatus::Ran, .code = Result::Ok, .answer = ticket->answer };
+        }
+        return refusal(WorkStatus::Ran, Result::TicketSpent);
+    case TicketState::Undecided:
+        return refusal(WorkStatus::Unknown, Result::OrderUndecided);
+    case TicketState::Closed:
+        return refusal(WorkStatus::NotRun, Result::OrderClosed);
+    }
+    return refusal(WorkStatus::Unknown, Result::OrderInProgress);
+}
+
+void TicketBook::forgetExpired(SteadyTime now)
+{
+    while (!byExpiry_.empty()) {
+        const auto found = tickets_.find(byExpiry_.front());
+        if (found->second.expires > now)
+            return;
+        const auto count = perCustomer_.find(found->second.customer);
+        if (--count->second == 0)
+            perCustomer_.erase(count);
+        tickets_.erase(found);
+        byExpiry_.pop_front();
+    }
+}
+
+} // namespace chervilfield::orders
--- /dev/null
+++ b/packages/orders/test/identity_test.cpp
@@ -0,0 +1,72 @@
+#include "orders/identity.h"
+
+#include "base/result.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace chervilfield::orders {
+
+class IdentityTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(IdentityTest);
+    CPPUNIT_TEST(headersGiveIdentity);
+    CPPUNIT_TEST(rowKeysDoNotCollide);
+    CPPUNIT_TEST(fingerprintCoversEveryPart);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an order by ticket that is run again under its key.
+    void headersGiveIdentity()
+    {
+        struct Row
+        {
+            IdentityHeaders headers;
+            std::optional<Identity> expected;
+            base::Result error;
+        };
+        const Row rows[] = {
+            { { "k", std::nullopt }, Identity{ IdentityKind::Key, "c", "k" }, base::Result::Ok },
+            { { "k", "t" }, Identity{ IdentityKind::Ticket, "c", "t" }, base::Result::Ok },
+            { { "k", "" }, std::nullopt, base::Result::InvalidField },
+            { { "a b", std::nullopt }, std::nullopt, base::Result::InvalidField },
+            { { std::string(kMaxIdentityLength + 1, 'k'), std::nullopt },
+              std::nullopt,
+              base::Result::InvalidField },
+            { {}, std::nullopt, base::Result::MissingIdempotencyKey },
+        };
+        for (const Row &row : rows) {
+            std::error_code error;
+            CPPUNIT_ASSERT(identify("c", row.headers, error) == row.expected);
+            CPPUNIT_ASSERT(base::toResult(error) == row.error);
+        }
+    }
+
+    // Guards against a key that addresses the row of another customer.
+    void rowKeysDoNotCollide()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("orders/a/b%2Fc"),
+                             rowKey({ IdentityKind::Key, "a", "b/c" }));
+        CPPUNIT_ASSERT(rowKey({ IdentityKind::Key, "a/b", "c" })
+                       != rowKey({ IdentityKind::Key, "a", "b/c" }));
+        CPPUNIT_ASSERT(rowKey({ IdentityKind::Key, "a", "%2F" })
+                       != rowKey({ IdentityKind::Key, "a", "/" }));
+    }
+
+    // Guards against replaying an answer to a different request.
+    void fingerprintCoversEveryPart()
+    {
+        const std::string original = fingerprint({ "POST", "/a", "text/plain", "body" });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(32), original.size());
+        const RequestParts others[] = {
+            { "PUT", "/a", "text/plain", "body" },        { "POST", "/b", "text/plain", "body" },
+            { "POST", "/a", "application/json", "body" }, { "POST", "/a", "text/plain", "Body" },
+            { "POST", "/at", "ext/plain", "body" },
+        };
+        for (const RequestParts &other : others)
+            CPPUNIT_ASSERT(fingerprint(other) != original);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(IdentityTest);
+
+} // namespace chervilfield::orders
--- /dev/null
+++ b/packages/orders/test/order_attempt_test.cpp
@@ -0,0 +1,419 @@
+#include "orders/order_attempt.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace chervilfield::orders {
+
+namespace {
+
+using base::Result;
+using base::WorkStatus;
+
+/// Draws uniformly from [low, high); rapidcheck's own ranges are narrow in the first cases.
+template<class T>
+T draw(T low, T high)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<T>(low, high));
+}
+
+/// The table service with one row. A write whose response is lost may be applied later.
+struct Store
+{
+    std::optional<StoredRow> stored;
+    std::vector<PendingWrite> stray;
+
+    Event write(const PendingWrite &write, bool ownerEnded)
+    {
+        const std::uint64_t version = stored ? stored->version : 0;
+        if (write.ifVersion != version)
+            return WriteConflict{ *stored, ownerEnded };
+        stored = StoredRow{ write.row, version + 1, write.writeId };
+        return WriteApplied{ version + 1 };
+    }
+};
+
+struct Instance
+{
+    std::string life;
+    bool alive = true;
+    OwnIntents own;
+};
+
+struct Caller
+{
+    Attempt attempt;
+    Instance *instance = nullptr;
+    std::optional<Action> pending; ///< The operation that is outstanding.
+    std::optional<Event> response; ///< Its result, which is on the way.
+    std::vector<Reply> replies;
+};
+
+/// Several instances that receive attempts of one order, under random faults.
+class World
+{
+public:
+    World()
+    {
+        for (int i = 0; i < 3; ++i)
+            addInstance();
+    }
+
+    void addInstance()
+    {
+        instances_.push_back(std::make_unique<Instance>());
+        instances_.back()->life = "life" + std::to_string(instances_.size());
+    }
+
+    void addCaller()
+    {
+        Instance *instance = pick(instances_).get();
+        if (!instance->alive)
+            return;
+        auto caller = std::make_unique<Caller>();
+        caller->instance = instance;
+        caller->attempt.request = { .rowKey = "orders/c/k",
+                                    .fingerprint = draw(0, 8) == 0 ? "other" : "same",
+                                    .ownLife = instance->life,
+                                    .attemptId = std::to_string(callers_.size()),
+                                    .options = {} };
+        callers_.push_back(std::move(caller));
+        const bool refuse = draw(0, 5) == 0;
+        deliver(*callers_.back(), refuse ? Event(Refuse{}) : Event(Begin{}));
+    }
+
+    void runRandomStep()
+    {
+        const int choice = draw(0, 20);
+        if (choice < 4)
+            addCaller();
+        else if (choice == 4)
+            end(*pick(instances_));
+        else if (choice < 7)
+            applyStray();
+        else if (choice == 7)
+            deliver(*pick(callers_), CallerGone{});
+        else
+            runPending(*pick(callers_), draw(0, 8));
+    }
+
+    /// Lets every outstanding operation succeed until nothing is left to do.
+    void heal()
+    {
+        constexpr int kMaxRounds = 1000;
+        for (int round = 0; round < kMaxRounds && hasPending(); ++round) {
+            healed_ = true;
+            applyAllStray();
+            for (const auto &caller : callers_)
+                runPending(*caller, 0);
+        }
+    }
+
+    void check() const
+    {
+        RC_ASSERT(executions_.size() <= 1U);
+        for (const auto &caller : callers_) {
+            RC_ASSERT(caller->replies.size() <= 1U);
+            for (const Reply &reply : caller->replies)
+                checkReply(*caller, reply);
+        }
+    }
+
+    void checkFinished() const
+    {
+        for (const auto &caller : callers_) {
+            if (!caller->instance->alive)
+                continue;
+            RC_ASSERT(caller->attempt.phase == AttemptPhase::Finished);
+            RC_ASSERT(caller->replies.size() == 1U);
+            RC_ASSERT(caller->instance->own.size() == 0U);
+        }
+    }
+
+private:
+    template<class T>
+    T &pick(std::vector<T> &items)
+    {
+        return items[draw<std::size_t>(0, items.size())];
+    }
+
+    void checkReply(const Caller &caller, const Reply &reply) const
+    {
+        const std::string &print = caller.attempt.request.fingerprint;
+        const bool ran = std::ranges::count(executions_, print) > 0;
+        if (reply.work == WorkStatus::NotRun)
+            RC_ASSERT(!ran);
+        if (reply.work == WorkStatus::Ran) {
+            RC_ASSERT(ran);
+            RC_ASSERT(reply.answer->body == print);
+        }
+    }
+
+    void deliver(Caller &caller, const Event &event)
+    {
+        if (!caller.instance->alive)
+            return;
+        for (Action &action : step(caller.attempt, caller.instance->own, event, {})) {
+            if (const auto *reply = std::get_if<Reply>(&action)) {
+                caller.replies.push_back(*reply);
+            } else {
+                RC_ASSERT(!caller.pending);
+                caller.pending = std::move(action);
+            }
+        }
+    }
+
+    bool hasPending() const
+    {
+        return std::ranges::any_of(callers_, [](const auto &caller) {
+            return caller->instance->alive && caller->pending;
+        });
+    }
+
+    /// Suspicion may be wrong: safety must not depend on it.
+    bool ownerEnded() const
+    {
+        if (!store_.stored)
+            return false;
+        const auto owner = std::ranges::find(instances_, store_.stored->row.ownerLife,
+                                             [](const auto &item) { return item->life; });
+        return !(*owner)->alive || (!healed_ && draw(0, 10) == 0);
+    }
+
+    void runPending(Caller &caller, int fault)
+    {
+        if (!caller.instance->alive || !caller.pending)
+            return;
+        if (!caller.response)
+            caller.response = runAction(caller, *caller.pending, fault);
+        if (!healed_ && draw(0, 3) == 0)
+            return; // The response is delayed and may be outdated when it arrives.
+        caller.pending.reset();
+        const Event response = *caller.response;
+        caller.response.reset();
+        deliver(caller, response);
+    }
+
+    Event runAction(const Caller &caller, const Action &action, int fault)
+    {
+        if (const auto *write = std::get_if<WriteRow>(&action))
+            return runWrite(write->write, fault);
+        if (std::holds_alternative<Dispatch>(action))
+            return runDispatch(caller.attempt.request.fingerprint, fault);
+        if (fault == 1)
+            return ReadLost{};
+        return RowRead{ store_.stored, ownerEnded() };
+    }
+
+    Event runWrite(const PendingWrite &write, int fault)
+    {
+        switch (fault) {
+        case 1:
+            return WriteNotApplied{};
+        case 2:
+            store_.write(write, false);
+            return WriteLost{};
+        case 3:
+            store_.stray.push_back(write);
+            return WriteLost{};
+        case 4:
+            return WriteLost{};
+        default:
+            return store_.write(write, ownerEnded());
+        }
+    }
+
+    Event runDispatch(const std::string &print, int fault)
+    {
+        if (fault == 1)
+            return DispatchNotSent{};
+        if (fault == 2)
+            return TargetLost{};
+        executions_.push_back(print);
+        if (fault == 3)
+            return TargetLost{};
+        return TargetAnswered{ { 200, "text/plain", print } };
+    }
+
+    void end(Instance &instance)
+    {
+        if (!instance.alive)
+            return;
+        instance.alive = false;
+        for (const auto &caller : callers_) {
+            if (caller->instance != &instance || !caller->pending || caller->response)
+                continue;
+            // The process may have died just after it sent the message.
+            if (const auto *write = std::get_if<WriteRow>(&*caller->pending))
+                store_.stray.push_back(write->write);
+            else if (std::holds_alternative<Dispatch>(*caller->pending))
+                executions_.push_back(caller->attempt.request.fingerprint);
+        }
+        addInstance();
+    }
+
+    void applyStray()
+    {
+        if (store_.stray.empty())
+            return;
+        const std::size_t i = draw<std::size_t>(0, store_.stray.size());
+        store_.write(store_.stray[i], false);
+        store_.stray.erase(store_.stray.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+
+    void applyAllStray()
+    {
+        for (const PendingWrite &write : std::exchange(store_.stray, {}))
+            store_.write(write, false);
+    }
+
+    Store store_;
+    std::vector<std::unique_ptr<Instance>> instances_;
+    std::vector<std::unique_ptr<Caller>> callers_;
+    std::vector<std::string> executions_;
+    bool healed_ = false;
+};
+
+void runWorld()
+{
+    World world;
+    world.addCaller();
+    const int steps = draw(1, 80);
+    for (int i = 0; i < steps; ++i)
+        world.runRandomStep();
+    world.heal();
+    world.check();
+    world.checkFinished();
+}
+
+StoredRow makeStored(RowState state, const std::string &life, const std::string &writeId)
+{
+    return { .row = { .state = state,
+                      .ownerLife = life,
+                      .fingerprint = "f",
+                      .created = {},
+                      .answerExpires = {},
+                      .answer = std::nullopt },
+             .version = 1,
+             .writeId = writeId };
+}
+
+Reply makeReply(WorkStatus work, Result code)
+{
+    return { work, code, std::nullopt };
+}
+
+} // namespace
+
+class OrderAttemptTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OrderAttemptTest);
+    CPPUNIT_TEST(runsAtMostOnceAndTellsTheTruth);
+    CPPUNIT_TEST(repliesFollowTheEvents);
+    CPPUNIT_TEST(intentOfSameLifeIsClosedOnlyIfNotDispatched);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a second execution, a false `not-run`, a foreign answer and an attempt that
+    // never ends, under crashes, lost and late writes, wrong suspicion and crossed retries.
+    void runsAtMostOnceAndTellsTheTruth()
+    {
+        const bool holds = rc::check("an order runs at most once", [] {
+            constexpr int kWorlds = 100;
+            for (int i = 0; i < kWorlds; ++i)
+                runWorld();
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    // Guards against a reply that claims more than the events prove.
+    void repliesFollowTheEvents()
+    {
+        struct Row
+        {
+            std::string name;
+            std::vector<Event> events;
+            std::optional<Reply> reply;
+        };
+        const Answer answer{ 200, "text/plain", "done" };
+        const Event intent = WriteConflict{ makeStored(RowState::Intent, "other", "9/intent") };
+        const Row rows[] = {
+            { "answered",
+              { Begin{}, WriteApplied{ 1 }, TargetAnswered{ answer }, WriteApplied{ 2 } },
+              Reply{ WorkStatus::Ran, Result::Ok, answer } },
+            { "answer is given although the outcome cannot be recorded",
+              { Begin{}, WriteApplied{ 1 }, TargetAnswered{ answer }, WriteLost{} },
+              Reply{ WorkStatus::Ran, Result::Ok, answer } },
+            { "store down: an earlier attempt may have run",
+              { Begin{}, WriteNotApplied{} },
+              makeReply(WorkStatus::Unknown, Result::StoreUnavailable) },
+            { "refusal waits for the closed row", { Refuse{ Result::NoTarget } }, std::nullopt },
+            { "refused",
+              { Refuse{ Result::NoTarget }, WriteApplied{ 1 } },
+              makeReply(WorkStatus::NotRun, Result::NoTarget) },
+            { "refusal of a running order",
+              { Refuse{ Result::NoTarget }, intent, CallerGone{} },
+              makeReply(WorkStatus::Unknown, Result::OrderInProgress) },
+            { "not sent",
+              { Begin{}, WriteApplied{ 1 }, DispatchNotSent{} },
+              makeReply(WorkStatus::NotRun, Result::TargetUnreachable) },
+            { "target lost",
+              { Begin{}, WriteApplied{ 1 }, TargetLost{} },
+              makeReply(WorkStatus::Unknown, Result::OrderUndecided) },
+            { "waits for another attempt", { Begin{}, intent }, std::nullopt },
+            { "owner life ended",
+              { Begin{}, WriteConflict{ makeStored(RowState::Intent, "other", "9"), true } },
+              makeReply(WorkStatus::Unknown, Result::OrderUndecided) },
+            { "closed",
+              { Begin{}, WriteConflict{ makeStored(RowState::Closed, "other", "9") } },
+              makeReply(WorkStatus::NotRun, Result::OrderClosed) },
+            { "answer expired",
+              { Begin{}, WriteConflict{ makeStored(RowState::Ran, "other", "9") } },
+              makeReply(WorkStatus::Ran, Result::AnswerExpired) },
+            { "intent unsettled",
+              { Begin{}, WriteLost{}, ReadLost{}, CallerGone{} },
+              makeReply(WorkStatus::Unknown, Result::WriteUndecided) },
+        };
+        for (const Row &row : rows) {
+            Attempt attempt;
+            attempt.request = { "k", "f", "life", "1", {} };
+            OwnIntents own;
+            std::optional<Reply> reply;
+            for (const Event &event : row.events) {
+                for (const Action &action : step(attempt, own, event, {})) {
+                    if (const auto *given = std::get_if<Reply>(&action))
+                        reply = *given;
+                }
+            }
+            CPPUNIT_ASSERT_MESSAGE(row.name, reply == row.reply);
+        }
+    }
+
+    // Guards against closing an order of the own life that was dispatched after all.
+    void intentOfSameLifeIsClosedOnlyIfNotDispatched()
+    {
+        for (const bool dispatched : { false, true }) {
+            OwnIntents own;
+            own.add("9/intent");
+            if (dispatched)
+                own.claimDispatch("9/intent");
+            own.giveUp("9/intent", false);
+            Attempt attempt;
+            attempt.request = { "k", "f", "life", "1", {} };
+            step(attempt, own, Begin{}, {});
+            step(attempt, own, WriteConflict{ makeStored(RowState::Intent, "life", "9/intent") },
+                 {});
+            CPPUNIT_ASSERT_EQUAL(!dispatched, attempt.replied);
+            CPPUNIT_ASSERT_EQUAL(!dispatched, attempt.phase == AttemptPhase::Closing);
+            CPPUNIT_ASSERT_EQUAL(false, own.claimDispatch("9/intent"));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OrderAttemptTest);
+
+} // namespace chervilfield::orders
