Add stream numbering, the relay, resume points and the progress watchdog

A stream must reach its caller whole and in order although engines die, connections go silent and hedged or replaced attempts go on producing tokens.

packages/streams: event ids with a strict parser, `Relay`, which delivers each offset once from several attempts within a bounded buffer and says when the terminator may be sent, resume points after the loss of an engine or a daemon, and watchdog deadlines relative to the expectation. `engineRequestId` depends on customer and body, so that nobody reattaches to a foreign stream.

--- /dev/null
+++ b/packages/streams/src/resume.cpp
@@ -0,0 +1,42 @@
+#include "streams/resume.h"
+
+#include "base/result.h"
+
+namespace chervilfield::streams {
+
+namespace {
+
+ResumePoint makePoint(const std::string &engine, bool isLive, std::uint64_t from)
+{
+    if (isLive)
+        return { .kind = ResumeKind::Reattach, .engine = engine, .from = from };
+    return { .kind = from == 0 ? ResumeKind::Start : ResumeKind::Continue,
+             .engine = {},
+             .from = from };
+}
+
+} // namespace
+
+std::optional<ResumePoint> resumeFromEventId(std::string_view lastEventId,
+                                             std::string_view requestId,
+                                             const std::optional<std::string> &liveLife,
+                                             std::error_code &error)
+{
+    const std::optional<EventId> id = parseEventId(lastEventId, error);
+    if (!id)
+        return std::nullopt;
+    if (id->requestId != requestId) {
+        error = base::Result::InvalidField;
+        return std::nullopt;
+    }
+    return makePoint(id->engine, liveLife == id->life, id->offset + 1);
+}
+
+ResumePoint resumeAfterLoss(const Relay &relay, std::size_t attempt,
+                            const std::optional<std::string> &liveLife)
+{
+    const RelayAttempt &lost = relay.attempt(attempt);
+    return makePoint(lost.engine, liveLife == lost.life, relay.resumeFrom());
+}
+
+} // namespace chervilfield::streams
--- /dev/null
+++ b/packages/streams/test/event_id_test.cpp
@@ -0,0 +1,68 @@
+#include "streams/event_id.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace chervilfield::streams {
+
+class EventIdTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EventIdTest);
+    CPPUNIT_TEST(parseAcceptsOnlyFormattedIds);
+    CPPUNIT_TEST(engineRequestIdSeparatesRequests);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against resuming a stream at a wrong offset or at a wrong engine.
+    void parseAcceptsOnlyFormattedIds()
+    {
+        const EventId valid[] = {
+            { "r-1", "10.0.0.1:80", "L.2", 0 },
+            { "r", "e", "l", kMaxOffset },
+            { std::string(kMaxIdPart, 'r'), "e", "l", 17 },
+        };
+        for (const EventId &id : valid) {
+            std::error_code error;
+            CPPUNIT_ASSERT(parseEventId(formatEventId(id), error) == id);
+            CPPUNIT_ASSERT(!error);
+        }
+        const std::string invalid[] = {
+            "",
+            "r/e/l",
+            "r/e/l/",
+            "/e/l/1",
+            "r//l/1",
+            "r/e//1",
+            "r/e/l/1/2",
+            "r/e/l/01",
+            "r/e/l/-1",
+            "r/e/l/+1",
+            "r/e/l/1 ",
+            " r/e/l/1",
+            "r/e/l/1x",
+            "r/e/l/0x1",
+            "r/e/l/9007199254740992",
+            "r\n/e/l/1",
+            "r/e/l/99999999999999999999",
+            std::string(kMaxIdPart + 1, 'r') + "/e/l/1",
+        };
+        for (const std::string &text : invalid) {
+            std::error_code error;
+            CPPUNIT_ASSERT_MESSAGE(text, !parseEventId(text, error));
+            CPPUNIT_ASSERT_MESSAGE(text, error);
+        }
+    }
+
+    // Guards against reattaching to the stream of another customer or of another request.
+    void engineRequestIdSeparatesRequests()
+    {
+        const std::string id = engineRequestId("c", "r", "body");
+        CPPUNIT_ASSERT_EQUAL(id, engineRequestId("c", "r", "body"));
+        CPPUNIT_ASSERT(id != engineRequestId("d", "r", "body"));
+        CPPUNIT_ASSERT(id != engineRequestId("c", "s", "body"));
+        CPPUNIT_ASSERT(id != engineRequestId("c", "r", "other"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventIdTest);
+
+} // namespace chervilfield::streams
--- /dev/null
+++ b/packages/streams/test/watchdog_test.cpp
@@ -0,0 +1,70 @@
+#include "streams/watchdog.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace chervilfield::streams {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+class WatchdogTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(WatchdogTest);
+    CPPUNIT_TEST(deadlineFollowsExpectation);
+    CPPUNIT_TEST(suspendedTimeDoesNotCount);
+    CPPUNIT_TEST_SUITE_END();
+
+    static SteadyTime at(int ms) { return SteadyTime() + milliseconds(ms); }
+
+public:
+    // Guards against giving up a long prompt too early and a silent connection too late.
+    void deadlineFollowsExpectation()
+    {
+        struct Row
+        {
+            microseconds expected;
+            bool hasToken;
+            milliseconds deadline;
+        };
+        const Row rows[] = {
+            { milliseconds(0), false, milliseconds(500) },
+            { milliseconds(300), false, milliseconds(1200) },
+            { milliseconds(100'000), false, milliseconds(60'000) },
+            { microseconds::max(), false, milliseconds(60'000) },
+            { milliseconds(0), true, milliseconds(400) },
+            { milliseconds(200), true, milliseconds(800) },
+            { microseconds::max(), true, milliseconds(5000) },
+        };
+        for (const Row &row : rows) {
+            const ProgressExpectation expectation{ row.expected, row.expected };
+            Progress progress = startProgress(at(0));
+            if (row.hasToken)
+                recordToken(progress, at(0));
+            const SteadyTime due = SteadyTime() + row.deadline;
+            CPPUNIT_ASSERT(progressDeadline(progress, expectation, {}) == due);
+            CPPUNIT_ASSERT(judge(progress, expectation, {}, due - microseconds(1))
+                           == ProgressVerdict::OnTime);
+            CPPUNIT_ASSERT(judge(progress, expectation, {}, due)
+                           == (row.hasToken ? ProgressVerdict::NextTokenLate
+                                            : ProgressVerdict::FirstTokenLate));
+        }
+    }
+
+    // Guards against blaming the engine for a caller that does not read.
+    void suspendedTimeDoesNotCount()
+    {
+        Progress progress = startProgress(at(0));
+        recordToken(progress, at(10));
+        suspend(progress, at(110));
+        CPPUNIT_ASSERT(!progressDeadline(progress, {}, {}));
+        CPPUNIT_ASSERT(judge(progress, {}, {}, at(100'000)) == ProgressVerdict::OnTime);
+        unsuspend(progress, at(5110));
+        CPPUNIT_ASSERT(progressDeadline(progress, {}, {}) == at(5410));
+        recordToken(progress, at(5200));
+        CPPUNIT_ASSERT(progressDeadline(progress, {}, {}) == at(5600));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WatchdogTest);
+
+} // namespace chervilfield::streams
