Reply to a waiting caller after a bounded number of rounds

An attempt that settles a lost write, or waits for another attempt, replied only when the daemon delivered `CallerGone`. Without it the call hung while the store was down. The attempt now replies `unknown` by itself after 40 rounds, about 18 s plus the time of the store.

--- a/packages/orders/include/orders/order_attempt.h
+++ b/packages/orders/include/orders/order_attempt.h
@@ -21,6 +21,10 @@
     std::chrono::hours answerLifetime{ 48 };
     /// Largest body that is stored for retries, in bytes; the store keeps rows, not objects.
     std::size_t maxStoredBody = 65'536;
+    /// Rounds of reading after which the caller gets `unknown`. With the longest delay of 500 ms
+    /// this is about 18 s plus the time that the store takes. A caller is never left waiting, even
+    /// if `CallerGone` is not delivered.
+    int maxRoundsBeforeReply = 40;
     /// Rounds of writing and reading back after which an attempt whose caller already has its reply
     /// stops. With the longest delay of 5 s this is over ten minutes.
     int maxSettleRounds = 150;
--- a/packages/orders/src/order_attempt.cpp
+++ b/packages/orders/src/order_attempt.cpp
@@ -243,35 +243,44 @@
             replyPending();
     }
 
-    /// Counts a round of settling. Returns false if the attempt has ended.
+    /// Counts a round. The caller gets its reply after some rounds, and the attempt ends after
+    /// more. Returns false if the attempt has ended.
     bool startRound()
     {
+        const AttemptOptions &options = attempt_.request.options;
         ++attempt_.settleRounds;
-        if (!attempt_.replied || attempt_.settleRounds < attempt_.request.options.maxSettleRounds)
-            return true;
-        attempt_.phase = AttemptPhase::Finished;
-        return false;
+        if (!attempt_.replied && attempt_.settleRounds >= options.maxRoundsBeforeReply)
+            handle(CallerGone{});
+        if (attempt_.replied && attempt_.settleRounds >= options.maxSettleRounds)
+            attempt_.phase = AttemptPhase::Finished;
+        return attempt_.phase != AttemptPhase::Finished;
+    }
+
+    milliseconds nextDelay() const
+    {
+        return backoff(attempt_.settleRounds,
+                       attempt_.replied ? kLongestSettleDelay : kLongestPollDelay);
     }
 
     void readBack()
     {
-        const milliseconds delay = attempt_.settleRounds == 0
-                                           ? milliseconds(0)
-                                           : backoff(attempt_.settleRounds, kLongestSettleDelay);
+        const milliseconds delay = attempt_.settleRounds == 0 ? milliseconds(0) : nextDelay();
         if (startRound())
             actions_.emplace_back(ReadRow{ delay });
     }
 
     void resendWrite()
     {
-        const milliseconds delay = backoff(attempt_.settleRounds, kLongestSettleDelay);
+        const milliseconds delay = nextDelay();
         if (startRound())
             actions_.emplace_back(WriteRow{ attempt_.write, delay });
     }
 
     void poll()
     {
-        actions_.emplace_back(ReadRow{ backoff(attempt_.settleRounds++, kLongestPollDelay) });
+        const milliseconds delay = nextDelay();
+        if (startRound())
+            actions_.emplace_back(ReadRow{ delay });
     }
 
     /// The write of the current phase is known to have taken effect.
--- a/packages/orders/test/order_attempt_test.cpp
+++ b/packages/orders/test/order_attempt_test.cpp
@@ -315,9 +315,31 @@
     CPPUNIT_TEST(runsAtMostOnceAndTellsTheTruth);
     CPPUNIT_TEST(repliesFollowTheEvents);
     CPPUNIT_TEST(intentOfSameLifeIsClosedOnlyIfNotDispatched);
+    CPPUNIT_TEST(callerIsNotLeftWaiting);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a call that hangs while the store is down or another attempt stays undecided.
+    void callerIsNotLeftWaiting()
+    {
+        const Event beginnings[] = {
+            WriteLost{}, WriteConflict{ makeStored(RowState::Intent, "other", "9/intent") }
+        };
+        for (const Event &beginning : beginnings) {
+            Attempt attempt;
+            attempt.request = { "k", "f", "life", "1", {} };
+            OwnIntents own;
+            step(attempt, own, Begin{}, {});
+            step(attempt, own, beginning, {});
+            for (int i = 0; i < 100 && !attempt.replied; ++i)
+                step(attempt, own, ReadLost{}, {});
+            CPPUNIT_ASSERT(attempt.replied);
+            for (int i = 0; i < 200; ++i)
+                step(attempt, own, ReadLost{}, {});
+            CPPUNIT_ASSERT(attempt.phase == AttemptPhase::Finished);
+        }
+    }
+
     // Guards against a second execution, a false `not-run`, a foreign answer and an attempt that
     // never ends, under crashes, lost and late writes, wrong suspicion and crossed retries.
     void runsAtMostOnceAndTellsTheTruth()
