Add lease, fencing and load slot rules for engine orders

Two holders of a lease must not both act on an engine, although a holder can be paused past its lease and some engines ignore the fencing number.

The test also requires more than 1,000 takeovers per kind.

--- /dev/null
+++ b/packages/leases/src/lease.cpp
@@ -0,0 +1,173 @@
+#include "leases/lease.h"
+
+#include "base/result.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace chervilfield::leases {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Returns the time by a local clock after which at least `real` has passed.
+milliseconds longerThan(milliseconds real, const ClockBounds &clocks)
+{
+    const double local = static_cast<double>(real.count()) * (1.0 + clocks.rateError);
+    return milliseconds(static_cast<milliseconds::rep>(std::ceil(local)));
+}
+
+/// Returns the time by a local clock before which at most `real` has passed.
+milliseconds shorterThan(milliseconds real, const ClockBounds &clocks)
+{
+    const double local = static_cast<double>(real.count()) * (1.0 - clocks.rateError);
+    return milliseconds(static_cast<milliseconds::rep>(std::floor(local)));
+}
+
+std::optional<milliseconds> findTime(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    const std::int64_t *ms = value ? value->if_int64() : nullptr;
+    if (!ms || *ms < 0)
+        return std::nullopt;
+    return milliseconds(*ms);
+}
+
+const json::string *findString(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    return value ? value->if_string() : nullptr;
+}
+
+} // namespace
+
+std::string leaseKey(std::string_view engine)
+{
+    std::string key = "leases/";
+    for (const char c : engine) {
+        if (c == '/')
+            key += "%2F";
+        else if (c == '%')
+            key += "%25";
+        else
+            key += c;
+    }
+    return key;
+}
+
+std::string encodeLease(const LeaseRow &row)
+{
+    return json::serialize(json::object{ { "holder", row.holder },
+                                         { "fence", row.fence },
+                                         { "durationMs", row.times.duration.count() },
+                                         { "orderLifetimeMs", row.times.orderLifetime.count() },
+                                         { "effectMs", row.times.effect.count() },
+                                         { "target", row.target } });
+}
+
+std::optional<LeaseRow> decodeLease(std::string_view text, std::error_code &error)
+{
+    boost::system::error_code parseError;
+    const json::value value = json::parse(text, parseError);
+    if (parseError || !value.is_object()) {
+        error = base::Result::InvalidJson;
+        return std::nullopt;
+    }
+    error = base::Result::InvalidField;
+    const json::object &object = value.get_object();
+    const json::string *holder = findString(object, "holder");
+    const json::string *target = findString(object, "target");
+    const json::value *fence = object.if_contains("fence");
+    const auto duration = findTime(object, "durationMs");
+    const auto lifetime = findTime(object, "orderLifetimeMs");
+    const auto effect = findTime(object, "effectMs");
+    if (!holder || !target || !fence || !fence->is_number() || !duration || !lifetime || !effect)
+        return std::nullopt;
+    boost::system::error_code numberError;
+    const auto number = fence->to_number<std::uint64_t>(numberError);
+    if (numberError)
+        return std::nullopt;
+    error.clear();
+    return LeaseRow{ .holder = std::string(*holder),
+                     .fence = number,
+                     .times = { *duration, *lifetime, *effect },
+                     .target = std::string(*target) };
+}
+
+Observation observe(const std::optional<Observation> &last, std::uint64_t version, SteadyTime now)
+{
+    // An older version is a stale read; the store does not go back.
+    if (last && version <= last->version)
+        return *last;
+    return { .version = version, .firstSeen = now };
+}
+
+milliseconds takeoverWait(const LeaseRow &row, FenceCheck check, const ClockBounds &clocks)
+{
+    milliseconds real = row.times.duration;
+    if (check == FenceCheck::Ignored || row.times.effect > milliseconds::zero())
+        real += row.times.orderLifetime + clocks.wallOffset + row.times.effect;
+    return longerThan(real, clocks);
+}
+
+bool mayTake(const LeaseRow &row, const Observation &observation, FenceCheck check,
+             const ClockBounds &clocks, SteadyTime now)
+{
+    return row.holder.empty() || now - observation.firstSeen >= takeoverWait(row, check, clocks);
+}
+
+LeaseRow takenRow(const std::optional<LeaseRow> &current, const LeaseRequest &request)
+{
+    return { .holder = request.holder,
+             .fence = current ? current->fence + 1 : 1,
+             .times = request.times,
+             .target = request.target };
+}
+
+SteadyTime validUntil(const Holding &holding, const ClockBounds &clocks)
+{
+    return holding.sentAt + shorterThan(holding.row.times.duration, clocks);
+}
+
+void recordRenewal(Holding &holding, std::uint64_t version, SteadyTime sentAt, WallTime sentAtWall)
+{
+    holding.version = version;
+    holding.sentAt = sentAt;
+    holding.sentAtWall = sentAtWall;
+}
+
+std::optional<OrderGuard> authorize(Holding &holding, const ClockBounds &clocks, SteadyTime now,
+                                    WallTime wallNow)
+{
+    if (now < holding.sentAt || now >= validUntil(holding, clocks))
+        return std::nullopt;
+    const LeaseTimes &times = holding.row.times;
+    const WallTime latest = holding.sentAtWall + times.duration;
+    const WallTime expires = std::min(wallNow, latest) + times.orderLifetime;
+    // Counted from the end of the lease: `now` may be long past when the order is sent.
+    holding.busyUntil =
+            validUntil(holding, clocks)
+            + longerThan(times.orderLifetime + clocks.wallOffset + times.effect, clocks);
+    return OrderGuard{ .fence = holding.row.fence, .expires = expires };
+}
+
+void recordSettled(Holding &holding)
+{
+    holding.busyUntil = SteadyTime();
+}
+
+std::optional<LeaseRow> releasedRow(const Holding &holding, SteadyTime now)
+{
+    if (now < holding.busyUntil)
+        return std::nullopt;
+    LeaseRow row = holding.row;
+    row.holder.clear();
+    row.target.clear();
+    return row;
+}
+
+} // namespace chervilfield::leases
--- /dev/null
+++ b/packages/leases/test/lease_test.cpp
@@ -0,0 +1,335 @@
+#include "leases/lease.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilfield::leases {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+namespace {
+
+template<class T>
+T draw(T low, T high)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<T>(low, high));
+}
+
+constexpr ClockBounds kClocks{ .rateError = 0.05, .wallOffset = milliseconds(200) };
+
+struct Write
+{
+    LeaseRow row;
+    std::uint64_t ifVersion = 0;
+    SteadyTime sentAt;
+    WallTime sentAtWall;
+    std::optional<bool> applied; ///< Absent until the write reaches the store.
+    std::uint64_t newVersion = 0;
+};
+
+/// A process that competes for the lease. Its clocks are wrong within the bounds.
+struct Instance
+{
+    std::string life;
+    double rate = 1.0;
+    milliseconds wallError{ 0 };
+    std::optional<Observation> observation;
+    std::optional<LeaseRow> seen;
+    std::optional<Write> write; ///< Outstanding.
+    std::optional<Holding> holding;
+};
+
+struct Order
+{
+    OrderGuard guard;
+    std::uint64_t leaseFence = 0;
+};
+
+/// One engine or slot, the row of its lease, and instances that are paused at any point.
+class World
+{
+public:
+    World(FenceCheck check, milliseconds effect) : check_(check)
+    {
+        times_ = { .duration = milliseconds(1000),
+                   .orderLifetime = milliseconds(300),
+                   .effect = effect };
+        for (int i = 0; i < 3; ++i) {
+            Instance &instance = instances_.emplace_back();
+            instance.life = std::to_string(i);
+            instance.rate = 1.0 + draw(-50, 51) / 1000.0;
+            instance.wallError = milliseconds(draw(-100, 101));
+        }
+        engineWallError_ = milliseconds(draw(-100, 101));
+    }
+
+    void step()
+    {
+        now_ += milliseconds(draw(0, 40) == 0 ? draw(0, 4000) : draw(0, 100));
+        Instance &instance = instances_[draw<std::size_t>(0, instances_.size())];
+        const int choice = draw(0, 6);
+        if (choice == 0)
+            deliverOrder();
+        else if (instance.write)
+            instance.write->applied ? endWrite(instance) : applyWrite(instance);
+        else if (!instance.holding && choice < 4)
+            read(instance);
+        else if (!instance.holding || choice == 1)
+            startWrite(instance);
+        else if (choice == 2)
+            release(instance);
+        else
+            authorizeOrder(instance);
+    }
+
+    int takeovers() const { return takeovers_; }
+
+private:
+    SteadyTime steady(const Instance &instance) const
+    {
+        const auto ticks = static_cast<double>(microseconds(now_).count()) * instance.rate;
+        return SteadyTime(microseconds(static_cast<std::int64_t>(ticks)));
+    }
+    WallTime wall(milliseconds error) const { return WallTime(now_ + error); }
+
+    void read(Instance &instance)
+    {
+        instance.seen = row_;
+        instance.observation = observe(instance.observation, version_, steady(instance));
+    }
+
+    void startWrite(Instance &instance)
+    {
+        if (instance.write || !instance.observation)
+            return;
+        const SteadyTime now = steady(instance);
+        std::optional<LeaseRow> row;
+        std::uint64_t ifVersion = instance.observation->version;
+        if (instance.holding) {
+            row = instance.holding->row;
+            ifVersion = instance.holding->version;
+        } else if (!instance.seen
+                   || mayTake(*instance.seen, *instance.observation, check_, kClocks, now)) {
+            row = takenRow(instance.seen, { instance.life, "e", times_ });
+        }
+        if (row)
+            instance.write = Write{ *row, ifVersion, now, wall(instance.wallError), {}, 0 };
+    }
+
+    void applyWrite(Instance &instance)
+    {
+        if (!instance.write || instance.write->applied)
+            return;
+        Write &write = *instance.write;
+        write.applied = write.ifVersion == version_;
+        if (!*write.applied)
+            return;
+        row_ = write.row;
+        write.newVersion = ++version_;
+    }
+
+    void endWrite(Instance &instance)
+    {
+        if (!instance.write || !instance.write->applied)
+            return;
+        const Write write = *std::exchange(instance.write, std::nullopt);
+        if (!*write.applied) {
+            instance.holding.reset();
+        } else if (instance.holding) {
+            recordRenewal(*instance.holding, write.newVersion, write.sentAt, write.sentAtWall);
+        } else {
+            instance.holding =
+                    Holding{ write.row, write.newVersion, write.sentAt, write.sentAtWall, {} };
+        }
+    }
+
+    void authorizeOrder(Instance &instance)
+    {
+        if (!instance.holding)
+            return;
+        const auto guard =
+                authorize(*instance.holding, kClocks, steady(instance), wall(instance.wallError));
+        if (guard)
+            orders_.push_back({ *guard, instance.holding->row.fence });
+    }
+
+    /// The holder gives the lease up at once; it must wait for its orders.
+    void release(Instance &instance)
+    {
+        if (!instance.holding || instance.write)
+            return;
+        const auto row = releasedRow(*instance.holding, steady(instance));
+        if (!row || instance.holding->version != version_)
+            return;
+        row_ = *row;
+        ++version_;
+        instance.holding.reset();
+    }
+
+    /// An order arrives after any delay: its sender or the network may have been paused.
+    void deliverOrder()
+    {
+        if (orders_.empty())
+            return;
+        const std::size_t i = draw<std::size_t>(0, orders_.size());
+        const Order order = orders_[i];
+        orders_.erase(orders_.begin() + static_cast<std::ptrdiff_t>(i));
+        if (wall(engineWallError_) >= order.guard.expires)
+            return;
+        if (check_ == FenceCheck::Checked && order.guard.fence < highestFence_)
+            return;
+        RC_ASSERT(order.leaseFence >= highestFence_);
+        if (order.leaseFence > highestFence_) {
+            RC_ASSERT(now_ >= effectEnds_);
+            ++takeovers_;
+        }
+        highestFence_ = order.leaseFence;
+        effectEnds_ = now_ + times_.effect;
+    }
+
+    FenceCheck check_;
+    LeaseTimes times_;
+    milliseconds now_{ 10'000 };
+    milliseconds engineWallError_{ 0 };
+    std::vector<Instance> instances_;
+    std::optional<LeaseRow> row_;
+    std::uint64_t version_ = 0;
+    std::vector<Order> orders_;
+    std::uint64_t highestFence_ = 0;
+    milliseconds effectEnds_{ 0 };
+    int takeovers_ = 0;
+};
+
+Holding makeHolding(const LeaseTimes &times)
+{
+    return { .row = { "a", 7, times, "e" },
+             .version = 3,
+             .sentAt = SteadyTime(milliseconds(1000)),
+             .sentAtWall = WallTime(milliseconds(5000)),
+             .busyUntil = {} };
+}
+
+} // namespace
+
+class LeaseTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LeaseTest);
+    CPPUNIT_TEST(oldHolderNeverActsAfterNewOne);
+    CPPUNIT_TEST(waitCoversTheLatestOrder);
+    CPPUNIT_TEST(guardIsBoundedByTheLease);
+    CPPUNIT_TEST(renewalRestartsObservation);
+    CPPUNIT_TEST(rowsSurviveEncoding);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an order of a holder that was paused past its lease, on engines that check the
+    // number, on engines that ignore it, and on slots whose orders have a lasting effect.
+    void oldHolderNeverActsAfterNewOne()
+    {
+        struct Row
+        {
+            std::string name;
+            FenceCheck check;
+            milliseconds effect;
+        };
+        const Row rows[] = {
+            { "engine that checks the number", FenceCheck::Checked, milliseconds(0) },
+            { "engine that ignores the number", FenceCheck::Ignored, milliseconds(0) },
+            { "load slot", FenceCheck::Ignored, milliseconds(700) },
+        };
+        for (const Row &row : rows) {
+            int takeovers = 0;
+            const bool holds = rc::check(row.name, [&row, &takeovers] {
+                constexpr int kWorlds = 10;
+                constexpr int kSteps = 500;
+                for (int i = 0; i < kWorlds; ++i) {
+                    World world(row.check, row.effect);
+                    for (int step = 0; step < kSteps; ++step)
+                        world.step();
+                    takeovers += std::max(0, world.takeovers() - 1);
+                }
+            });
+            CPPUNIT_ASSERT_MESSAGE(row.name, holds);
+            constexpr int kEnough = 1000;
+            CPPUNIT_ASSERT_MESSAGE(row.name + ": too few takeovers " + std::to_string(takeovers),
+                                   takeovers > kEnough);
+        }
+    }
+
+    // Guards against a takeover while an order of the old holder can still be applied.
+    void waitCoversTheLatestOrder()
+    {
+        struct Row
+        {
+            FenceCheck check;
+            milliseconds effect;
+            milliseconds wait;
+        };
+        const Row rows[] = {
+            { FenceCheck::Checked, milliseconds(0), milliseconds(3030) },
+            { FenceCheck::Ignored, milliseconds(0), milliseconds(4293) },
+            { FenceCheck::Ignored, milliseconds(2000), milliseconds(6313) },
+            { FenceCheck::Checked, milliseconds(2000), milliseconds(6313) },
+        };
+        for (const Row &row : rows) {
+            const LeaseRow lease{ "a", 1, { .effect = row.effect }, "e" };
+            CPPUNIT_ASSERT_EQUAL(row.wait.count(), takeoverWait(lease, row.check, {}).count());
+            const Observation seen{ 1, SteadyTime() };
+            const SteadyTime due = SteadyTime() + row.wait;
+            CPPUNIT_ASSERT(!mayTake(lease, seen, row.check, {}, due - milliseconds(1)));
+            CPPUNIT_ASSERT(mayTake(lease, seen, row.check, {}, due));
+        }
+    }
+
+    // Guards against an order that outlives the wait of the next holder because its sender was
+    // paused between the check of the lease and the order, or because its wall clock jumped.
+    void guardIsBoundedByTheLease()
+    {
+        Holding holding = makeHolding({});
+        const SteadyTime end = validUntil(holding, {});
+        CPPUNIT_ASSERT(end == SteadyTime(milliseconds(3970)));
+        const WallTime wall(milliseconds(6000));
+        CPPUNIT_ASSERT(!authorize(holding, {}, end, wall));
+        CPPUNIT_ASSERT(releasedRow(holding, end));
+        const auto guard = authorize(holding, {}, end - milliseconds(1), wall);
+        CPPUNIT_ASSERT(guard && guard->fence == 7);
+        CPPUNIT_ASSERT(guard->expires == WallTime(milliseconds(7000)));
+        CPPUNIT_ASSERT(authorize(holding, {}, end - milliseconds(1), WallTime::max())->expires
+                       == WallTime(milliseconds(9000)));
+        CPPUNIT_ASSERT(!releasedRow(holding, end));
+        recordSettled(holding);
+        CPPUNIT_ASSERT(releasedRow(holding, end)->holder.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), takenRow(holding.row, { "b", "e", {} }).fence);
+    }
+
+    // Guards against a takeover from a holder that renews its lease, and against a stale read.
+    void renewalRestartsObservation()
+    {
+        const SteadyTime later(milliseconds(500));
+        const Observation first = observe(std::nullopt, 4, SteadyTime());
+        CPPUNIT_ASSERT(observe(first, 4, later).firstSeen == SteadyTime());
+        CPPUNIT_ASSERT(observe(first, 5, later).firstSeen == later);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), observe(first, 3, later).version);
+    }
+
+    // Guards against a holder that is lost between write and read, and against shared rows.
+    void rowsSurviveEncoding()
+    {
+        std::error_code error;
+        const LeaseRow row = makeHolding({ .effect = milliseconds(5) }).row;
+        CPPUNIT_ASSERT(decodeLease(encodeLease(row), error) == row);
+        for (const std::string text : { "", "{}", "{\"holder\":1}" }) {
+            CPPUNIT_ASSERT(!decodeLease(text, error));
+            CPPUNIT_ASSERT(error);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("leases/load-slots%2F0"), leaseKey("load-slots/0"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaseTest);
+
+} // namespace chervilfield::leases
