--- /dev/null
+++ b/packages/net/test/http_server_test.cpp
@@ -0,0 +1,151 @@
+#include "net/http_server.h"
+
+#include "net/http_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <thread>
+
+namespace chervilfield::net {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Sends raw bytes to the server and returns everything it answers until it closes.
+std::string exchangeRaw(const Address &address, const std::string &bytes)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({ asio::ip::make_address(address.host), address.port });
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(bytes), error);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    return answer;
+}
+
+} // namespace
+
+class HttpServerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpServerTest);
+    CPPUNIT_TEST(badInputIsRefused);
+    CPPUNIT_TEST(unfinishedStreamIsVisible);
+    CPPUNIT_TEST(goodRequestPasses);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        ServerOptions options{ .maxHeadBytes = 1024,
+                               .maxBodyBytes = 64,
+                               .headTimeout = milliseconds(200),
+                               .bodyTimeout = milliseconds(200),
+                               .idleTimeout = milliseconds(2000) };
+        const Handler handler = [](Exchange &exchange, asio::yield_context yield) {
+            std::error_code error;
+            if (exchange.request().target != "/unfinished") {
+                exchange.respond({ .body = exchange.request().body }, yield, error);
+                return;
+            }
+            exchange.startStream(200, {}, yield, error);
+            exchange.write("part", yield, error);
+        };
+        server_ = std::make_unique<HttpServer>(std::vector<ServerWorker>{ { &context_, handler } },
+                                               options);
+        std::error_code error;
+        server_->listen({ "127.0.0.1", 0 }, error);
+        CPPUNIT_ASSERT_MESSAGE(error.message(), !error);
+        thread_ = std::thread([this] { context_.run(); });
+    }
+
+    void tearDown() override
+    {
+        context_.stop();
+        thread_.join();
+        server_.reset();
+        context_.restart();
+    }
+
+    // Guards against request smuggling, unbounded input and connections held by slow senders.
+    void badInputIsRefused()
+    {
+        struct Row
+        {
+            std::string name;
+            std::string bytes;
+            std::string expected;
+        };
+        const Row rows[] = {
+            { "garbage", "\x01\x02\x03\r\n\r\n", "HTTP/1.1 400" },
+            { "no version", "GET /\r\n\r\n", "HTTP/1.1 400" },
+            { "large head", "GET / HTTP/1.1\r\nA: " + std::string(4000, 'a') + "\r\n\r\n",
+              "HTTP/1.1 431" },
+            { "large body", "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n", "HTTP/1.1 413" },
+            { "two lengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+              "HTTP/1.1 400" },
+            { "length and chunked",
+              "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+              "HTTP/1.1 400" },
+            { "chunked and length",
+              "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r\n",
+              "HTTP/1.1 400" },
+            { "negative length", "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 400" },
+            { "slow head", "GET / HTTP/1.1\r\nA: ", "HTTP/1.1 408" },
+            { "slow body", "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nab", "HTTP/1.1 408" },
+        };
+        for (const Row &row : rows) {
+            const std::string answer = exchangeRaw(server_->localAddress(), row.bytes);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.expected,
+                                         answer.substr(0, row.expected.size()));
+        }
+    }
+
+    // Guards against a cut stream that looks complete to the caller.
+    void unfinishedStreamIsVisible()
+    {
+        std::string body;
+        const std::error_code error = fetch({ .target = "/unfinished" }, body);
+        CPPUNIT_ASSERT_EQUAL(std::string("part"), body);
+        CPPUNIT_ASSERT(error == base::Result::StreamInterrupted);
+    }
+
+    // Guards against refusals of well-formed requests.
+    void goodRequestPasses()
+    {
+        std::string body;
+        const std::error_code error = fetch({ .method = "POST", .body = "hello" }, body);
+        CPPUNIT_ASSERT_MESSAGE(error.message(), !error);
+        CPPUNIT_ASSERT_EQUAL(std::string("hello"), body);
+    }
+
+private:
+    std::error_code fetch(const Request &request, std::string &body)
+    {
+        asio::io_context context;
+        HttpClient client(context.get_executor(), {});
+        std::error_code error;
+        spawnCoroutine(context, "[test]", [&](asio::yield_context yield) {
+            auto stream =
+                    client.open(server_->localAddress(), request, milliseconds(2000), yield, error);
+            while (stream != nullptr && stream->read(body, milliseconds(2000), yield, error)) {
+            }
+        });
+        context.run();
+        return error;
+    }
+
+    asio::io_context context_;
+    std::unique_ptr<HttpServer> server_;
+    std::thread thread_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
+
+} // namespace chervilfield::net
