Add the engine stand-in and the engine client

Cause: a request cannot be served end to end without an engine and a client for it. Change: standins/engine (block cache, prefill by priority, batch slots, resume, cancel, attach, numbered cache events, fencing, faults by POST /control) and package targets (token streams whose errors tell whether the engine can have seen the request). Result: a streamed completion of three tokens and its usage, read with a command-line client.

--- /dev/null
+++ b/packages/targets/include/targets/engine_client.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "net/address.h"
+#include "net/event_stream.h"
+#include "net/http_client.h"
+
+#include <boost/asio/spawn.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace chervilfield::targets {
+
+/// Request for a completion, as an engine receives it.
+struct CompletionCall
+{
+    std::string requestId;
+    std::string prompt;
+    std::uint64_t maxTokens = 16;
+    int priority = 0;      ///< Lower values go first.
+    std::string cacheSalt; ///< Separates customers, weights versions and adapters in the cache.
+    std::uint64_t resumeFrom = 0; ///< Tokens of the answer that the caller already has.
+};
+
+/// One generated token; `index` counts from the start of the whole answer.
+struct Token
+{
+    std::uint64_t index = 0;
+    std::string text;
+};
+
+/// Token counts that the engine reports at the end of a stream.
+struct Usage
+{
+    std::uint64_t promptTokens = 0;
+    std::uint64_t cachedTokens = 0;
+    std::uint64_t completionTokens = 0;
+};
+
+/// Name, process life and weights version of an engine.
+struct EngineIdentity
+{
+    std::string engine;
+    std::uint64_t life = 0;
+    std::string weights;
+};
+
+/// The tokens of one request while the engine generates them. Destroying the object closes the
+/// connection unless the stream was read to its end.
+class TokenStream
+{
+public:
+    explicit TokenStream(std::unique_ptr<net::ResponseStream> body);
+
+    /// Returns the next token, or no value at the end. At the true end `usage()` has a value; on
+    /// failure `error` is `ProgressTimeout`, `StreamInterrupted` or `TargetFailed`.
+    std::optional<Token> next(std::chrono::milliseconds timeout,
+                              const boost::asio::yield_context &yield, std::error_code &error);
+
+    /// Returns true if and only if `next()` has a token that has already arrived.
+    bool hasBuffered() const { return !tokens_.empty(); }
+
+    /// Returns the counts of the finished request, or no value before its end.
+    const std::optional<Usage> &usage() const { return usage_; }
+
+    /// Returns the engine's process life, from the response's X-Engine-Life field.
+    std::uint64_t life() const { return life_; }
+
+private:
+    bool consume(const net::ServerSentEvent &event);
+
+    std::unique_ptr<net::ResponseStream> body_;
+    net::EventStreamParser parser_;
+    std::deque<Token> tokens_;
+    std::optional<Usage> usage_;
+    std::uint64_t life_ = 0;
+    bool finished_ = false;
+};
+
+/// Starts a completion. Returns no stream and sets `error` on failure: `TargetUnreachable` if and
+/// only if the engine cannot have seen the request.
+std::unique_ptr<TokenStream> startCompletion(net::HttpClient &client, const net::Address &engine,
+                                             const CompletionCall &call,
+                                             std::chrono::milliseconds timeout,
+                                             const boost::asio::yield_context &yield,
+                                             std::error_code &error);
+
+/// Attaches again to a request that the engine still holds, from token `from` on. Sets `error` to
+/// `NotFound` if the engine does not know the request.
+std::unique_ptr<TokenStream> attachCompletion(net::HttpClient &client, const net::Address &engine,
+                                              const std::string &requestId, std::uint64_t from,
+                                              std::chrono::milliseconds timeout,
+                                              const boost::asio::yield_context &yield,
+                                              std::error_code &error);
+
+/// Asks the engine to stop a request. Failures are of no consequence: the engine also stops when it
+/// has generated all tokens.
+void cancelCompletion(net::HttpClient &client, const net::Address &engine,
+                      const std::string &requestId, std::chrono::milliseconds timeout,
+                      const boost::asio::yield_context &yield);
+
+/// Asks for the engine's identity.
+std::optional<EngineIdentity> fetchIdentity(net::HttpClient &client, const net::Address &engine,
+                                            std::chrono::milliseconds timeout,
+                                            const boost::asio::yield_context &yield,
+                                            std::error_code &error);
+
+} // namespace chervilfield::targets
--- /dev/null
+++ b/packages/targets/src/engine_client.cpp
@@ -0,0 +1,193 @@
+#include "targets/engine_client.h"
+
+#include "base/result.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <charconv>
+
+namespace chervilfield::targets {
+
+namespace json = boost::json;
+using base::Result;
+using boost::asio::yield_context;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpNotFound = 404;
+
+std::uint64_t parseNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+std::optional<json::object> parseObject(std::string_view text)
+{
+    boost::system::error_code error;
+    json::value value = json::parse(text, error);
+    if (error || !value.is_object())
+        return std::nullopt;
+    return std::move(value.as_object());
+}
+
+std::uint64_t numberOf(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    if (value == nullptr)
+        return 0;
+    if (const auto *number = value->if_int64())
+        return *number < 0 ? 0 : static_cast<std::uint64_t>(*number);
+    const auto *number = value->if_uint64();
+    return number == nullptr ? 0 : *number;
+}
+
+std::string textOf(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    const auto *text = value == nullptr ? nullptr : value->if_string();
+    return text == nullptr ? std::string() : std::string(*text);
+}
+
+std::unique_ptr<TokenStream> toTokenStream(std::unique_ptr<net::ResponseStream> body,
+                                           std::error_code &error)
+{
+    if (body == nullptr)
+        return nullptr;
+    if (body->status() == kHttpOk)
+        return std::make_unique<TokenStream>(std::move(body));
+    error = body->status() == kHttpNotFound ? Result::NotFound : Result::TargetFailed;
+    return nullptr;
+}
+
+net::Request postJson(std::string path, const json::object &body)
+{
+    return { .method = "POST",
+             .target = std::move(path),
+             .headers = { { "Content-Type", "application/json" } },
+             .body = json::serialize(body) };
+}
+
+} // namespace
+
+TokenStream::TokenStream(std::unique_ptr<net::ResponseStream> body) : body_(std::move(body))
+{
+    if (const auto life = net::findHeader(body_->headers(), "X-Engine-Life"))
+        life_ = parseNumber(*life);
+}
+
+std::optional<Token> TokenStream::next(milliseconds timeout, const yield_context &yield,
+                                       std::error_code &error)
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    std::string bytes;
+    while (tokens_.empty() && !finished_) {
+        const auto left = std::chrono::duration_cast<milliseconds>(
+                deadline - std::chrono::steady_clock::now());
+        if (left <= milliseconds::zero()) {
+            error = Result::ProgressTimeout;
+            return std::nullopt;
+        }
+        bytes.clear();
+        if (!body_->read(bytes, left, yield, error)) {
+            if (!error)
+                error = Result::StreamInterrupted;
+            return std::nullopt;
+        }
+        for (const net::ServerSentEvent &event : parser_.feed(bytes)) {
+            if (!consume(event)) {
+                error = Result::TargetFailed;
+                return std::nullopt;
+            }
+        }
+    }
+    if (tokens_.empty()) {
+        // Reads the terminating chunk, so that the connection can be used again.
+        std::error_code ignored;
+        body_->read(bytes, timeout, yield, ignored);
+        return std::nullopt;
+    }
+    Token token = std::move(tokens_.front());
+    tokens_.pop_front();
+    return token;
+}
+
+bool TokenStream::consume(const net::ServerSentEvent &event)
+{
+    if (event.data == "[DONE]") {
+        finished_ = usage_.has_value();
+        return finished_;
+    }
+    const auto object = parseObject(event.data);
+    if (!object.has_value())
+        return false;
+    if (const json::value *usage = object->if_contains("usage"); usage && usage->is_object()) {
+        usage_ = Usage{ .promptTokens = numberOf(usage->as_object(), "prompt_tokens"),
+                        .cachedTokens = numberOf(usage->as_object(), "cached_tokens"),
+                        .completionTokens = numberOf(usage->as_object(), "completion_tokens") };
+        return true;
+    }
+    if (!object->contains("index"))
+        return false;
+    tokens_.push_back({ .index = numberOf(*object, "index"), .text = textOf(*object, "text") });
+    return true;
+}
+
+std::unique_ptr<TokenStream> startCompletion(net::HttpClient &client, const net::Address &engine,
+                                             const CompletionCall &call, milliseconds timeout,
+                                             const yield_context &yield, std::error_code &error)
+{
+    net::Request request = postJson("/v1/completions", { { "request_id", call.requestId },
+                                                         { "prompt", call.prompt },
+                                                         { "max_tokens", call.maxTokens },
+                                                         { "stream", true },
+                                                         { "priority", call.priority },
+                                                         { "cache_salt", call.cacheSalt },
+                                                         { "resume_from", call.resumeFrom } });
+    // Engines refuse a request id that is in use, so a repeated request cannot run twice.
+    request.idempotent = true;
+    return toTokenStream(client.open(engine, request, timeout, yield, error), error);
+}
+
+std::unique_ptr<TokenStream> attachCompletion(net::HttpClient &client, const net::Address &engine,
+                                              const std::string &requestId, std::uint64_t from,
+                                              milliseconds timeout, const yield_context &yield,
+                                              std::error_code &error)
+{
+    const net::Request request{ .target = "/v1/stream?request_id=" + net::percentEncode(requestId)
+                                          + "&from=" + std::to_string(from) };
+    return toTokenStream(client.open(engine, request, timeout, yield, error), error);
+}
+
+void cancelCompletion(net::HttpClient &client, const net::Address &engine,
+                      const std::string &requestId, milliseconds timeout,
+                      const yield_context &yield)
+{
+    std::error_code ignored;
+    client.send(engine, postJson("/v1/cancel", { { "request_id", requestId } }), timeout, yield,
+                ignored);
+}
+
+std::optional<EngineIdentity> fetchIdentity(net::HttpClient &client, const net::Address &engine,
+                                            milliseconds timeout, const yield_context &yield,
+                                            std::error_code &error)
+{
+    const auto response = client.send(engine, { .target = "/v1/identity" }, timeout, yield, error);
+    if (!response.has_value())
+        return std::nullopt;
+    const auto object = parseObject(response->body);
+    if (response->status != kHttpOk || !object.has_value()) {
+        error = Result::TargetFailed;
+        return std::nullopt;
+    }
+    return EngineIdentity{ .engine = textOf(*object, "engine"),
+                           .life = numberOf(*object, "life"),
+                           .weights = textOf(*object, "weights") };
+}
+
+} // namespace chervilfield::targets
--- /dev/null
+++ b/standins/engine/block_cache.cpp
@@ -0,0 +1,81 @@
+#include "engine/block_cache.h"
+
+#include "base/hash.h"
+
+namespace chervilfield::standins {
+
+namespace {
+
+constexpr std::size_t kMaxEvents = 65536;
+
+} // namespace
+
+std::vector<std::uint64_t> blockChain(std::string_view prompt, std::string_view salt)
+{
+    constexpr std::size_t kBlockBytes = kBlockTokens * kBytesPerToken;
+    std::vector<std::uint64_t> chain;
+    std::uint64_t previous = base::hash64(salt);
+    for (; prompt.size() >= kBlockBytes; prompt.remove_prefix(kBlockBytes)) {
+        previous = base::hash64(prompt.substr(0, kBlockBytes), previous);
+        chain.push_back(previous);
+    }
+    return chain;
+}
+
+BlockCache::BlockCache(std::size_t capacity) : capacity_(capacity) {}
+
+std::size_t BlockCache::lookUp(const std::vector<std::uint64_t> &chain)
+{
+    std::size_t found = 0;
+    for (const std::uint64_t block : chain) {
+        const auto entry = entries_.find(block);
+        if (entry == entries_.end())
+            break;
+        order_.splice(order_.begin(), order_, entry->second);
+        ++found;
+    }
+    return found;
+}
+
+void BlockCache::store(const std::vector<std::uint64_t> &chain)
+{
+    for (const std::uint64_t block : chain) {
+        if (entries_.contains(block))
+            continue;
+        order_.push_front(block);
+        entries_[block] = order_.begin();
+        publish(true, block);
+        if (entries_.size() > capacity_) {
+            publish(false, order_.back());
+            entries_.erase(order_.back());
+            order_.pop_back();
+        }
+    }
+}
+
+void BlockCache::clear()
+{
+    order_.clear();
+    entries_.clear();
+    events_.clear();
+    nextEvent_ = 1;
+}
+
+std::vector<CacheEvent> BlockCache::eventsFrom(std::uint64_t number) const
+{
+    std::vector<CacheEvent> result;
+    for (const CacheEvent &event : events_) {
+        if (event.number >= number)
+            result.push_back(event);
+    }
+    return result;
+}
+
+void BlockCache::publish(bool stored, std::uint64_t block)
+{
+    events_.push_back({ .number = nextEvent_++, .stored = stored, .block = block });
+    if (events_.size() > kMaxEvents)
+        events_.pop_front();
+}
+
+} // namespace chervilfield::standins
--- /dev/null
+++ b/standins/engine/block_cache.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace chervilfield::standins {
+
+constexpr std::size_t kBlockTokens = 4096;
+constexpr std::size_t kBytesPerToken = 4;
+
+/// One numbered cache event: a block was stored or evicted.
+struct CacheEvent
+{
+    std::uint64_t number = 0;
+    bool stored = true;
+    std::uint64_t block = 0;
+};
+
+/// Returns the cumulative hashes of the whole blocks of `prompt`, seeded by `salt`.
+std::vector<std::uint64_t> blockChain(std::string_view prompt, std::string_view salt);
+
+/// Prefix cache of an engine: least recently used blocks are evicted. Stores and evictions are
+/// published as numbered events; the last 65,536 are kept.
+class BlockCache
+{
+public:
+    explicit BlockCache(std::size_t capacity);
+
+    /// Returns how many leading blocks of `chain` are cached and marks them as used.
+    std::size_t lookUp(const std::vector<std::uint64_t> &chain);
+
+    /// Stores all blocks of `chain`, evicting the least recently used ones.
+    void store(const std::vector<std::uint64_t> &chain);
+
+    /// Drops everything, as a restart does.
+    void clear();
+
+    std::vector<CacheEvent> eventsFrom(std::uint64_t number) const;
+    std::uint64_t nextEvent() const { return nextEvent_; }
+    std::vector<std::uint64_t> blocks() const { return { order_.begin(), order_.end() }; }
+
+private:
+    void publish(bool stored, std::uint64_t block);
+
+    std::size_t capacity_;
+    std::list<std::uint64_t> order_; ///< Most recently used first.
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> entries_;
+    std::deque<CacheEvent> events_;
+    std::uint64_t nextEvent_ = 1;
+};
+
+} // namespace chervilfield::standins
--- /dev/null
+++ b/standins/engine/engine.cpp
@@ -0,0 +1,353 @@
+#include "engine/engine.h"
+
+#include "base/hash.h"
+#include "engine/answer.h"
+#include "net/event_stream.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <sstream>
+
+namespace chervilfield::standins {
+
+namespace json = boost::json;
+using net::Exchange;
+using std::chrono::microseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t kMaxHistory = 200000;
+constexpr microseconds kWaitStep{ 500 };
+
+std::string text(const json::object &object, const char *name, std::string fallback = {})
+{
+    const auto *value = object.if_contains(name);
+    if (value == nullptr || !value->is_string())
+        return fallback;
+    return std::string(value->as_string());
+}
+
+std::uint64_t number(const json::object &object, const char *name, std::uint64_t fallback)
+{
+    const auto *value = object.if_contains(name);
+    return value == nullptr ? fallback : value->to_number<std::uint64_t>();
+}
+
+json::object parseBody(const Exchange &exchange)
+{
+    boost::system::error_code error;
+    json::value value = json::parse(exchange.request().body, error);
+    return error || !value.is_object() ? json::object() : value.as_object();
+}
+
+void respond(Exchange &exchange, int status, const json::value &body,
+             const boost::asio::yield_context &yield)
+{
+    std::error_code ignored;
+    exchange.respond(net::jsonResponse(status, json::serialize(body)), yield, ignored);
+}
+
+std::int64_t wallMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+// Number of tokens that decoding has produced, counted from the first token of the whole answer.
+std::uint64_t producedUpTo(const Generation &generation)
+{
+    if (!generation.decoding)
+        return generation.firstToken;
+    const auto elapsed = steady_clock::now() - generation.decodeStart;
+    const auto count = static_cast<std::uint64_t>(elapsed / generation.tokenInterval) + 1;
+    return std::min(generation.maxTokens, generation.firstToken + count);
+}
+
+json::object usageOf(const Generation &generation)
+{
+    return { { "prompt_tokens", generation.promptTokens },
+             { "cached_tokens", generation.cachedTokens },
+             { "completion_tokens", generation.maxTokens - generation.firstToken } };
+}
+
+} // namespace
+
+Engine::Engine(boost::asio::io_context &context, EngineOptions options)
+    : context_(context), options_(std::move(options)), cache_(options_.cacheBlocks),
+      prefillSlot_(context, 1), batchSlots_(context, options_.batchSlots)
+{
+}
+
+void Engine::handle(Exchange &exchange, const Yield &yield)
+{
+    const std::string &target = exchange.request().target;
+    const std::string_view path = net::pathOf(target);
+    std::error_code ignored;
+    if (options_.pathDelay.count() > 0)
+        pause(options_.pathDelay, yield);
+    if (path == "/v1/completions")
+        return complete(exchange, yield);
+    if (path == "/v1/stream")
+        return attach(exchange, yield);
+    if (path == "/v1/cancel")
+        return cancel(exchange, yield);
+    if (path == "/v1/orders")
+        return order(exchange, yield);
+    if (path == "/control")
+        return control(exchange, yield);
+    if (path == "/control/history")
+        return respond(exchange, 200, history_, yield);
+    if (path == "/v1/identity")
+        return exchange.respond(net::jsonResponse(200, identityJson()), yield, ignored);
+    if (path == "/v1/cache/snapshot")
+        return exchange.respond(net::jsonResponse(200, snapshotJson()), yield, ignored);
+    if (path == "/metrics")
+        return exchange.respond({ .body = metricsText() }, yield, ignored);
+    if (path == "/v1/cache/events") {
+        const auto from = net::queryParameter(target, "from").value_or("1");
+        return exchange.respond(net::jsonResponse(200, eventsJson(std::stoull(from))), yield,
+                                ignored);
+    }
+    respond(exchange, 404, json::object{ { "error", "not found" } }, yield);
+}
+
+void Engine::complete(Exchange &exchange, const Yield &yield)
+{
+    const json::object body = parseBody(exchange);
+    auto generation = std::make_shared<Generation>();
+    generation->requestId = text(body, "request_id");
+    generation->prompt = text(body, "prompt");
+    generation->salt = text(body, "cache_salt");
+    generation->firstToken = number(body, "resume_from", 0);
+    generation->maxTokens = number(body, "max_tokens", 16);
+    generation->priority = static_cast<int>(number(body, "priority", 0));
+    if (generation->requestId.empty() || generations_.contains(generation->requestId))
+        return respond(exchange, 409, json::object{ { "error", "request id in use" } }, yield);
+    if (history_.size() < kMaxHistory) {
+        history_.push_back(json::object{ { "request_id", generation->requestId },
+                                         { "life", life_ },
+                                         { "weights", options_.weights },
+                                         { "salt", generation->salt },
+                                         { "at_ms", wallMilliseconds() } });
+    }
+    generations_[generation->requestId] = generation;
+    net::spawnCoroutine(context_, "[engine]",
+                        [this, generation](const Yield &inner) { generate(generation, inner); });
+    const auto *stream = body.if_contains("stream");
+    if (stream != nullptr && stream->is_bool() && stream->as_bool())
+        streamTokens(exchange, generation, generation->firstToken, yield);
+    else
+        answerWhole(exchange, generation, yield);
+}
+
+void Engine::generate(const GenerationPtr &generation, const Yield &yield)
+{
+    ++running_;
+    const std::uint64_t life = life_;
+    batchSlots_.acquire(generation->priority, yield);
+    prefill(generation, yield);
+    generation->tokenInterval = std::max(
+            microseconds(1),
+            std::chrono::duration_cast<microseconds>(options_.tokenInterval * faults_.slowFactor));
+    generation->decodeStart = steady_clock::now();
+    generation->decoding = true;
+    const std::uint64_t count = generation->maxTokens - generation->firstToken;
+    const auto end = generation->decodeStart + generation->tokenInterval * count;
+    while (!generation->cancelled && steady_clock::now() < end)
+        pause(std::min<microseconds>(
+                      std::chrono::milliseconds(20),
+                      std::chrono::duration_cast<microseconds>(end - steady_clock::now())
+                              + microseconds(1)),
+              yield);
+    batchSlots_.release();
+    --running_;
+    // The generation stays attachable for a while, as long as this life lasts.
+    pause(std::chrono::seconds(20), yield);
+    if (life == life_)
+        generations_.erase(generation->requestId);
+}
+
+void Engine::prefill(const GenerationPtr &generation, const Yield &yield)
+{
+    generation->promptTokens = (generation->prompt.size() + kBytesPerToken - 1) / kBytesPerToken;
+    const auto chain = blockChain(generation->prompt, generation->salt + '\n' + options_.weights);
+    queuedPrefillTokens_ += generation->promptTokens;
+    prefillSlot_.acquire(generation->priority, yield);
+    if (!generation->cancelled) {
+        const std::uint64_t life = life_;
+        generation->cachedTokens = cache_.lookUp(chain) * kBlockTokens;
+        const double missing =
+                static_cast<double>(generation->promptTokens - generation->cachedTokens);
+        const double seconds = missing / options_.prefillTokensPerSecond * faults_.slowFactor;
+        pause(microseconds(static_cast<std::int64_t>(seconds * 1e6)), yield);
+        if (life == life_)
+            cache_.store(chain);
+    }
+    prefillSlot_.release();
+    queuedPrefillTokens_ -= std::min(queuedPrefillTokens_, generation->promptTokens);
+}
+
+void Engine::streamTokens(Exchange &exchange, const GenerationPtr &generation, std::uint64_t from,
+                          const Yield &yield)
+{
+    std::error_code error;
+    exchange.startStream(
+            200,
+            { { "Content-Type", "text/event-stream" }, { "X-Engine-Life", std::to_string(life_) } },
+            yield, error);
+    const std::uint64_t silenceEpoch = silenceEpoch_;
+    std::uint64_t next = from;
+    while (!error && next < generation->maxTokens) {
+        if (generation->cancelled || exchange.peerHasClosed())
+            return;
+        const std::uint64_t produced = producedUpTo(*generation);
+        if (next >= produced || silenceEpoch != silenceEpoch_) {
+            pause(kWaitStep, yield);
+            continue;
+        }
+        std::string events;
+        for (; next < produced; ++next) {
+            const json::object data{ { "index", next },
+                                     { "text",
+                                       answerToken(generation->prompt, options_.weights, next) } };
+            net::appendEvent({ .data = json::serialize(data) }, events);
+        }
+        exchange.write(events, yield, error);
+    }
+    std::string tail;
+    net::appendEvent({ .data = json::serialize(json::object{ { "usage", usageOf(*generation) } }) },
+                     tail);
+    net::appendEvent({ .data = "[DONE]" }, tail);
+    if (!error)
+        exchange.write(tail, yield, error);
+    if (!error)
+        exchange.finish(yield, error);
+}
+
+void Engine::answerWhole(Exchange &exchange, const GenerationPtr &generation, const Yield &yield)
+{
+    while (!generation->cancelled && producedUpTo(*generation) < generation->maxTokens)
+        pause(kWaitStep, yield);
+    if (generation->cancelled)
+        return respond(exchange, 499, json::object{ { "error", "cancelled" } }, yield);
+    std::string answer;
+    for (std::uint64_t i = generation->firstToken; i < generation->maxTokens; ++i)
+        answer += answerToken(generation->prompt, options_.weights, i);
+    respond(exchange, 200, json::object{ { "text", answer }, { "usage", usageOf(*generation) } },
+            yield);
+}
+
+void Engine::attach(Exchange &exchange, const Yield &yield)
+{
+    const std::string &target = exchange.request().target;
+    const auto found = generations_.find(net::queryParameter(target, "request_id").value_or(""));
+    if (found == generations_.end())
+        return respond(exchange, 404, json::object{ { "error", "no such request" } }, yield);
+    const auto from = std::stoull(net::queryParameter(target, "from").value_or("0"));
+    const GenerationPtr generation = found->second;
+    if (generation->cancelled)
+        return respond(exchange, 404, json::object{ { "error", "cancelled" } }, yield);
+    streamTokens(exchange, generation, from, yield);
+}
+
+void Engine::cancel(Exchange &exchange, const Yield &yield)
+{
+    const auto found = generations_.find(text(parseBody(exchange), "request_id"));
+    const bool known = found != generations_.end();
+    if (known)
+        found->second->cancelled = true;
+    respond(exchange, 200, json::object{ { "cancelled", known } }, yield);
+}
+
+void Engine::order(Exchange &exchange, const Yield &yield)
+{
+    const json::object body = parseBody(exchange);
+    const std::uint64_t fence = number(body, "fence", 0);
+    if (options_.checksFencing && fence < highestFence_) {
+        return respond(exchange, 409,
+                       json::object{ { "error", "old fence" }, { "fence", highestFence_ } }, yield);
+    }
+    highestFence_ = std::max(highestFence_, fence);
+    constexpr std::chrono::seconds kLoadTime{ 1 };
+    pause(kLoadTime, yield);
+    options_.weights = text(body, "weights", options_.weights);
+    cache_.clear();
+    respond(exchange, 200, json::object{ { "weights", options_.weights } }, yield);
+}
+
+void Engine::control(Exchange &exchange, const Yield &yield)
+{
+    const json::object body = parseBody(exchange);
+    if (const auto *factor = body.if_contains("slowFactor"))
+        faults_.slowFactor = factor->to_number<double>();
+    if (const auto *loss = body.if_contains("eventLoss"))
+        faults_.eventLoss = loss->to_number<double>();
+    if (body.contains("silence"))
+        ++silenceEpoch_;
+    if (body.contains("crash"))
+        crash();
+    respond(exchange, 200, json::object{ { "life", life_ } }, yield);
+}
+
+// Ends every stream and starts a new, empty life in the same process.
+void Engine::crash()
+{
+    ++life_;
+    for (auto &entry : generations_)
+        entry.second->cancelled = true;
+    generations_.clear();
+    cache_.clear();
+}
+
+void Engine::pause(std::chrono::microseconds duration, const Yield &yield)
+{
+    boost::asio::steady_timer timer(context_, duration);
+    boost::system::error_code ignored;
+    timer.async_wait(yield[ignored]);
+}
+
+std::string Engine::eventsJson(std::uint64_t from) const
+{
+    json::array events;
+    for (const CacheEvent &event : cache_.eventsFrom(from)) {
+        const double draw =
+                static_cast<double>(base::combineHash(event.number, event.block) >> 11U) * 0x1p-53;
+        if (draw < faults_.eventLoss)
+            continue;
+        events.push_back(json::object{ { "number", event.number },
+                                       { "stored", event.stored },
+                                       { "block", base::toHex(event.block) } });
+    }
+    return json::serialize(json::object{
+            { "life", life_ }, { "next", cache_.nextEvent() }, { "events", events } });
+}
+
+std::string Engine::snapshotJson() const
+{
+    json::array blocks;
+    for (const std::uint64_t block : cache_.blocks())
+        blocks.push_back(json::string(base::toHex(block)));
+    return json::serialize(json::object{
+            { "life", life_ }, { "next", cache_.nextEvent() }, { "blocks", blocks } });
+}
+
+std::string Engine::identityJson() const
+{
+    return json::serialize(json::object{
+            { "engine", options_.name }, { "life", life_ }, { "weights", options_.weights } });
+}
+
+std::string Engine::metricsText() const
+{
+    std::ostringstream out;
+    out << "engine_requests_running " << running_ << '\n'
+        << "engine_requests_waiting " << prefillSlot_.waiting() + batchSlots_.waiting() << '\n'
+        << "engine_prefill_tokens_queued " << queuedPrefillTokens_ << '\n';
+    return out.str();
+}
+
+} // namespace chervilfield::standins
