--- /dev/null
+++ b/packages/routing/include/routing/load_ledger.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "routing/types.h"
+
+#include <array>
+#include <unordered_map>
+#include <vector>
+
+namespace chervilfield::routing {
+
+/// Work at one target. Waiting work has no first token yet.
+struct Work
+{
+    std::array<double, kPriorities> waitingTokens{}; ///< Uncached prompt tokens, by priority.
+    std::array<std::uint32_t, kClasses> waiting{};   ///< Requests without a first token, by class.
+    std::array<std::uint32_t, kClasses> running{};   ///< Requests that generate, by class.
+};
+
+/// Load report of a target about all its callers.
+struct TargetReport
+{
+    TargetId target = 0;
+    std::array<double, kPriorities> waitingTokens{};
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
+    Time measured{}; ///< When the target measured; the report arrives later.
+};
+
+/// In-flight work of one daemon at one target, as daemons exchange it.
+struct DigestEntry
+{
+    TargetId target = 0;
+    Work work{};
+};
+
+/// One request in flight, from the decision until its end. Keep it with the request and pass it to
+/// the functions below.
+struct Flight
+{
+    TargetId target = 0;
+    double tokens = 0; ///< Expected uncached prompt tokens.
+    WorkClass workClass = WorkClass::Short;
+    Priority priority = Priority::Interactive;
+    bool running = false;
+};
+
+/// In-flight work per target: this daemon's own, counted at once, and the share of other daemons
+/// from their digests, corrected by the targets' reports.
+struct LoadLedger
+{
+    struct Entry
+    {
+        Work own;
+        Work peers; ///< Sum over `digests`.
+        std::optional<TargetReport> report;
+        Work ownAtReport; ///< `own` when the report was measured, as far as it is known.
+    };
+    struct Digest
+    {
+        std::vector<DigestEntry> entries;
+        Time received{};
+    };
+
+    std::unordered_map<TargetId, Entry> targets;
+    std::unordered_map<std::uint64_t, Digest> digests; ///< By sending daemon.
+};
+
+/// Counts a request that is about to be sent.
+void startFlight(LoadLedger &ledger, const Flight &flight);
+/// Moves a request from waiting to running when its first token arrives.
+void markRunning(LoadLedger &ledger, Flight &flight);
+/// Removes a request that has ended in any way.
+void endFlight(LoadLedger &ledger, const Flight &flight);
+
+/// Replaces what daemon `peer` reported before. An empty digest forgets the daemon.
+void mergeDigest(LoadLedger &ledger, std::uint64_t peer, std::span<const DigestEntry> digest,
+                 Time now);
+/// Forgets daemons whose last digest is older than `age`.
+void expireDigests(LoadLedger &ledger, std::chrono::milliseconds age, Time now);
+/// Returns this daemon's own in-flight work per target, without idle targets.
+std::vector<DigestEntry> ownDigest(const LoadLedger &ledger);
+
+/// Takes a target's load report. A report older than the last one is ignored.
+void mergeReport(LoadLedger &ledger, const TargetReport &report);
+
+/// Returns the estimated work of all daemons at `target`.
+Work estimateWork(const LoadLedger &ledger, TargetId target, Time now);
+
+/// Forgets everything about a target's current work, after its engine life has ended.
+void forgetTarget(LoadLedger &ledger, TargetId target);
+
+} // namespace chervilfield::routing
--- /dev/null
+++ b/packages/routing/src/load_ledger.cpp
@@ -0,0 +1,145 @@
+#include "routing/load_ledger.h"
+
+#include <algorithm>
+
+namespace chervilfield::routing {
+
+namespace {
+
+std::size_t level(WorkClass workClass)
+{
+    return static_cast<std::size_t>(workClass);
+}
+
+std::size_t level(Priority priority)
+{
+    return static_cast<std::size_t>(priority);
+}
+
+void decrement(std::uint32_t &count)
+{
+    // A flight can outlive its entry when the target's life has ended.
+    if (count > 0)
+        --count;
+}
+
+void removeTokens(Work &work, const Flight &flight)
+{
+    double &tokens = work.waitingTokens[level(flight.priority)];
+    tokens = std::max(0.0, tokens - flight.tokens);
+}
+
+/// Adds `change` to `sum`, or subtracts it.
+void apply(Work &sum, const Work &change, bool add)
+{
+    for (std::size_t i = 0; i < kPriorities; ++i) {
+        const double tokens = change.waitingTokens[i];
+        sum.waitingTokens[i] = std::max(0.0, sum.waitingTokens[i] + (add ? tokens : -tokens));
+    }
+    for (std::size_t i = 0; i < kClasses; ++i) {
+        sum.waiting[i] += add ? change.waiting[i] : -change.waiting[i];
+        sum.running[i] += add ? change.running[i] : -change.running[i];
+    }
+}
+
+void removeDigest(LoadLedger &ledger, const LoadLedger::Digest &digest)
+{
+    for (const DigestEntry &entry : digest.entries) {
+        const auto found = ledger.targets.find(entry.target);
+        if (found != ledger.targets.end())
+            apply(found->second.peers, entry.work, false);
+    }
+}
+
+} // namespace
+
+void startFlight(LoadLedger &ledger, const Flight &flight)
+{
+    Work &own = ledger.targets[flight.target].own;
+    own.waitingTokens[level(flight.priority)] += flight.tokens;
+    ++own.waiting[level(flight.workClass)];
+}
+
+void markRunning(LoadLedger &ledger, Flight &flight)
+{
+    Work &own = ledger.targets[flight.target].own;
+    removeTokens(own, flight);
+    decrement(own.waiting[level(flight.workClass)]);
+    ++own.running[level(flight.workClass)];
+    flight.running = true;
+}
+
+void endFlight(LoadLedger &ledger, const Flight &flight)
+{
+    Work &own = ledger.targets[flight.target].own;
+    if (flight.running) {
+        decrement(own.running[level(flight.workClass)]);
+        return;
+    }
+    removeTokens(own, flight);
+    decrement(own.waiting[level(flight.workClass)]);
+}
+
+void mergeDigest(LoadLedger &ledger, std::uint64_t peer, std::span<const DigestEntry> digest,
+                 Time now)
+{
+    LoadLedger::Digest &stored = ledger.digests[peer];
+    removeDigest(ledger, stored);
+    stored.entries.assign(digest.begin(), digest.end());
+    stored.received = now;
+    for (const DigestEntry &entry : stored.entries)
+        apply(ledger.targets[entry.target].peers, entry.work, true);
+    if (digest.empty())
+        ledger.digests.erase(peer);
+}
+
+void expireDigests(LoadLedger &ledger, std::chrono::milliseconds age, Time now)
+{
+    std::erase_if(ledger.digests, [&](const auto &item) {
+        if (now - item.second.received <= age)
+            return false;
+        removeDigest(ledger, item.second);
+        return true;
+    });
+}
+
+std::vector<DigestEntry> ownDigest(const LoadLedger &ledger)
+{
+    std::vector<DigestEntry> digest;
+    for (const auto &[target, entry] : ledger.targets) {
+        const Work &own = entry.own;
+        if (own.waiting[0] + own.waiting[1] + own.running[0] + own.running[1] > 0)
+            digest.push_back({ target, own });
+    }
+    return digest;
+}
+
+void mergeReport(LoadLedger &ledger, const TargetReport &report)
+{
+    LoadLedger::Entry &entry = ledger.targets[report.target];
+    if (entry.report && entry.report->measured >= report.measured)
+        return;
+    entry.report = report;
+    entry.ownAtReport = entry.own;
+}
+
+Work estimateWork(const LoadLedger &ledger, TargetId target, Time /*now*/)
+{
+    const auto found = ledger.targets.find(target);
+    if (found == ledger.targets.end())
+        return {};
+    const LoadLedger::Entry &entry = found->second;
+    Work work = entry.own;
+    apply(work, entry.peers, true);
+    return work;
+}
+
+void forgetTarget(LoadLedger &ledger, TargetId target)
+{
+    ledger.targets.erase(target);
+    for (auto &[peer, digest] : ledger.digests)
+        std::erase_if(digest.entries,
+                      [target](const DigestEntry &entry) { return entry.target == target; });
+}
+
+} // namespace chervilfield::routing
