--- /dev/null
+++ b/packages/daemon/src/settings.cpp
@@ -0,0 +1,299 @@
+#include "daemon/settings.h"
+
+#include <toml++/toml.h>
+
+#include <charconv>
+#include <fstream>
+#include <functional>
+#include <set>
+#include <sstream>
+
+namespace chervilfield::daemon {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// A number followed by the name of a unit.
+struct Quantity
+{
+    std::uint64_t number;
+    std::string_view unit;
+};
+
+std::optional<Quantity> parseQuantity(std::string_view text)
+{
+    Quantity quantity{};
+    const auto [end, error] =
+            std::from_chars(text.data(), text.data() + text.size(), quantity.number);
+    if (error != std::errc())
+        return std::nullopt;
+    quantity.unit = text.substr(static_cast<std::size_t>(end - text.data()));
+    return quantity;
+}
+
+// How one key is checked and stored. `read` returns false if the value is not as expected.
+struct KeyRule
+{
+    std::string_view table;
+    std::string_view key;
+    bool required;
+    std::string_view expected;
+    std::function<bool(const toml::node &, Settings &)> read;
+};
+
+auto text(std::string Settings::*member)
+{
+    return [member](const toml::node &node, Settings &settings) {
+        const auto value = node.value<std::string>();
+        if (!node.is_string() || value->empty())
+            return false;
+        settings.*member = *value;
+        return true;
+    };
+}
+
+auto address(net::Address Settings::*member)
+{
+    return [member](const toml::node &node, Settings &settings) {
+        const auto value = net::parseAddress(node.value_or(std::string()));
+        if (value.has_value())
+            settings.*member = *value;
+        return value.has_value();
+    };
+}
+
+auto duration(milliseconds Settings::*member, milliseconds minimum, milliseconds maximum)
+{
+    return [=](const toml::node &node, Settings &settings) {
+        const auto value = parseDuration(node.value_or(std::string()));
+        if (!value.has_value() || *value < minimum || *value > maximum)
+            return false;
+        settings.*member = *value;
+        return true;
+    };
+}
+
+auto count(std::uint64_t Settings::*member, std::int64_t minimum, std::int64_t maximum)
+{
+    return [=](const toml::node &node, Settings &settings) {
+        const auto *value = node.as_integer();
+        if (value == nullptr || value->get() < minimum || value->get() > maximum)
+            return false;
+        settings.*member = static_cast<std::uint64_t>(value->get());
+        return true;
+    };
+}
+
+auto size(std::uint64_t Settings::*member, std::uint64_t minimum, std::uint64_t maximum)
+{
+    return [=](const toml::node &node, Settings &settings) {
+        const auto value = parseSize(node.value_or(std::string()));
+        if (!value.has_value() || *value < minimum || *value > maximum)
+            return false;
+        settings.*member = *value;
+        return true;
+    };
+}
+
+bool readSeeds(const toml::node &node, Settings &settings)
+{
+    const toml::array *array = node.as_array();
+    if (array == nullptr)
+        return false;
+    for (const toml::node &element : *array) {
+        const auto seed = net::parseAddress(element.value_or(std::string()));
+        if (!seed.has_value())
+            return false;
+        settings.seeds.push_back(*seed);
+    }
+    return true;
+}
+
+const std::vector<KeyRule> &keyRules()
+{
+    using std::chrono::hours;
+    using std::chrono::minutes;
+    using S = Settings;
+    constexpr std::string_view kAddress = "an address such as \"127.0.0.1:7400\"";
+    constexpr milliseconds kShort{ 10 };
+    static const std::vector<KeyRule> rules{
+        { "instance", "name", true, "a non-empty string", text(&S::instanceName) },
+        { "instance", "data_centre", true, "a non-empty string", text(&S::dataCentre) },
+        { "listen", "callers", false, kAddress, address(&S::callers) },
+        { "listen", "admin", false, kAddress, address(&S::admin) },
+        { "listen", "peers", false, kAddress, address(&S::peers) },
+        { "platform", "address", true, kAddress, address(&S::platform) },
+        { "platform", "timeout", false, "a duration from 10ms to 1m",
+          duration(&S::platformTimeout, kShort, minutes(1)) },
+        { "platform", "configuration_poll", false, "a duration from 100ms to 4s",
+          duration(&S::configurationPoll, milliseconds(100), milliseconds(4000)) },
+        { "peers", "seeds", false, "an array of addresses", readSeeds },
+        { "peers", "protocol_period", false, "a duration from 50ms to 10s",
+          duration(&S::protocolPeriod, milliseconds(50), milliseconds(10000)) },
+        { "traffic", "threads", false, "a whole number from 1 to 64", count(&S::threads, 1, 64) },
+        { "traffic", "max_connections", false, "a whole number from 1 to 1000000",
+          count(&S::maxConnections, 1, 1000000) },
+        { "traffic", "max_body", false, "a size from 1KiB to 256MiB",
+          size(&S::maxBodyBytes, 1U << 10U, 256U << 20U) },
+        { "traffic", "first_token_timeout", false, "a duration from 10ms to 10m",
+          duration(&S::firstTokenTimeout, kShort, minutes(10)) },
+        { "traffic", "progress_timeout", false, "a duration from 10ms to 10m",
+          duration(&S::progressTimeout, kShort, minutes(10)) },
+        { "traffic", "call_timeout", false, "a duration from 10ms to 10m",
+          duration(&S::callTimeout, kShort, minutes(10)) },
+        { "entries", "ttl", false, "a duration from 100ms to 10m",
+          duration(&S::entriesTtl, milliseconds(100), minutes(10)) },
+        { "shutdown", "drain_limit", false, "a duration from 1s to 24h",
+          duration(&S::drainLimit, milliseconds(1000), hours(24)) },
+    };
+    return rules;
+}
+
+const KeyRule *findRule(std::string_view table, std::string_view key)
+{
+    for (const KeyRule &rule : keyRules()) {
+        if (rule.table == table && rule.key == key)
+            return &rule;
+    }
+    return nullptr;
+}
+
+bool isKnownTable(std::string_view table)
+{
+    for (const KeyRule &rule : keyRules()) {
+        if (rule.table == table)
+            return true;
+    }
+    return false;
+}
+
+// Walks through a parsed file and collects faults with their positions.
+class Reader
+{
+public:
+    Reader(std::string file, Settings &settings, std::vector<SettingsError> &errors)
+        : file_(std::move(file)), settings_(settings), errors_(errors)
+    {
+    }
+
+    void read(const toml::table &root)
+    {
+        for (const auto &[name, node] : root) {
+            const toml::table *table = node.as_table();
+            if (table == nullptr || !isKnownTable(name.str()))
+                report(name.source(), std::string(name.str()), "no such key");
+            else
+                readTable(name.str(), *table);
+        }
+        for (const KeyRule &rule : keyRules()) {
+            const std::string path = std::string(rule.table) + '.' + std::string(rule.key);
+            if (rule.required && !seen_.contains(path))
+                report({}, path, "this key is required: " + std::string(rule.expected));
+        }
+    }
+
+private:
+    void readTable(std::string_view tableName, const toml::table &table)
+    {
+        for (const auto &[key, node] : table) {
+            const std::string path = std::string(tableName) + '.' + std::string(key.str());
+            const KeyRule *rule = findRule(tableName, key.str());
+            if (rule == nullptr) {
+                report(key.source(), path, "no such key");
+                continue;
+            }
+            seen_.insert(path);
+            if (!rule->read(node, settings_))
+                report(node.source(), path, "expected " + std::string(rule->expected));
+        }
+    }
+
+    void report(const toml::source_region &source, std::string key, std::string expected)
+    {
+        errors_.push_back({ .file = file_,
+                            .line = source.begin.line,
+                            .column = source.begin.column,
+                            .key = std::move(key),
+                            .expected = std::move(expected) });
+    }
+
+    std::string file_;
+    Settings &settings_;
+    std::vector<SettingsError> &errors_;
+    std::set<std::string> seen_;
+};
+
+} // namespace
+
+std::string toString(const SettingsError &error)
+{
+    return error.file + ':' + std::to_string(error.line) + ':' + std::to_string(error.column) + ": "
+           + error.key + ": " + error.expected;
+}
+
+std::optional<milliseconds> parseDuration(std::string_view text)
+{
+    const auto quantity = parseQuantity(text);
+    constexpr std::uint64_t kLargest = 1'000'000'000;
+    if (!quantity.has_value() || quantity->number > kLargest)
+        return std::nullopt;
+    const auto number = static_cast<std::int64_t>(quantity->number);
+    if (quantity->unit == "ms")
+        return milliseconds(number);
+    if (quantity->unit == "s")
+        return std::chrono::seconds(number);
+    if (quantity->unit == "m")
+        return std::chrono::minutes(number);
+    if (quantity->unit == "h")
+        return std::chrono::hours(number);
+    return std::nullopt;
+}
+
+std::optional<std::uint64_t> parseSize(std::string_view text)
+{
+    const auto quantity = parseQuantity(text);
+    constexpr std::uint64_t kLargest = 1'000'000'000;
+    if (!quantity.has_value() || quantity->number > kLargest)
+        return std::nullopt;
+    if (quantity->unit == "B")
+        return quantity->number;
+    if (quantity->unit == "KiB")
+        return quantity->number << 10U;
+    if (quantity->unit == "MiB")
+        return quantity->number << 20U;
+    if (quantity->unit == "GiB")
+        return quantity->number << 30U;
+    return std::nullopt;
+}
+
+Settings parseSettings(std::string_view text, const std::string &file,
+                       std::vector<SettingsError> &errors)
+{
+    Settings settings;
+    try {
+        const toml::table root = toml::parse(text, file);
+        Reader(file, settings, errors).read(root);
+    } catch (const toml::parse_error &error) {
+        errors.push_back({ .file = file,
+                           .line = error.source().begin.line,
+                           .column = error.source().begin.column,
+                           .key = "(syntax)",
+                           .expected = std::string(error.description()) });
+    }
+    return settings;
+}
+
+Settings readSettings(const std::string &file, std::vector<SettingsError> &errors)
+{
+    std::ifstream stream(file);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    if (!stream) {
+        errors.push_back({ .file = file, .key = "(file)", .expected = "a readable file" });
+        return {};
+    }
+    return parseSettings(text.str(), file, errors);
+}
+
+} // namespace chervilfield::daemon
--- /dev/null
+++ b/packages/daemon/test/settings_test.cpp
@@ -0,0 +1,65 @@
+#include "daemon/settings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace chervilfield::daemon {
+
+namespace {
+
+const std::string kMinimal = "[instance]\nname = 'a'\ndata_centre = 'd'\n"
+                             "[platform]\naddress = '127.0.0.1:1'\n";
+
+} // namespace
+
+class SettingsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SettingsTest);
+    CPPUNIT_TEST(faultsNameLineAndKey);
+    CPPUNIT_TEST(allFaultsAreReported);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against settings that are silently ignored or reported at a wrong place.
+    void faultsNameLineAndKey()
+    {
+        struct Row
+        {
+            std::string text;
+            std::string expected;
+        };
+        const Row rows[] = {
+            { kMinimal, "" },
+            { kMinimal + "[traffic]\nthreads = 4\n", "" },
+            { kMinimal + "[traffic]\nthreads = 0\n",
+              "f:7:11: traffic.threads: expected a whole number from 1 to 64" },
+            { kMinimal + "[traffic]\nthreads = '4'\n",
+              "f:7:11: traffic.threads: expected a whole number from 1 to 64" },
+            { kMinimal + "[traffic]\nthread = 4\n", "f:7:1: traffic.thread: no such key" },
+            { kMinimal + "[trafic]\nthreads = 4\n", "f:6:2: trafic: no such key" },
+            { kMinimal + "[entries]\nttl = '5'\n",
+              "f:7:7: entries.ttl: expected a duration from 100ms to 10m" },
+            { kMinimal + "[listen]\ncallers = 'localhost:1'\n",
+              "f:7:11: listen.callers: expected an address such as \"127.0.0.1:7400\"" },
+            { "[instance]\nname = 'a'\n[platform]\naddress = '127.0.0.1:1'\n",
+              "f:0:0: instance.data_centre: this key is required: a non-empty string" },
+        };
+        for (const Row &row : rows) {
+            std::vector<SettingsError> errors;
+            parseSettings(row.text, "f", errors);
+            const std::string first = errors.empty() ? std::string() : toString(errors.front());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.text, row.expected, first);
+        }
+    }
+
+    // Guards against a check that stops at the first fault.
+    void allFaultsAreReported()
+    {
+        std::vector<SettingsError> errors;
+        parseSettings("[instance]\nname = 1\n[traffic]\nthreads = 0\nx = 1\n", "f", errors);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), errors.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
+
+} // namespace chervilfield::daemon
--- /dev/null
+++ b/packages/http/include/http/completion_answer.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "http/completion_request.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace chervilfield::http {
+
+/// What all parts of one answer have in common.
+struct AnswerHead
+{
+    CompletionKind kind = CompletionKind::Text;
+    std::string requestId;
+    std::string model;
+    std::chrono::sys_seconds created;
+};
+
+/// Token counts of a finished answer.
+struct AnswerUsage
+{
+    std::uint64_t promptTokens = 0;
+    std::uint64_t cachedTokens = 0;
+    std::uint64_t completionTokens = 0;
+};
+
+/// Returns the data of the event for one piece of a streamed answer, in the form of the OpenAI API.
+std::string answerChunk(const AnswerHead &head, std::string_view text);
+
+/// Returns the data of the last event before the terminator, with the finish reason and the usage.
+std::string finalChunk(const AnswerHead &head, const AnswerUsage &usage);
+
+/// Returns the body of an answer that is not streamed.
+std::string wholeAnswer(const AnswerHead &head, std::string_view text, const AnswerUsage &usage);
+
+} // namespace chervilfield::http
--- /dev/null
+++ b/packages/http/src/completion_answer.cpp
@@ -0,0 +1,74 @@
+#include "http/completion_answer.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace chervilfield::http {
+
+namespace json = boost::json;
+
+namespace {
+
+json::object frame(const AnswerHead &head, std::string_view object, json::object choice)
+{
+    choice["index"] = 0;
+    return { { "id", head.requestId },
+             { "object", object },
+             { "created", head.created.time_since_epoch().count() },
+             { "model", head.model },
+             { "choices", json::array{ std::move(choice) } } };
+}
+
+json::object usageObject(const AnswerUsage &usage)
+{
+    return { { "prompt_tokens", usage.promptTokens },
+             { "completion_tokens", usage.completionTokens },
+             { "total_tokens", usage.promptTokens + usage.completionTokens },
+             { "prompt_tokens_details", json::object{ { "cached_tokens", usage.cachedTokens } } } };
+}
+
+std::string_view chunkObject(CompletionKind kind)
+{
+    return kind == CompletionKind::Chat ? "chat.completion.chunk" : "text_completion";
+}
+
+} // namespace
+
+std::string answerChunk(const AnswerHead &head, std::string_view text)
+{
+    json::object choice{ { "finish_reason", nullptr } };
+    if (head.kind == CompletionKind::Chat)
+        choice["delta"] = json::object{ { "content", text } };
+    else
+        choice["text"] = text;
+    return json::serialize(frame(head, chunkObject(head.kind), std::move(choice)));
+}
+
+std::string finalChunk(const AnswerHead &head, const AnswerUsage &usage)
+{
+    json::object choice{ { "finish_reason", "stop" } };
+    if (head.kind == CompletionKind::Chat)
+        choice["delta"] = json::object();
+    else
+        choice["text"] = "";
+    json::object body = frame(head, chunkObject(head.kind), std::move(choice));
+    body["usage"] = usageObject(usage);
+    return json::serialize(body);
+}
+
+std::string wholeAnswer(const AnswerHead &head, std::string_view text, const AnswerUsage &usage)
+{
+    json::object choice{ { "finish_reason", "stop" } };
+    if (head.kind == CompletionKind::Chat)
+        choice["message"] = json::object{ { "role", "assistant" }, { "content", text } };
+    else
+        choice["text"] = text;
+    json::object body =
+            frame(head, head.kind == CompletionKind::Chat ? "chat.completion" : "text_completion",
+                  std::move(choice));
+    body["usage"] = usageObject(usage);
+    return json::serialize(body);
+}
+
+} // namespace chervilfield::http
