Add the traffic path of completions

Cause: nothing connects callers, the routing decision and engines. A repeated engine request attaches to the one in progress, so it does not run twice.

--- a/packages/targets/include/targets/engine_client.h
+++ b/packages/targets/include/targets/engine_client.h
@@ -83,8 +83,9 @@
     bool finished_ = false;
 };
 
-/// Starts a completion. Returns no stream and sets `error` on failure: `TargetUnreachable` if and
-/// only if the engine cannot have seen the request.
+/// Starts a completion, or attaches to it if the engine already holds a request with this id, so
+/// that a repeated call does not run twice. Returns no stream and sets `error` on failure:
+/// `TargetUnreachable` if and only if the engine cannot have seen the request.
 std::unique_ptr<TokenStream> startCompletion(net::HttpClient &client, const net::Address &engine,
                                              const CompletionCall &call,
                                              std::chrono::milliseconds timeout,
--- a/packages/targets/src/engine_client.cpp
+++ b/packages/targets/src/engine_client.cpp
@@ -19,6 +19,7 @@
 
 constexpr int kHttpOk = 200;
 constexpr int kHttpNotFound = 404;
+constexpr int kHttpConflict = 409;
 
 std::uint64_t parseNumber(std::string_view text)
 {
@@ -151,7 +152,11 @@
                                                          { "resume_from", call.resumeFrom } });
     // Engines refuse a request id that is in use, so a repeated request cannot run twice.
     request.idempotent = true;
-    return toTokenStream(client.open(engine, request, timeout, yield, error), error);
+    auto body = client.open(engine, request, timeout, yield, error);
+    if (body != nullptr && body->status() == kHttpConflict)
+        return attachCompletion(client, engine, call.requestId, call.resumeFrom, timeout, yield,
+                                error);
+    return toTokenStream(std::move(body), error);
 }
 
 std::unique_ptr<TokenStream> attachCompletion(net::HttpClient &client, const net::Address &engine,
--- /dev/null
+++ b/packages/traffic/include/traffic/metrics.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "base/result.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace chervilfield::traffic {
+
+/// Counts and durations of traffic, in the Prometheus text format by `exposition()`. No label holds
+/// anything of a customer, so the number of series stays small and nothing crosses customers.
+class Metrics
+{
+public:
+    Metrics();
+
+    void countRequest(const std::string &kind, base::Result result);
+    void observeFirstToken(const std::string &workClass, std::chrono::duration<double> elapsed);
+    void countPrompt(std::uint64_t promptTokens, std::uint64_t cachedTokens);
+    void countTokens(std::uint64_t tokens) { tokens_.Increment(static_cast<double>(tokens)); }
+    void countResume(const std::string &reason);
+    void streamOpened() { openStreams_.Increment(); }
+    void streamClosed() { openStreams_.Decrement(); }
+
+    prometheus::Registry &registry() { return registry_; }
+
+    /// Returns all metrics in the Prometheus text format.
+    std::string exposition() const;
+
+private:
+    prometheus::Registry registry_;
+    prometheus::Family<prometheus::Counter> &requests_;
+    prometheus::Family<prometheus::Counter> &resumes_;
+    prometheus::Family<prometheus::Histogram> &firstToken_;
+    prometheus::Counter &promptTokens_;
+    prometheus::Counter &cachedTokens_;
+    prometheus::Counter &tokens_;
+    prometheus::Gauge &openStreams_;
+};
+
+} // namespace chervilfield::traffic
--- /dev/null
+++ b/packages/traffic/include/traffic/resilient_stream.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "routing/types.h"
+#include "targets/engine_client.h"
+#include "traffic/services.h"
+
+#include <boost/asio/spawn.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace chervilfield::traffic {
+
+/// Engine and life that a caller received the last event from.
+struct ResumePoint
+{
+    std::string engine;
+    std::uint64_t life = 0;
+    std::uint64_t offset = 0; ///< First token that the caller does not have.
+};
+
+/// The tokens of one answer, each offset exactly once and in order, whatever happens to engines and
+/// connections meanwhile: a silent connection is replaced by a new one to the same engine, a dead
+/// engine by another with the same weights, which continues after the last token delivered.
+class ResilientStream
+{
+public:
+    ResilientStream(const TrafficThread &thread, const RouteTargets &targets,
+                    targets::CompletionCall call, routing::Request request);
+    ~ResilientStream();
+    ResilientStream(const ResilientStream &) = delete;
+    ResilientStream &operator=(const ResilientStream &) = delete;
+
+    /// Continues an answer of which the caller has the first `point.offset` tokens.
+    void resumeFrom(const ResumePoint &point, const boost::asio::yield_context &yield);
+
+    /// Returns the next token, or no value at the true end or with `error` set.
+    std::optional<targets::Token> next(const boost::asio::yield_context &yield,
+                                       std::error_code &error);
+
+    /// Returns true if and only if `next()` will return without waiting.
+    bool hasBuffered() const { return stream_ != nullptr && stream_->hasBuffered(); }
+
+    /// Returns the counts that the last engine reported; valid after the true end.
+    const std::optional<targets::Usage> &usage() const { return usage_; }
+
+    /// Returns the engine and life that the last token came from.
+    const std::string &engine() const { return placement_->target.name; }
+    std::uint64_t life() const { return placement_->life; }
+
+    /// Tells the engine to stop, without waiting for its answer. Use it when the caller has gone.
+    void cancel();
+
+private:
+    bool ensureStream(const boost::asio::yield_context &yield, std::error_code &error);
+    void reattach(const boost::asio::yield_context &yield);
+    void abandon(const std::string &reason);
+    void finish(std::optional<std::uint32_t> cachedTokens);
+    std::chrono::milliseconds waitLimit() const;
+    void adopt(std::unique_ptr<targets::TokenStream> stream);
+
+    const TrafficThread &thread_;
+    const RouteTargets &targets_;
+    targets::CompletionCall call_;
+    routing::Request request_;
+    std::vector<routing::TargetId> excluded_;
+    std::optional<Placement> placement_;
+    bool placementOpen_ = false;
+    std::unique_ptr<targets::TokenStream> stream_;
+    std::optional<targets::Usage> usage_;
+    std::uint64_t next_ = 0;
+    bool attemptHasToken_ = false;
+    bool reattached_ = false;
+    int attempts_ = 0;
+};
+
+} // namespace chervilfield::traffic
--- /dev/null
+++ b/packages/traffic/include/traffic/router.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/result.h"
+#include "routing/decision.h"
+#include "traffic/target_table.h"
+
+#include <chrono>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace chervilfield::traffic {
+
+struct RouterOptions
+{
+    std::string dataCentre; ///< Of this instance.
+    routing::Options decision;
+    routing::Cost otherDataCentrePath{ 0.010 };     ///< Assumed round trip until one is measured.
+    std::chrono::milliseconds firstCoolDown{ 250 }; ///< After a refused connection; doubles.
+    std::chrono::milliseconds maxCoolDown{ 4000 };
+    std::uint64_t seed = 1;
+};
+
+/// A target chosen for one attempt, with the bookkeeping that ends with the attempt.
+struct Placement
+{
+    TargetInfo target;
+    routing::Sent sent;
+    std::uint64_t life = 0; ///< Life of the engine as last seen; 0 if not seen yet.
+};
+
+/// Shared entry to the routing decision for all traffic threads: adds what only the daemon knows
+/// (lives of engines, targets that refuse connections, targets that leave) to the pure decision.
+/// Safe to use from several threads.
+class Router
+{
+public:
+    explicit Router(RouterOptions options);
+
+    /// Chooses a target and counts the request as sent. Sets `error` to the decision's code on a
+    /// refusal; the request was then not sent. Call `finished()` for each placement.
+    std::optional<Placement> place(const routing::Request &request, const RouteTargets &targets,
+                                   std::error_code &error);
+
+    /// Returns the decision for a request without counting it.
+    routing::Decision explain(const routing::Request &request, const RouteTargets &targets);
+
+    void firstToken(Placement &placement);
+
+    /// Ends the bookkeeping of a placement. `cachedTokens` is what the engine reported, if it did.
+    void finished(const Placement &placement, std::optional<std::uint32_t> cachedTokens);
+
+    /// Keeps work away from a target that refused a connection, for a time that doubles with each
+    /// refusal in a row.
+    void refusedConnection(routing::TargetId target);
+
+    /// Records the life that an engine reported. A new life ends the cool-down and forgets the
+    /// work of the old one.
+    void sawLife(routing::TargetId target, std::uint64_t life);
+
+    /// Replaces the set of targets that are leaving; they get no new work.
+    void setLeaving(std::unordered_set<routing::TargetId> leaving);
+
+private:
+    struct TargetState
+    {
+        std::uint64_t life = 0;
+        std::chrono::milliseconds coolDown{ 0 };
+        routing::Time unusableUntil;
+    };
+
+    std::vector<routing::Target> describe(const RouteTargets &targets, routing::Time now) const;
+
+    const RouterOptions options_;
+    mutable std::mutex mutex_;
+    routing::State state_;
+    routing::Random random_;
+    std::unordered_map<routing::TargetId, TargetState> targets_;
+    std::unordered_set<routing::TargetId> leaving_;
+};
+
+} // namespace chervilfield::traffic
--- /dev/null
+++ b/packages/traffic/src/router.cpp
@@ -0,0 +1,97 @@
+#include "traffic/router.h"
+
+#include <algorithm>
+
+namespace chervilfield::traffic {
+
+using routing::Time;
+
+Router::Router(RouterOptions options) : options_(std::move(options)), random_(options_.seed) {}
+
+std::vector<routing::Target> Router::describe(const RouteTargets &targets, Time now) const
+{
+    std::vector<routing::Target> result;
+    result.reserve(targets.targets.size());
+    for (const TargetInfo &info : targets.targets) {
+        routing::Target target{ .id = info.id };
+        if (info.dataCentre != options_.dataCentre)
+            target.path = options_.otherDataCentrePath;
+        target.accepting = !leaving_.contains(info.id);
+        if (const auto known = targets_.find(info.id); known != targets_.end()) {
+            target.life = known->second.life;
+            target.accepting = target.accepting && now >= known->second.unusableUntil;
+        }
+        result.push_back(target);
+    }
+    return result;
+}
+
+std::optional<Placement> Router::place(const routing::Request &request, const RouteTargets &targets,
+                                       std::error_code &error)
+{
+    const Time now = std::chrono::steady_clock::now();
+    const std::lock_guard lock(mutex_);
+    const auto described = describe(targets, now);
+    const routing::Decision decision =
+            routing::decide(request, described, state_, options_.decision, now, random_);
+    if (decision.code != base::Result::Ok) {
+        error = decision.code;
+        return std::nullopt;
+    }
+    const std::uint32_t index = decision.choice().index;
+    return Placement{ .target = targets.targets[index],
+                      .sent = routing::startRequest(state_, request, described, decision, now),
+                      .life = described[index].life };
+}
+
+routing::Decision Router::explain(const routing::Request &request, const RouteTargets &targets)
+{
+    const Time now = std::chrono::steady_clock::now();
+    const std::lock_guard lock(mutex_);
+    return routing::decide(request, describe(targets, now), state_, options_.decision, now,
+                           random_);
+}
+
+void Router::firstToken(Placement &placement)
+{
+    const std::lock_guard lock(mutex_);
+    routing::firstToken(state_, placement.sent);
+}
+
+void Router::finished(const Placement &placement, std::optional<std::uint32_t> cachedTokens)
+{
+    const std::lock_guard lock(mutex_);
+    routing::endRequest(state_, placement.sent, cachedTokens);
+}
+
+void Router::refusedConnection(routing::TargetId target)
+{
+    const Time now = std::chrono::steady_clock::now();
+    const std::lock_guard lock(mutex_);
+    TargetState &state = targets_[target];
+    if (now < state.unusableUntil)
+        return;
+    state.coolDown = std::clamp(state.coolDown * 2, options_.firstCoolDown, options_.maxCoolDown);
+    state.unusableUntil = now + state.coolDown;
+}
+
+void Router::sawLife(routing::TargetId target, std::uint64_t life)
+{
+    const std::lock_guard lock(mutex_);
+    TargetState &state = targets_[target];
+    state.coolDown = std::chrono::milliseconds::zero();
+    state.unusableUntil = Time();
+    if (state.life == life)
+        return;
+    if (state.life != 0)
+        routing::forgetTarget(state_.load, target);
+    state.life = life;
+}
+
+void Router::setLeaving(std::unordered_set<routing::TargetId> leaving)
+{
+    const std::lock_guard lock(mutex_);
+    leaving_ = std::move(leaving);
+}
+
+} // namespace chervilfield::traffic
