Add block index, target health and admission

Cause: routing needs to know which engine lives hold a prompt's blocks, which targets are slowed, and whether a request may start at all. Change: prefix/block_index.h keeps 16-byte entries with three holder slots in an open-addressing table that grows by a quarter up to a fixed bound; a slot names one engine life and is given out again only after every entry has been cleared of it. An entry that is full of other lives does not end a prefix, because a block that many engines hold names only the last three of them. routing/target_health.h compares medians over jobs with the pool's median and moves weights in bounded steps. admission has class budgets, weighted shares, retry and hedge budgets, deadlines, an additive-increase limit and Retry-After estimates.

--- /dev/null
+++ b/packages/admission/include/admission/extra_budget.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "admission/types.h"
+
+#include <optional>
+
+namespace chervilfield::admission {
+
+/// Limits of additional attempts: retries and hedges.
+struct ExtraBudgetOptions
+{
+    double perRequest = 0.1; ///< Additional attempts earned by each first attempt.
+    double perSecond = 0;    ///< Additional attempts earned by time, for rare traffic.
+    double most = 10;        ///< Greatest number of attempts saved up.
+};
+
+/// Retries cost target time during an overload, so they are a tenth of the requests at most. One
+/// every two seconds is earned by time, so that a customer with rare requests can retry at all.
+inline constexpr ExtraBudgetOptions kRetryBudget{ .perRequest = 0.1, .perSecond = 0.5, .most = 10 };
+
+/// Hedges add load, so they are 3% of the repeatable requests at most.
+inline constexpr ExtraBudgetOptions kHedgeBudget{ .perRequest = 0.03, .perSecond = 0, .most = 4 };
+
+/// Token bucket of additional attempts. It starts with one attempt.
+struct ExtraBudget
+{
+    double saved = 1;
+    TimePoint refilledAt{};
+};
+
+/// Credits one first attempt.
+void earn(ExtraBudget &budget, const ExtraBudgetOptions &options, TimePoint now);
+
+/// Takes one retry from the customer's and the target's budget, or from neither. Returns
+/// `RetryBudgetSpent` if one of them is empty.
+std::optional<Refusal> takeRetry(ExtraBudget &customer, ExtraBudget &target,
+                                 const ExtraBudgetOptions &options, TimePoint now);
+
+/// Takes one hedge. Returns false if the work is not repeatable or the budget is empty.
+bool takeHedge(ExtraBudget &budget, const ExtraBudgetOptions &options, bool repeatable,
+               TimePoint now);
+
+} // namespace chervilfield::admission
--- /dev/null
+++ b/packages/admission/test/extra_budget_test.cpp
@@ -0,0 +1,82 @@
+#include "admission/extra_budget.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <cmath>
+
+namespace chervilfield::admission {
+
+namespace {
+
+const TimePoint kStart{ std::chrono::hours(1) };
+
+} // namespace
+
+class ExtraBudgetTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ExtraBudgetTest);
+    CPPUNIT_TEST(boundsRetries);
+    CPPUNIT_TEST(takesFromBothOrNeither);
+    CPPUNIT_TEST(hedgesRepeatableWorkOnly);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a retry storm: more retries than a tenth of the requests plus what time earns.
+    void boundsRetries()
+    {
+        const bool holds = rc::check("retries stay within the budget", [] {
+            ExtraBudget customer;
+            ExtraBudget target;
+            TimePoint now = kStart;
+            double requests = 0;
+            double retries = 0;
+            for (int i = 0; i < 300; ++i) {
+                now += std::chrono::milliseconds(*rc::gen::inRange(0, 100));
+                if (*rc::gen::arbitrary<bool>()) {
+                    earn(customer, kRetryBudget, now);
+                    earn(target, kRetryBudget, now);
+                    requests += 1;
+                }
+                if (!takeRetry(customer, target, kRetryBudget, now))
+                    retries += 1;
+            }
+            const std::chrono::duration<double> passed = now - kStart;
+            RC_ASSERT(retries <= 1 + kRetryBudget.perRequest * requests
+                                         + kRetryBudget.perSecond * passed.count() + 1e-6);
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    // Guards against one side's budget being spent by retries that the other side refuses.
+    void takesFromBothOrNeither()
+    {
+        ExtraBudget customer{ .saved = 3 };
+        ExtraBudget target{ .saved = 1 };
+        CPPUNIT_ASSERT(!takeRetry(customer, target, kRetryBudget, kStart));
+        const auto refusal = takeRetry(customer, target, kRetryBudget, kStart);
+        CPPUNIT_ASSERT(refusal && refusal->result == base::Result::RetryBudgetSpent);
+        CPPUNIT_ASSERT(refusal->work == base::WorkStatus::NotRun);
+        CPPUNIT_ASSERT(refusal->retryAfter == std::chrono::seconds(2));
+        CPPUNIT_ASSERT_EQUAL(2.0, customer.saved);
+        CPPUNIT_ASSERT(
+                !takeRetry(customer, target, kRetryBudget, kStart + std::chrono::seconds(2)));
+    }
+
+    // Guards against hedging of work that must run once, and against hedges beyond a few per cent.
+    void hedgesRepeatableWorkOnly()
+    {
+        ExtraBudget budget;
+        int hedges = 0;
+        for (int i = 0; i < 1'000; ++i) {
+            earn(budget, kHedgeBudget, kStart);
+            CPPUNIT_ASSERT(!takeHedge(budget, kHedgeBudget, false, kStart));
+            hedges += takeHedge(budget, kHedgeBudget, true, kStart) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("hedges", true, hedges >= 29 && hedges <= 31);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExtraBudgetTest);
+
+} // namespace chervilfield::admission
--- /dev/null
+++ b/packages/admission/test/fair_shares_test.cpp
@@ -0,0 +1,167 @@
+#include "admission/fair_shares.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chervilfield::admission {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint kStart{ std::chrono::hours(1) };
+
+/// One customer of a simulated overload.
+struct Load
+{
+    double weight;
+    int requestsPerTick;
+};
+
+/// Returns the part of the finished work that each customer got, while requests of 10 tokens run
+/// for 20 ticks on a capacity of 1000 tokens.
+std::vector<double> simulate(const std::vector<Load> &loads)
+{
+    struct Running
+    {
+        std::size_t customer;
+        int until;
+    };
+    FairShares shares;
+    shares.setCapacity(1000);
+    std::deque<Running> running;
+    std::vector<double> done(loads.size());
+    double total = 0;
+    for (int tick = 0; tick < 2'000; ++tick) {
+        while (!running.empty() && running.front().until <= tick) {
+            shares.release(running.front().customer, 10, kStart + milliseconds(tick));
+            done[running.front().customer] += 1;
+            total += 1;
+            running.pop_front();
+        }
+        for (int i = 0; i < 100; ++i) {
+            for (std::size_t c = 0; c < loads.size(); ++c) {
+                const bool arrives = i < loads[c].requestsPerTick;
+                if (arrives && !shares.admit(c, loads[c].weight, 10, kStart + milliseconds(tick)))
+                    running.push_back({ c, tick + 20 });
+            }
+        }
+    }
+    for (double &value : done)
+        value /= total;
+    return done;
+}
+
+} // namespace
+
+class FairSharesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FairSharesTest);
+    CPPUNIT_TEST(sharesUnderSaturation);
+    CPPUNIT_TEST(lendsIdleCapacity);
+    CPPUNIT_TEST(countsExactly);
+    CPPUNIT_TEST(forgetsIdleCustomers);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a large customer that crowds out small ones.
+    void sharesUnderSaturation()
+    {
+        struct Row
+        {
+            const char *name;
+            std::vector<Load> loads;
+            std::vector<double> expected;
+        };
+        const Row rows[] = {
+            { "equal weights, very unequal demand",
+              { { 1, 100 }, { 1, 5 }, { 1, 5 }, { 1, 5 } },
+              { 0.25, 0.25, 0.25, 0.25 } },
+            { "weights", { { 3, 50 }, { 1, 50 } }, { 0.75, 0.25 } },
+        };
+        for (const Row &row : rows) {
+            const std::vector<double> got = simulate(row.loads);
+            for (std::size_t i = 0; i < got.size(); ++i)
+                CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(row.name, row.expected[i], got[i], 0.03);
+        }
+    }
+
+    // Guards against capacity that stays idle although a customer could use it.
+    void lendsIdleCapacity()
+    {
+        FairShares shares;
+        shares.setCapacity(1000);
+        CPPUNIT_ASSERT(!shares.admit(2, 1, 10, kStart));
+        CPPUNIT_ASSERT(!shares.admit(3, 1, 10, kStart));
+        for (int i = 0; i < 93; ++i)
+            CPPUNIT_ASSERT(!shares.admit(1, 1, 10, kStart));
+        const auto lent = shares.admit(1, 1, 10, kStart);
+        CPPUNIT_ASSERT(lent && lent->result == base::Result::QuotaExceeded);
+        CPPUNIT_ASSERT(lent->work == base::WorkStatus::NotRun);
+        for (int i = 0; i < 5; ++i)
+            CPPUNIT_ASSERT(!shares.admit(2, 1, 10, kStart));
+        const auto full = shares.admit(2, 1, 10, kStart);
+        CPPUNIT_ASSERT(full && full->result == base::Result::Overloaded);
+        CPPUNIT_ASSERT(full->work == base::WorkStatus::NotRun);
+    }
+
+    // Guards against use that drifts from the work in progress, and against overcommitment.
+    void countsExactly()
+    {
+        const bool holds = rc::check("use equals admitted minus released work", [] {
+            FairShares shares;
+            shares.setCapacity(500);
+            std::vector<std::pair<std::uint64_t, std::uint64_t>> held;
+            std::map<std::uint64_t, std::uint64_t> used;
+            TimePoint now = kStart;
+            for (int i = 0; i < 200; ++i) {
+                now += milliseconds(*rc::gen::inRange(0, 800));
+                if (!held.empty() && *rc::gen::arbitrary<bool>()) {
+                    const auto [customer, tokens] = held.back();
+                    held.pop_back();
+                    shares.release(customer, tokens, now);
+                    used[customer] -= tokens;
+                    continue;
+                }
+                const auto customer = *rc::gen::inRange<std::uint64_t>(0, 12);
+                const auto tokens = *rc::gen::inRange<std::uint64_t>(1, 300);
+                const double weight = *rc::gen::inRange(0, 5);
+                if (!shares.admit(customer, weight, tokens, now)) {
+                    held.emplace_back(customer, tokens);
+                    used[customer] += tokens;
+                }
+                RC_ASSERT(shares.used() <= 500U);
+                double sum = 0;
+                for (std::uint64_t c = 0; c < 12; ++c)
+                    sum += shares.shareOf(c);
+                RC_ASSERT(std::abs(sum - 500) < 1e-6);
+            }
+            for (const auto &[customer, tokens] : used)
+                RC_ASSERT(shares.usedBy(customer) == tokens);
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    // Guards against memory that grows with every customer ever seen.
+    void forgetsIdleCustomers()
+    {
+        FairShares shares;
+        shares.setCapacity(1000);
+        TimePoint now = kStart;
+        for (std::uint64_t customer = 0; customer < 42'000; ++customer, now += milliseconds(1)) {
+            if (!shares.admit(customer, 1, 1, now))
+                shares.release(customer, 1, now);
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(shares.activeCustomers()),
+                               shares.activeCustomers() <= 5'000);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FairSharesTest);
+
+} // namespace chervilfield::admission
--- /dev/null
+++ b/packages/prefix/src/block_index.cpp
@@ -0,0 +1,449 @@
+#include "prefix/block_index.h"
+
+#include <algorithm>
+
+namespace chervilfield::prefix {
+
+namespace {
+
+// The table grows by a quarter when 85% of it is in use, so it is at least 68% full afterwards and
+// an entry costs at most 16 / 0.68 = 23.5 bytes.
+constexpr double kMaxLoad = 0.85;
+constexpr std::size_t kGrowthDivisor = 4;
+constexpr std::size_t kMinTable = 64;
+
+// Entries compared when one has to be evicted. Eight random entries approximate
+// least-recently-used order well enough and touch only two or three cache lines.
+constexpr std::size_t kEvictionSample = 8;
+
+// Entries requested ahead of the one being read, to hide the latency of main memory.
+constexpr std::size_t kPrefetchDistance = 6;
+
+std::uint64_t key(std::uint64_t hash)
+{
+    return hash == 0 ? 1 : hash;
+}
+
+std::uint16_t stampOf(TimePoint now)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::seconds;
+    return static_cast<std::uint16_t>(duration_cast<seconds>(now.time_since_epoch()).count());
+}
+
+std::uint16_t ageOf(std::uint16_t stamp, std::uint16_t now)
+{
+    const auto age = static_cast<std::uint16_t>(now - stamp);
+    // Stamps are reduced modulo 65,536 s; a difference in the upper half is a stamp slightly ahead.
+    return age < 0x8000U ? age : 0;
+}
+
+std::size_t tableSizeFor(std::size_t blocks)
+{
+    return std::max(kMinTable,
+                    static_cast<std::size_t>(static_cast<double>(blocks) / kMaxLoad) + 1);
+}
+
+} // namespace
+
+BlockIndex::BlockIndex(BlockIndexOptions options)
+    : options_(options), maxTable_(tableSizeFor(std::max<std::size_t>(options.maxBlocks, 1)))
+{
+    options_.maxBlocks = std::max<std::size_t>(options_.maxBlocks, 1);
+    options_.maxLives = std::clamp<std::size_t>(options_.maxLives, 1, 0xffff);
+    table_.resize(std::min(kMinTable, maxTable_));
+    lives_.resize(1); // Slot 0 is kNoHolder.
+}
+
+HolderSlot BlockIndex::beginLife(EngineLife life, bool followed)
+{
+    if (const HolderSlot current = slotOfEngine(life.engine); current != kNoHolder) {
+        if (lives_[current].id == life) {
+            lives_[current].followed = lives_[current].followed || followed;
+            return current;
+        }
+        endLife(current);
+    }
+    const HolderSlot slot = takeSlot(life);
+    if (slot != kNoHolder)
+        lives_[slot].followed = followed;
+    return slot;
+}
+
+HolderSlot BlockIndex::takeSlot(EngineLife life)
+{
+    HolderSlot slot = kNoHolder;
+    if (freeSlots_.empty() && lives_.size() > options_.maxLives && !endedSlots_.empty()) {
+        for (Entry &entry : table_)
+            dropEnded(entry);
+        freeSlots_.swap(endedSlots_);
+    }
+    if (!freeSlots_.empty()) {
+        slot = freeSlots_.back();
+        freeSlots_.pop_back();
+    } else if (lives_.size() <= options_.maxLives) {
+        slot = static_cast<HolderSlot>(lives_.size());
+        lives_.emplace_back();
+    } else {
+        return kNoHolder;
+    }
+    lives_[slot] = Life{ .id = life, .live = true };
+    slotOfEngine_[life.engine] = slot;
+    return slot;
+}
+
+void BlockIndex::endLife(HolderSlot slot)
+{
+    if (!isLive(slot))
+        return;
+    lives_[slot].live = false;
+    lives_[slot].endedInRound = round_;
+    slotOfEngine_.erase(lives_[slot].id.engine);
+    endedSlots_.push_back(slot);
+}
+
+HolderSlot BlockIndex::slotOfEngine(std::uint64_t engine) const
+{
+    const auto found = slotOfEngine_.find(engine);
+    return found == slotOfEngine_.end() ? kNoHolder : found->second;
+}
+
+EventOutcome BlockIndex::applyEvent(HolderSlot slot, const CacheEvent &event, TimePoint now)
+{
+    if (!isLive(slot))
+        return EventOutcome::UnknownLife;
+    Life &life = lives_[slot];
+    if (event.number < life.nextEvent)
+        return EventOutcome::Repeated;
+    const bool gap = event.number > life.nextEvent;
+    if (gap) {
+        life.needsSnapshot = true;
+        life.lastMissing = event.number - 1;
+    }
+    life.nextEvent = event.number + 1;
+
+    switch (event.kind) {
+    case CacheEventKind::Stored:
+        for (const std::uint64_t hash : event.blocks)
+            insert(hash, slot, now);
+        break;
+    case CacheEventKind::Evicted:
+        for (const std::uint64_t hash : event.blocks)
+            remove(hash, slot);
+        break;
+    case CacheEventKind::Cleared:
+        removeAll(slot);
+        // Nothing older than this event matters any more, so missing events need no snapshot.
+        life.needsSnapshot = false;
+        return EventOutcome::Applied;
+    }
+    sweep(options_.sweepPerChange * event.blocks.size(), now);
+    return gap ? EventOutcome::Gap : EventOutcome::Applied;
+}
+
+bool BlockIndex::needsSnapshot(HolderSlot slot) const
+{
+    return isLive(slot) && lives_[slot].needsSnapshot;
+}
+
+std::uint64_t BlockIndex::nextEvent(HolderSlot slot) const
+{
+    return isLive(slot) ? lives_[slot].nextEvent : 1;
+}
+
+bool BlockIndex::applySnapshot(HolderSlot slot, std::uint64_t number,
+                               std::span<const std::uint64_t> blocks, TimePoint now)
+{
+    if (!isLive(slot))
+        return false;
+    Life &life = lives_[slot];
+    const std::uint64_t oldest = life.needsSnapshot ? life.lastMissing : life.nextEvent - 1;
+    if (number < oldest)
+        return false;
+    removeAll(slot);
+    for (const std::uint64_t hash : blocks)
+        insert(hash, slot, now);
+    life.needsSnapshot = false;
+    life.nextEvent = number + 1;
+    return true;
+}
+
+void BlockIndex::recordPlacement(HolderSlot slot, std::span<const std::uint64_t> chain,
+                                 TimePoint now)
+{
+    if (!isLive(slot))
+        return;
+    for (const std::uint64_t hash : chain)
+        insert(hash, slot, now);
+    sweep(options_.sweepPerChange * chain.size(), now);
+}
+
+std::span<PrefixHolder> BlockIndex::findHolders(std::span<const std::uint64_t> chain, TimePoint now,
+                                                std::span<PrefixHolder> out) const
+{
+    const std::uint16_t stamp = stampOf(now);
+    std::size_t count = 0;
+    std::size_t active = 0; // out[0, active) are still uninterrupted.
+    bool mayStart = true;   // All entries so far were full, so any life may hold them.
+    for (std::size_t i = 0; i < chain.size() && (mayStart || active > 0); ++i) {
+        if (i + kPrefetchDistance < chain.size())
+            __builtin_prefetch(&table_[home(key(chain[i + kPrefetchDistance]))]);
+        const std::optional<std::size_t> place = find(key(chain[i]));
+        if (!place)
+            break;
+        const Entry &entry = table_[*place];
+        const auto depth = static_cast<std::uint32_t>(i + 1);
+        std::size_t believedHolders = 0;
+        for (const HolderSlot slot : entry.holders) {
+            if (!believed(slot, entry.stamp, stamp))
+                continue;
+            ++believedHolders;
+            PrefixHolder *const end = out.data() + active;
+            PrefixHolder *const known = std::find_if(
+                    out.data(), end, [slot](const PrefixHolder &h) { return h.slot == slot; });
+            if (known != end) {
+                known->blocks = depth;
+            } else if (mayStart && count < out.size()) {
+                out[count++] = { slot, depth };
+                active = count;
+            }
+        }
+        if (believedHolders < kHoldersPerEntry) {
+            mayStart = false;
+            const auto firstInterrupted =
+                    std::partition(out.begin(), out.begin() + static_cast<std::ptrdiff_t>(active),
+                                   [depth](const PrefixHolder &h) { return h.blocks == depth; });
+            active = static_cast<std::size_t>(firstInterrupted - out.begin());
+        }
+    }
+    return out.first(count);
+}
+
+void BlockIndex::recordHit(HolderSlot slot, std::span<const std::uint64_t> chain,
+                           std::uint32_t claimed, std::uint32_t reported, TimePoint now)
+{
+    ++hitError_.requests;
+    hitError_.claimed += claimed;
+    hitError_.reported += reported;
+    hitError_.claimedTooMany += claimed > reported ? claimed - reported : 0;
+    hitError_.claimedTooFew += reported > claimed ? reported - claimed : 0;
+    if (!isLive(slot))
+        return;
+
+    Life &life = lives_[slot];
+    const double keep =
+            options_.correctionMemoryBlocks / (options_.correctionMemoryBlocks + claimed);
+    life.claimed = life.claimed * keep + claimed;
+    life.reported = life.reported * keep + std::min(claimed, reported);
+
+    const std::size_t hit = std::min<std::size_t>(reported, chain.size());
+    for (std::size_t i = 0; i < hit; ++i)
+        insert(chain[i], slot, now);
+    const std::size_t end = std::min<std::size_t>(claimed, chain.size());
+    for (std::size_t i = hit; i < end; ++i)
+        remove(chain[i], slot);
+}
+
+double BlockIndex::expectedBlocks(PrefixHolder claim) const
+{
+    if (!isLive(claim.slot))
+        return 0;
+    // A few blocks of prior trust keep one early error from silencing a life.
+    constexpr double kPriorBlocks = 8;
+    const Life &life = lives_[claim.slot];
+    return claim.blocks * (life.reported + kPriorBlocks) / (life.claimed + kPriorBlocks);
+}
+
+void BlockIndex::sweep(std::size_t entries, TimePoint now)
+{
+    const std::uint16_t stamp = stampOf(now);
+    const auto maxAge = static_cast<std::uint16_t>(
+            std::min<std::chrono::seconds::rep>(options_.maxAge.count(), 0x7fff));
+    for (std::size_t i = 0; i < entries; ++i) {
+        Entry &entry = table_[sweepPlace_];
+        if (entry.hash != 0) {
+            dropEnded(entry);
+            if (entry.holders[0] == kNoHolder || ageOf(entry.stamp, stamp) > maxAge) {
+                eraseAt(sweepPlace_); // May move a later entry here, so the place is kept.
+                continue;
+            }
+        }
+        sweepPlace_ = next(sweepPlace_);
+        if (sweepPlace_ == 0)
+            finishRound();
+    }
+}
+
+void BlockIndex::finishRound()
+{
+    ++round_;
+    // An ended life is gone from every entry after one complete round since its end.
+    std::erase_if(endedSlots_, [this](HolderSlot slot) {
+        const bool clean = lives_[slot].endedInRound + 2 <= round_;
+        if (clean)
+            freeSlots_.push_back(slot);
+        return clean;
+    });
+}
+
+std::size_t BlockIndex::memoryBytes() const
+{
+    return sizeof(*this) + table_.capacity() * sizeof(Entry) + lives_.capacity() * sizeof(Life)
+           + (freeSlots_.capacity() + endedSlots_.capacity()) * sizeof(HolderSlot)
+           + slotOfEngine_.size() * (sizeof(std::uint64_t) * 2 + sizeof(void *) * 2)
+           + slotOfEngine_.bucket_count() * sizeof(void *);
+}
+
+std::size_t BlockIndex::home(std::uint64_t hash) const
+{
+    // Maps the hash to [0, size) without a division and for any table size (Lemire 2019).
+    __extension__ using Wide = unsigned __int128;
+    return static_cast<std::size_t>((static_cast<Wide>(hash) * table_.size()) >> 64U);
+}
+
+std::optional<std::size_t> BlockIndex::find(std::uint64_t hash) const
+{
+    for (std::size_t place = home(hash); table_[place].hash != 0; place = next(place)) {
+        if (table_[place].hash == hash)
+            return place;
+    }
+    return std::nullopt;
+}
+
+bool BlockIndex::believed(HolderSlot slot, std::uint16_t stamp, std::uint16_t now) const
+{
+    if (slot == kNoHolder || !lives_[slot].live)
+        return false;
+    const std::chrono::seconds limit =
+            lives_[slot].followed ? options_.maxAge : options_.placementAge;
+    return ageOf(stamp, now) <= limit.count();
+}
+
+void BlockIndex::insert(std::uint64_t hash, HolderSlot slot, TimePoint now)
+{
+    const std::uint16_t stamp = stampOf(now);
+    const std::uint64_t wanted = key(hash);
+    std::optional<std::size_t> place = find(wanted);
+    if (!place) {
+        if (size_ >= options_.maxBlocks)
+            evictOne(stamp);
+        else if (static_cast<double>(size_ + 1) > kMaxLoad * static_cast<double>(table_.size()))
+            grow();
+        place = home(wanted);
+        while (table_[*place].hash != 0)
+            place = next(*place);
+        table_[*place] = { .hash = wanted, .holders = { slot }, .stamp = stamp };
+        ++size_;
+        return;
+    }
+    Entry &entry = table_[*place];
+    dropEnded(entry);
+    entry.stamp = stamp;
+    // Holders are kept in the order of their last report; the oldest is first and is displaced.
+    auto known = std::ranges::find(entry.holders, slot);
+    if (known == entry.holders.end())
+        known = std::ranges::find(entry.holders, kNoHolder);
+    if (known == entry.holders.end())
+        known = entry.holders.begin();
+    *known = slot;
+    auto used = std::ranges::find(entry.holders, kNoHolder);
+    std::rotate(known, known + 1, used);
+}
+
+void BlockIndex::remove(std::uint64_t hash, HolderSlot slot)
+{
+    const std::optional<std::size_t> place = find(key(hash));
+    if (!place)
+        return;
+    Entry &entry = table_[*place];
+    const auto rest = std::remove(entry.holders.begin(), entry.holders.end(), slot);
+    std::fill(rest, entry.holders.end(), kNoHolder);
+    if (entry.holders[0] == kNoHolder)
+        eraseAt(*place);
+}
+
+void BlockIndex::removeAll(HolderSlot slot)
+{
+    // Entries without a holder are left for the sweep, so that this is one sequential pass.
+    for (Entry &entry : table_) {
+        const auto rest = std::remove(entry.holders.begin(), entry.holders.end(), slot);
+        std::fill(rest, entry.holders.end(), kNoHolder);
+    }
+}
+
+void BlockIndex::dropEnded(Entry &entry) const
+{
+    const auto rest = std::remove_if(entry.holders.begin(), entry.holders.end(),
+                                     [this](HolderSlot slot) { return !lives_[slot].live; });
+    std::fill(rest, entry.holders.end(), kNoHolder);
+}
+
+void BlockIndex::eraseAt(std::size_t place)
+{
+    std::size_t hole = place;
+    for (std::size_t from = next(hole); table_[from].hash != 0; from = next(from)) {
+        const std::size_t wanted = home(table_[from].hash);
+        const bool stays =
+                hole < from ? (hole < wanted && wanted <= from) : (hole < wanted || wanted <= from);
+        if (stays)
+            continue;
+        table_[hole] = table_[from];
+        // The entry may move from places that the sweep has yet to visit to ones it has passed, so
+        // ended lives are dropped here; otherwise their slots could be given out again too early.
+        dropEnded(table_[hole]);
+        hole = from;
+    }
+    table_[hole] = Entry{};
+    --size_;
+}
+
+void BlockIndex::evictOne(std::uint16_t now)
+{
+    std::optional<std::size_t> oldest;
+    for (std::size_t seen = 0; seen < kEvictionSample; evictPlace_ = next(evictPlace_)) {
+        const Entry &entry = table_[evictPlace_];
+        if (entry.hash == 0)
+            continue;
+        ++seen;
+        if (!oldest || entry.holders[0] == kNoHolder
+            || ageOf(entry.stamp, now) > ageOf(table_[*oldest].stamp, now))
+            oldest = evictPlace_;
+        if (entry.holders[0] == kNoHolder)
+            break;
+    }
+    eraseAt(*oldest);
+    ++evictions_;
+}
+
+void BlockIndex::grow()
+{
+    std::vector<Entry> old;
+    old.swap(table_);
+    const std::size_t wanted = old.size() + old.size() / kGrowthDivisor;
+    table_.resize(std::min(std::max(wanted, kMinTable), maxTable_));
+    size_ = 0;
+    for (Entry &entry : old) {
+        if (entry.hash == 0)
+            continue;
+        dropEnded(entry);
+        if (entry.holders[0] == kNoHolder)
+            continue;
+        std::size_t place = home(entry.hash);
+        while (table_[place].hash != 0)
+            place = next(place);
+        table_[place] = entry;
+        ++size_;
+    }
+    sweepPlace_ = 0;
+    evictPlace_ = 0;
+    freeSlots_.insert(freeSlots_.end(), endedSlots_.begin(), endedSlots_.end());
+    endedSlots_.clear();
+}
+
+std::uint32_t claimedBlocks(std::span<const PrefixHolder> holders, HolderSlot slot)
+{
+    const auto found = std::ranges::find(holders, slot, &PrefixHolder::slot);
+    return found == holders.end() ? 0 : found->blocks;
+}
+
+} // namespace chervilfield::prefix
