Add the platform client and the stand-in platform

The configuration log, orders and leases need conditional writes whose lost responses are settled.

The client has typed rows, ordered lists, objects and the instance list, with a timeout for each request. A write without a response is read back and repeated under the same condition and write id until the row decides; otherwise it is reported as undecided. Target addresses are restricted to IPv4, which is what net connects to.

--- a/packages/configuration/include/configuration/resources.h
+++ b/packages/configuration/include/configuration/resources.h
@@ -53,7 +53,7 @@
 struct Target
 {
     std::string name{};
-    std::string address{}; ///< Numeric `address:port`, with brackets around an IPv6 address.
+    std::string address{}; ///< Numeric `a.b.c.d:port`.
     TargetKind kind = TargetKind::Engine;
     Labels labels{};
     std::string dataCentre{};
--- a/packages/configuration/src/validation.cpp
+++ b/packages/configuration/src/validation.cpp
@@ -37,11 +37,8 @@
     const std::size_t colon = text.rfind(':');
     if (colon == std::string_view::npos || !isPort(text.substr(colon + 1)))
         return false;
-    std::string host(text.substr(0, colon));
-    in6_addr buffer{};
-    if (host.starts_with('[') && host.ends_with(']'))
-        return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), &buffer) == 1;
-    return inet_pton(AF_INET, host.c_str(), &buffer) == 1;
+    in_addr buffer{};
+    return inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &buffer) == 1;
 }
 
 /// Collects the faults of one change.
@@ -105,7 +102,7 @@
     {
         checkLabels(target.labels);
         expect(isNumericAddress(target.address), "address",
-               "expected a numeric address and port such as 127.0.0.1:8000"
+               "expected a numeric IPv4 address and port such as 127.0.0.1:8000"
                        + found(target.address));
         expect(isName(target.dataCentre), "dataCentre",
                "expected the name of a data centre" + found(target.dataCentre));
--- /dev/null
+++ b/packages/platform/src/platform_client.cpp
@@ -0,0 +1,226 @@
+#include "platform/platform_client.h"
+
+#include "base/result.h"
+#include "platform_json.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <utility>
+
+namespace chervilfield::platform {
+
+namespace asio = boost::asio;
+using base::Result;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// What one attempt tells about a write.
+struct PlatformClient::Attempt
+{
+    enum Outcome {
+        Written,   ///< The row carries our write id.
+        Refused,   ///< The service refused this attempt; `row` is the current one.
+        Unsent,    ///< No byte reached the service.
+        Undecided, ///< The attempt tells nothing.
+    };
+
+    Outcome outcome = Undecided;
+    std::optional<TableRow> row;
+};
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+
+std::string tablePath(const std::string &key)
+{
+    return "/table/" + net::percentEncode(key);
+}
+
+std::string objectPath(const std::string &name)
+{
+    return "/objects/" + net::percentEncode(name);
+}
+
+/// Returns true if and only if `row` proves that `write` has no effect, now and later: the version
+/// that the write would make belongs to another write.
+bool isLost(const TableWrite &write, const TableRow &row)
+{
+    return row.version == write.ifVersion + 1 && row.writeId != write.writeId;
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(asio::any_io_executor executor, PlatformOptions options)
+    : executor_(executor), options_(std::move(options)),
+      client_(std::move(executor), { .connectTimeout = options_.timeout })
+{
+}
+
+std::optional<net::Response> PlatformClient::send(const net::Address &address,
+                                                  const net::Request &request,
+                                                  asio::yield_context yield, std::error_code &error)
+{
+    ++requestCount_;
+    return client_.send(address, request, options_.timeout, yield, error);
+}
+
+std::optional<net::Response> PlatformClient::get(const net::Address &address,
+                                                 const std::string &target,
+                                                 asio::yield_context yield, std::error_code &error)
+{
+    error.clear();
+    std::error_code failure;
+    auto response = send(address, { .target = target }, yield, failure);
+    if (response && response->status == kOk)
+        return response;
+    const bool absent = response && response->status == kNotFound;
+    error = absent ? Result::NotFound : Result::StoreUnavailable;
+    return std::nullopt;
+}
+
+std::optional<TableRow> PlatformClient::read(const std::string &key, asio::yield_context yield,
+                                             std::error_code &error)
+{
+    const auto response = get(options_.table, tablePath(key), yield, error);
+    if (!response)
+        return std::nullopt;
+    auto row = parseRow(key, response->body);
+    if (!row)
+        error = Result::StoreUnavailable;
+    return row;
+}
+
+std::vector<TableRow> PlatformClient::list(const TableRange &range, asio::yield_context yield,
+                                           std::error_code &error)
+{
+    const std::string target = "/table?prefix=" + net::percentEncode(range.prefix)
+                               + "&after=" + net::percentEncode(range.after)
+                               + "&limit=" + std::to_string(range.limit);
+    const auto response = get(options_.table, target, yield, error);
+    if (!response)
+        return {};
+    auto rows = parseRows(response->body);
+    if (!rows)
+        error = Result::StoreUnavailable;
+    return std::move(rows).value_or(std::vector<TableRow>());
+}
+
+PlatformClient::Attempt PlatformClient::put(const TableWrite &write, asio::yield_context yield)
+{
+    std::error_code error;
+    // The condition makes a repetition harmless, so a pooled connection may be used.
+    const auto response = send(options_.table,
+                               { .method = "PUT",
+                                 .target = tablePath(write.key),
+                                 .headers = { { "Content-Type", "application/json" } },
+                                 .body = encodeWrite(write),
+                                 .idempotent = true },
+                               yield, error);
+    if (!response)
+        return { error == Result::TargetUnreachable ? Attempt::Unsent : Attempt::Undecided, {} };
+    if (response->status != kOk && response->status != kConflict)
+        return {};
+    auto row = parseRow(write.key, response->body);
+    if (!row) // A conflict without a row says that the row is absent.
+        return { response->status == kConflict ? Attempt::Refused : Attempt::Undecided, {} };
+    const bool ours = row->writeId == write.writeId;
+    return { ours ? Attempt::Written : Attempt::Refused, std::move(row) };
+}
+
+PlatformClient::Attempt PlatformClient::readBack(const TableWrite &write, asio::yield_context yield)
+{
+    std::error_code error;
+    auto row = read(write.key, yield, error);
+    if (!row)
+        return {};
+    if (row->writeId == write.writeId)
+        return { Attempt::Written, std::move(row) };
+    // Any other version tells nothing: it may be a stale read, or ours may have been replaced.
+    if (isLost(write, *row))
+        return { Attempt::Refused, std::move(row) };
+    return {};
+}
+
+void PlatformClient::pause(milliseconds time, asio::yield_context yield)
+{
+    asio::steady_timer timer(executor_, time);
+    boost::system::error_code ignored;
+    timer.async_wait(yield[ignored]);
+}
+
+std::optional<TableRow> PlatformClient::write(const TableWrite &write, asio::yield_context yield,
+                                              std::error_code &error)
+{
+    error.clear();
+    const auto deadline = steady_clock::now() + options_.settleTimeout;
+    milliseconds delay = options_.settleDelay;
+    bool mayHaveTakenEffect = false;
+    while (true) {
+        Attempt attempt = put(write, yield);
+        if (attempt.outcome == Attempt::Unsent && !mayHaveTakenEffect) {
+            error = Result::StoreUnavailable;
+            return std::nullopt;
+        }
+        // A refusal of a later attempt decides only if no earlier one can have been replaced.
+        const bool decides =
+                attempt.outcome == Attempt::Refused
+                && (!mayHaveTakenEffect || (attempt.row && isLost(write, *attempt.row)));
+        if (attempt.outcome != Attempt::Written && !decides) {
+            mayHaveTakenEffect = true;
+            attempt = readBack(write, yield);
+        }
+        if (attempt.outcome == Attempt::Written)
+            return attempt.row;
+        if (attempt.outcome == Attempt::Refused) {
+            error = Result::RevisionConflict;
+            return attempt.row;
+        }
+        if (steady_clock::now() + delay >= deadline)
+            break;
+        pause(delay, yield);
+        delay *= 2;
+    }
+    error = Result::WriteUndecided;
+    return std::nullopt;
+}
+
+std::optional<std::string> PlatformClient::readObject(const std::string &name,
+                                                      asio::yield_context yield,
+                                                      std::error_code &error)
+{
+    auto response = get(options_.objects, objectPath(name), yield, error);
+    if (!response)
+        return std::nullopt;
+    return std::move(response->body);
+}
+
+void PlatformClient::writeObject(const std::string &name, const std::string &content,
+                                 asio::yield_context yield, std::error_code &error)
+{
+    error.clear();
+    std::error_code failure;
+    const auto response =
+            send(options_.objects, { .method = "PUT", .target = objectPath(name), .body = content },
+                 yield, failure);
+    if (!response)
+        error = failure == Result::TargetUnreachable ? Result::StoreUnavailable
+                                                     : Result::WriteUndecided;
+    else if (response->status != kOk)
+        error = Result::WriteUndecided;
+}
+
+std::vector<Instance> PlatformClient::instances(asio::yield_context yield, std::error_code &error)
+{
+    const auto response = get(options_.instances, "/instances", yield, error);
+    if (!response)
+        return {};
+    auto result = parseInstances(response->body);
+    if (!result)
+        error = Result::StoreUnavailable;
+    return std::move(result).value_or(std::vector<Instance>());
+}
+
+} // namespace chervilfield::platform
--- /dev/null
+++ b/standins/platform/src/platform_service.cpp
@@ -0,0 +1,244 @@
+#include "platform_standin/platform_service.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include <exception>
+#include <utility>
+
+namespace chervilfield::standins {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kUnavailable = 503;
+
+/// How long an unanswered request is held if the client keeps the connection open.
+constexpr milliseconds kMaxHold{ 30000 };
+constexpr milliseconds kHoldPoll{ 20 };
+
+net::Response reply(int status, const json::value &body)
+{
+    return net::jsonResponse(status, serialize(body));
+}
+
+/// Returns the percent-decoded rest of the path after `prefix`.
+std::string decodedRest(const std::string &target, std::string_view prefix)
+{
+    const std::string_view path = net::pathOf(target);
+    const std::string asQuery = "?rest=" + std::string(path.substr(prefix.size()));
+    return net::queryParameter(asQuery, "rest").value_or("");
+}
+
+json::object encode(const StoredRow &row)
+{
+    return { { "value", row.value }, { "version", row.version }, { "writeId", row.writeId } };
+}
+
+/// Consumes one of `count` occurrences of a fault; -1 never runs out.
+bool consume(std::int64_t &count)
+{
+    if (count == 0)
+        return false;
+    if (count > 0)
+        --count;
+    return true;
+}
+
+void read(const json::object &object, std::string_view key, bool &out)
+{
+    if (const json::value *value = object.if_contains(key))
+        out = value->as_bool();
+}
+
+template<typename T>
+void readNumber(const json::object &object, std::string_view key, T &out)
+{
+    if (const json::value *value = object.if_contains(key))
+        out = value->to_number<T>();
+}
+
+void readDuration(const json::object &object, std::string_view key, milliseconds &out)
+{
+    if (const json::value *value = object.if_contains(key))
+        out = milliseconds(value->to_number<std::int64_t>());
+}
+
+json::object encode(const PlatformCounters &counters)
+{
+    return { { "reads", counters.reads },
+             { "writes", counters.writes },
+             { "conflicts", counters.conflicts },
+             { "lostAnswers", counters.lostAnswers },
+             { "objectReads", counters.objectReads },
+             { "objectWrites", counters.objectWrites },
+             { "instanceReads", counters.instanceReads } };
+}
+
+} // namespace
+
+void PlatformService::pause(milliseconds time, asio::yield_context yield)
+{
+    if (time <= milliseconds::zero())
+        return;
+    asio::steady_timer timer(context_, time);
+    boost::system::error_code ignored;
+    timer.async_wait(yield[ignored]);
+}
+
+void PlatformService::holdUntilClosed(net::Exchange &exchange, asio::yield_context yield)
+{
+    const auto deadline = steady_clock::now() + kMaxHold;
+    while (!exchange.peerHasClosed() && steady_clock::now() < deadline)
+        pause(kHoldPoll, yield);
+}
+
+std::size_t PlatformService::hiddenWrites()
+{
+    return consume(faults_.staleReads) ? faults_.staleWrites : 0;
+}
+
+net::Response PlatformService::readTable(const std::string &target)
+{
+    ++counters_.reads;
+    const auto row = store_.read(decodedRest(target, "/table/"), hiddenWrites());
+    return row ? reply(kOk, encode(*row)) : reply(kNotFound, json::object());
+}
+
+net::Response PlatformService::listTable(const std::string &target)
+{
+    ++counters_.reads;
+    const std::string prefix = net::queryParameter(target, "prefix").value_or("");
+    const std::string after = net::queryParameter(target, "after").value_or("");
+    const std::size_t limit = std::stoul(net::queryParameter(target, "limit").value_or("1000"));
+    const std::size_t hidden = hiddenWrites();
+    const Rows past = hidden == 0 ? Rows() : store_.rowsBefore(hidden);
+    const Rows &rows = hidden == 0 ? store_.rows() : past;
+    json::array result;
+    auto row = after < prefix ? rows.lower_bound(prefix) : rows.upper_bound(after);
+    for (; row != rows.end() && row->first.starts_with(prefix) && result.size() < limit; ++row) {
+        json::object entry = encode(row->second);
+        entry["key"] = row->first;
+        result.push_back(std::move(entry));
+    }
+    return reply(kOk, json::object{ { "rows", std::move(result) } });
+}
+
+net::Response PlatformService::writeTable(const net::Request &request)
+{
+    ++counters_.writes;
+    const std::string key = decodedRest(request.target, "/table/");
+    const json::value body = json::parse(request.body);
+    StoredRow row{ .value = std::string(body.at("value").as_string()),
+                   .writeId = std::string(body.at("writeId").as_string()) };
+    if (store_.write(key, body.at("ifVersion").to_number<std::uint64_t>(), std::move(row)))
+        return reply(kOk, encode(store_.rows().at(key)));
+    ++counters_.conflicts;
+    const auto current = store_.read(key, 0);
+    return current ? reply(kConflict, encode(*current)) : reply(kConflict, json::object());
+}
+
+void PlatformService::serveTable(net::Exchange &exchange, asio::yield_context yield)
+{
+    const net::Request &request = exchange.request();
+    const bool isWrite = request.method == "PUT";
+    net::Response response;
+    if (isWrite)
+        response = writeTable(request);
+    else if (net::pathOf(request.target) == "/table")
+        response = listTable(request.target);
+    else
+        response = readTable(request.target);
+    if (isWrite && consume(faults_.loseAnswers)) {
+        ++counters_.lostAnswers;
+        holdUntilClosed(exchange, yield);
+        return;
+    }
+    std::error_code ignored;
+    exchange.respond(response, yield, ignored);
+}
+
+net::Response PlatformService::serveObject(const net::Request &request)
+{
+    const std::string name = decodedRest(request.target, "/objects/");
+    if (request.method == "PUT") {
+        ++counters_.objectWrites;
+        objects_[name] = request.body;
+        return reply(kOk, json::object());
+    }
+    ++counters_.objectReads;
+    const auto found = objects_.find(name);
+    return found == objects_.end() ? reply(kNotFound, json::object())
+                                   : net::Response{ .status = kOk, .body = found->second };
+}
+
+net::Response PlatformService::serveInstances()
+{
+    ++counters_.instanceReads;
+    if (!nextInstances_.empty() && steady_clock::now() >= nextInstancesAt_)
+        instances_ = std::exchange(nextInstances_, std::string());
+    return net::jsonResponse(kOk, R"({"instances":)" + instances_ + "}");
+}
+
+net::Response PlatformService::control(const net::Request &request)
+{
+    if (request.method == "GET")
+        return reply(kOk, encode(counters_));
+    const json::value body = json::parse(request.body);
+    const json::object &object = body.as_object();
+    read(object, "tableDown", faults_.tableDown);
+    read(object, "objectsDown", faults_.objectsDown);
+    read(object, "instancesDown", faults_.instancesDown);
+    readDuration(object, "delayMs", faults_.delay);
+    readDuration(object, "instanceLagMs", faults_.instanceLag);
+    readNumber(object, "loseAnswers", faults_.loseAnswers);
+    readNumber(object, "staleReads", faults_.staleReads);
+    readNumber(object, "staleWrites", faults_.staleWrites);
+    if (const json::value *instances = object.if_contains("instances")) {
+        nextInstances_ = serialize(instances->as_array());
+        nextInstancesAt_ = steady_clock::now() + faults_.instanceLag;
+    }
+    return reply(kOk, json::object());
+}
+
+void PlatformService::handle(net::Exchange &exchange, asio::yield_context yield)
+{
+    const net::Request &request = exchange.request();
+    const std::string_view path = net::pathOf(request.target);
+    const auto isUnder = [&](std::string_view prefix) { return path.starts_with(prefix); };
+    std::error_code ignored;
+    try {
+        if (isUnder("/control")) {
+            exchange.respond(control(request), yield, ignored);
+            return;
+        }
+        pause(faults_.delay, yield);
+        const bool down = (isUnder("/table") && faults_.tableDown)
+                          || (isUnder("/objects") && faults_.objectsDown)
+                          || (isUnder("/instances") && faults_.instancesDown);
+        if (down)
+            exchange.respond(reply(kUnavailable, json::object()), yield, ignored);
+        else if (isUnder("/table"))
+            serveTable(exchange, yield);
+        else if (isUnder("/objects/"))
+            exchange.respond(serveObject(request), yield, ignored);
+        else if (path == "/instances")
+            exchange.respond(serveInstances(), yield, ignored);
+        else
+            exchange.respond(reply(kNotFound, json::object()), yield, ignored);
+    } catch (const std::exception &error) {
+        // Boost.JSON reports malformed bodies by exceptions.
+        const json::object body{ { "error", error.what() } };
+        exchange.respond(reply(kBadRequest, body), yield, ignored);
+    }
+}
+
+} // namespace chervilfield::standins
