Add the membership package: failure detection, entries and followers

Cause: daemons need a member table, the entry list for callers and an agreed assignment of daemons to engines without a coordination service. Change: SWIM with Lifeguard's local health as a step function over plain structs; leaving members tell every other directly; a table hash in each datagram limits table exchanges to daemons whose tables differ; a death learned from a table exchange becomes a suspicion first, so that a healed partition kills nobody; entryAddresses and assignFollowers as pure functions of the member table.

--- /dev/null
+++ b/packages/membership/include/membership/entries.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "membership/member.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chervilfield::membership {
+
+/// One row of the response of `GET /v1/entries`.
+struct EntryAddress
+{
+    std::string address;
+    std::string dataCentre;
+
+    bool operator==(const EntryAddress &) const = default;
+};
+
+struct EntryOptions
+{
+    std::size_t maxEntries = 8;
+    /// Rows kept for other data centres, so that a caller survives the loss of its own.
+    std::size_t otherDataCentres = 2;
+};
+
+/// Returns the addresses for a caller in order of preference: members of `dataCentre`, then those
+/// of others, then suspects. Leaving and dead members are excluded. `callerKey` spreads callers
+/// over equally good members: the order depends on it, and stays the same for one caller.
+std::vector<EntryAddress> entryAddresses(std::span<const Member> members,
+                                         std::string_view dataCentre, std::uint64_t callerKey,
+                                         const EntryOptions &options = {});
+
+} // namespace chervilfield::membership
--- /dev/null
+++ b/packages/membership/src/protocol.cpp
@@ -0,0 +1,217 @@
+#include "membership/protocol.h"
+
+#include "internal/probe.h"
+
+#include <algorithm>
+
+namespace chervilfield::membership {
+
+namespace {
+
+using internal::Context;
+
+Duration jitter(Duration most, Random &random)
+{
+    const auto count = static_cast<std::uint64_t>(most.count());
+    return Duration(static_cast<Duration::rep>(random() % (count + 1)));
+}
+
+// Exchanges tables if the peer's differs and gossip has had the time to remove the difference.
+void compareTables(Context &context, const Packet &packet, const std::string &from)
+{
+    State &state = context.state;
+    if (packet.tableHash == state.tableHash)
+        return;
+    const Duration sinceSync = context.now - state.lastSync;
+    const bool settled = context.now - state.lastChange >= state.options.settleTime;
+    // Under constant change the table never settles; it is still compared, but less often.
+    const bool overdue = sinceSync >= 6 * state.options.syncInterval;
+    if ((!settled || sinceSync < state.options.syncInterval) && !overdue)
+        return;
+    state.lastSync = context.now;
+    context.outputs.emplace_back(ExchangeTable{ from });
+}
+
+// The first contact after a start brings the whole table at once.
+void completeJoin(Context &context, const std::string &from)
+{
+    State &state = context.state;
+    if (state.joined)
+        return;
+    state.joined = true;
+    state.lastSync = context.now;
+    context.outputs.emplace_back(ExchangeTable{ from });
+    internal::spread(state, state.self.name);
+}
+
+struct BodyHandler
+{
+    Context &context;
+    const PacketReceived &received;
+
+    void operator()(std::monostate) const {}
+    void operator()(const Ping &ping) const
+    {
+        // A ping for another name reached an address that this process has taken over.
+        if (!ping.target.empty() && ping.target != context.state.self.name)
+            return;
+        sendPacket(context, received.from, Ack{ ping.sequence }, received.packet.sender.name);
+    }
+    void operator()(const Ack &ack) const { receiveAck(context, ack.sequence); }
+    void operator()(const Nack &nack) const { receiveNack(context, nack.sequence); }
+    void operator()(const IndirectPing &request) const
+    {
+        beginRelay(context, request, received.from);
+    }
+};
+
+struct InputHandler
+{
+    Context &context;
+
+    void operator()(const Tick &) const
+    {
+        State &state = context.state;
+        const TimePoint now = context.now;
+        internal::expireMembers(context);
+        internal::answerRelays(context);
+        if (state.probe && !state.probe->answered && !state.probe->indirectSent
+            && now >= state.probe->indirectAt)
+            internal::probeIndirectly(context);
+        if (now >= state.nextPeriod)
+            internal::beginPeriod(context);
+        if (now >= state.nextGossip) {
+            internal::gossip(context);
+            state.nextGossip = now + state.options.gossipInterval;
+        }
+        if (now >= state.nextReconnect) {
+            internal::reconnect(context);
+            const Duration interval =
+                    state.joined ? state.options.reconnectInterval : state.options.joinInterval;
+            state.nextReconnect = now + interval / 2 + jitter(interval, context.random);
+        }
+    }
+
+    void operator()(const PacketReceived &received) const
+    {
+        State &state = context.state;
+        const Packet &packet = received.packet;
+        if (packet.sender.name == state.self.name && packet.sender.life == state.self.life)
+            return;
+        state.lastReceived = context.now;
+        internal::applyUpdate(context, { packet.sender, {} });
+        for (const MemberUpdate &update : packet.updates)
+            internal::applyUpdate(context, update);
+        completeJoin(context, received.from);
+        std::visit(BodyHandler{ context, received }, packet.body);
+        compareTables(context, packet, received.from);
+        if (packet.configurationRevision > state.configurationRevision)
+            context.outputs.emplace_back(
+                    NewerRevision{ packet.configurationRevision, received.from });
+    }
+
+    void operator()(const TableReceived &received) const
+    {
+        for (const Member &member : received.members)
+            internal::applyTableRecord(context, member);
+    }
+
+    void operator()(const SeedsChanged &seeds) const
+    {
+        context.state.seeds = seeds.addresses;
+        if (context.state.seeds.size() > context.state.options.maxMembers)
+            context.state.seeds.resize(context.state.options.maxMembers);
+        if (!context.state.joined)
+            context.state.nextReconnect = context.now;
+    }
+
+    void operator()(const RevisionChanged &change) const
+    {
+        State &state = context.state;
+        state.configurationRevision = std::max(state.configurationRevision, change.revision);
+    }
+
+    void operator()(const Leave &) const { tellAll(MemberState::Leaving); }
+    void operator()(const Exit &) const { tellAll(MemberState::Dead); }
+
+    // Every member is told directly, so that the state spreads in one message delay; gossip reaches
+    // those whose datagram was lost.
+    void tellAll(MemberState memberState) const
+    {
+        State &state = context.state;
+        if (state.self.state >= memberState)
+            return;
+        internal::announceSelf(context, memberState, state.self.incarnation + 1);
+        // The burst carries this record only; its size must not depend on what else is scheduled.
+        const Packet packet{ .sender = state.self,
+                             .body = {},
+                             .updates = {},
+                             .tableHash = state.tableHash,
+                             .configurationRevision = state.configurationRevision };
+        for (const auto &[name, entry] : state.members) {
+            if (entry.member.state != MemberState::Dead)
+                context.outputs.emplace_back(SendPacket{ entry.member.peerAddress, packet });
+        }
+    }
+};
+
+} // namespace
+
+State start(Member self, const Options &options, TimePoint now, Random &random)
+{
+    State state;
+    state.options = options;
+    state.self = std::move(self);
+    state.tableHash = recordHash(state.self);
+    state.nextPeriod = now + jitter(options.period, random);
+    state.nextGossip = now + jitter(options.gossipInterval, random);
+    state.nextReconnect = now;
+    state.lastReceived = now;
+    state.lastChange = now;
+    state.lastSync = now;
+    state.expectedWake = now;
+    return state;
+}
+
+std::vector<Output> step(State &state, const Input &input, TimePoint now, Random &random)
+{
+    Context context{ state, now, random, {} };
+    internal::forgiveFreeze(context);
+    std::visit(InputHandler{ context }, input);
+    state.expectedWake = std::max(nextWake(state), now);
+    return std::move(context.outputs);
+}
+
+TimePoint nextWake(const State &state)
+{
+    TimePoint wake = std::min({ state.nextPeriod, state.nextReconnect });
+    if (!state.pending.empty())
+        wake = std::min(wake, state.nextGossip);
+    if (state.probe && !state.probe->answered && !state.probe->indirectSent)
+        wake = std::min(wake, state.probe->indirectAt);
+    for (const Relay &relay : state.relays)
+        wake = std::min(wake, relay.nackAt);
+    return wake;
+}
+
+std::vector<Member> table(const State &state)
+{
+    std::vector<Member> members;
+    members.reserve(state.members.size() + 1);
+    for (const auto &[name, entry] : state.members)
+        members.push_back(entry.member);
+    const auto place = std::ranges::lower_bound(members, state.self.name, {}, &Member::name);
+    members.insert(place, state.self);
+    return members;
+}
+
+std::size_t encodedBound(const MemberUpdate &update)
+{
+    // Field headers, the length of each string, life (10), incarnation (5), state and stop bytes.
+    constexpr std::size_t kFixedBytes = 40;
+    const Member &member = update.member;
+    return kFixedBytes + member.name.size() + member.peerAddress.size()
+           + member.callerAddress.size() + member.dataCentre.size() + update.accuser.size();
+}
+
+} // namespace chervilfield::membership
--- /dev/null
+++ b/packages/membership/src/table.cpp
@@ -0,0 +1,226 @@
+#include "internal/probe.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chervilfield::membership::internal {
+
+namespace {
+
+void store(Context &context, Entry &entry, Member record, std::optional<MemberState> previous)
+{
+    State &state = context.state;
+    const auto hashOf = [](const Member &member) {
+        return member.state == MemberState::Dead ? 0 : recordHash(member);
+    };
+    if (previous)
+        state.tableHash ^= hashOf(entry.member);
+    state.tableHash ^= hashOf(record);
+    entry.member = std::move(record);
+    entry.since = context.now;
+    entry.suspicion.reset();
+    state.lastChange = context.now;
+    spread(state, entry.member.name);
+    context.outputs.emplace_back(MemberChanged{ entry.member, previous });
+}
+
+// Only one process can be bound to an address, so the later life has it.
+void resolveAddress(Context &context, Entry &entry)
+{
+    if (entry.member.state == MemberState::Dead)
+        return;
+    for (auto &[name, other] : context.state.members) {
+        if (&other == &entry || other.member.state == MemberState::Dead
+            || other.member.peerAddress != entry.member.peerAddress)
+            continue;
+        Entry &loser = other.member.life < entry.member.life ? other : entry;
+        Member record = loser.member;
+        record.state = MemberState::Dead;
+        store(context, loser, std::move(record), loser.member.state);
+        if (&loser == &entry)
+            return;
+    }
+}
+
+// Makes room for one more member by forgetting the member that has been dead for longest.
+bool makeRoom(State &state)
+{
+    if (state.members.size() < state.options.maxMembers)
+        return true;
+    auto oldest = state.members.end();
+    for (auto it = state.members.begin(); it != state.members.end(); ++it) {
+        if (it->second.member.state == MemberState::Dead
+            && (oldest == state.members.end() || it->second.since < oldest->second.since))
+            oldest = it;
+    }
+    if (oldest == state.members.end())
+        return false;
+    state.members.erase(oldest);
+    return true;
+}
+
+void addMember(Context &context, const MemberUpdate &update)
+{
+    State &state = context.state;
+    // The end of a member that was never known here is no news.
+    if (update.member.state == MemberState::Dead || !makeRoom(state))
+        return;
+    Entry &entry = state.members[update.member.name];
+    store(context, entry, update.member, std::nullopt);
+    if (update.member.state == MemberState::Suspect)
+        entry.suspicion = Suspicion{ context.now, { update.accuser } };
+    const auto place = context.random() % (state.probeOrder.size() + 1);
+    state.probeOrder.insert(state.probeOrder.begin() + static_cast<std::ptrdiff_t>(place),
+                            update.member.name);
+    resolveAddress(context, entry);
+}
+
+void applyToSelf(Context &context, const Member &claim)
+{
+    State &state = context.state;
+    Member &self = state.self;
+    if (claim.life > self.life) {
+        if (claim.peerAddress != self.peerAddress) {
+            context.outputs.emplace_back(NameConflict{ claim });
+            return;
+        }
+        // The clock that numbers the lives went back between two starts.
+        state.tableHash ^= recordHash(self);
+        self.life = claim.life + 1;
+        state.tableHash ^= recordHash(self);
+        announceSelf(context, self.state, 0);
+        return;
+    }
+    if (claim.life < self.life || !supersedes(claim, self))
+        return;
+    changeHealth(state, 1);
+    announceSelf(context, self.state, claim.incarnation + 1);
+}
+
+} // namespace
+
+void spread(State &state, const std::string &name)
+{
+    const auto found = std::ranges::find(state.pending, name, &PendingUpdate::name);
+    if (found == state.pending.end())
+        state.pending.push_back({ name, 0 });
+    else
+        found->transmissions = 0;
+}
+
+std::size_t liveCount(const State &state)
+{
+    const auto live = [](const auto &item) {
+        return item.second.member.state != MemberState::Dead;
+    };
+    return 1 + static_cast<std::size_t>(std::ranges::count_if(state.members, live));
+}
+
+void announceSelf(Context &context, MemberState memberState, std::uint32_t incarnation)
+{
+    State &state = context.state;
+    state.tableHash ^= recordHash(state.self);
+    state.self.state = memberState;
+    state.self.incarnation = incarnation;
+    state.tableHash ^= recordHash(state.self);
+    state.lastChange = context.now;
+    spread(state, state.self.name);
+}
+
+void applyUpdate(Context &context, const MemberUpdate &update)
+{
+    State &state = context.state;
+    if (update.member.name == state.self.name) {
+        applyToSelf(context, update.member);
+        return;
+    }
+    const auto found = state.members.find(update.member.name);
+    if (found == state.members.end()) {
+        addMember(context, update);
+        return;
+    }
+    Entry &entry = found->second;
+    if (update.member.state == MemberState::Suspect) {
+        suspect(context, entry, update);
+        return;
+    }
+    if (!supersedes(update.member, entry.member))
+        return;
+    const bool moved = update.member.peerAddress != entry.member.peerAddress;
+    store(context, entry, update.member, entry.member.state);
+    if (moved)
+        resolveAddress(context, entry);
+}
+
+void applyTableRecord(Context &context, const Member &record)
+{
+    MemberUpdate update{ record, {} };
+    if (record.state == MemberState::Dead)
+        update.member.state = MemberState::Suspect;
+    const auto found = context.state.members.find(record.name);
+    const bool known = found != context.state.members.end();
+    if (record.state == MemberState::Dead && !known && record.name != context.state.self.name)
+        return;
+    applyUpdate(context, update);
+}
+
+void suspect(Context &context, Entry &entry, const MemberUpdate &update)
+{
+    if (supersedes(update.member, entry.member)) {
+        store(context, entry, update.member, entry.member.state);
+        entry.suspicion = Suspicion{ context.now, { update.accuser } };
+        return;
+    }
+    if (update.member != entry.member || !entry.suspicion)
+        return;
+    auto &accusers = entry.suspicion->accusers;
+    if (accusers.size() > context.state.options.confirmations
+        || std::ranges::find(accusers, update.accuser) != accusers.end())
+        return;
+    accusers.push_back(update.accuser);
+    spread(context.state, entry.member.name);
+}
+
+void suspectUnanswered(Context &context, Entry &entry)
+{
+    const std::string &self = context.state.self.name;
+    if (entry.member.state == MemberState::Leaving) {
+        // A leaving member gets no work anyway, so the doubt is not spread, only its end.
+        if (!entry.suspicion)
+            entry.suspicion = Suspicion{ context.now, { self } };
+        return;
+    }
+    MemberUpdate claim{ entry.member, self };
+    claim.member.state = MemberState::Suspect;
+    suspect(context, entry, claim);
+}
+
+TimePoint suspicionEnd(const State &state, const Suspicion &suspicion)
+{
+    const Options &options = state.options;
+    const double digits = std::max(1.0, std::log10(static_cast<double>(liveCount(state))));
+    const double least = options.suspicionFactor * digits;
+    const double most = least * options.suspicionSpread;
+    const auto confirmed = static_cast<double>(suspicion.accusers.size()) - 1;
+    const double share = std::log(confirmed + 1) / std::log(options.confirmations + 1.0);
+    const double periods = std::max(least, most - (most - least) * share);
+    return suspicion.start + std::chrono::duration_cast<Duration>(options.period * periods);
+}
+
+void expireMembers(Context &context)
+{
+    State &state = context.state;
+    for (auto it = state.members.begin(); it != state.members.end();) {
+        Entry &entry = it->second;
+        if (entry.suspicion && context.now >= suspicionEnd(state, *entry.suspicion)) {
+            Member record = entry.member;
+            record.state = MemberState::Dead;
+            store(context, entry, std::move(record), entry.member.state);
+        }
+        const bool forget = entry.member.state == MemberState::Dead
+                            && context.now - entry.since >= state.options.deadRetention;
+        it = forget ? state.members.erase(it) : std::next(it);
+    }
+}
+
+} // namespace chervilfield::membership::internal
