Add plain-service calls, orders and the request handler

Cause: lookups and calls that must not be repeated have no path through the daemon. Change: retries of idempotent calls, the driver of the order state machine over the platform client, tickets, and the dispatch of callers' paths. Another target is tried for an order only while no byte has been sent.

--- /dev/null
+++ b/packages/traffic/include/traffic/dispatch.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "net/http_message.h"
+#include "traffic/services.h"
+
+#include <boost/asio/spawn.hpp>
+
+#include <optional>
+#include <system_error>
+
+namespace chervilfield::traffic {
+
+/// A call of a plain service, ready to be sent.
+struct ServiceCall
+{
+    net::Request request;
+    const RouteTargets *targets = nullptr;
+};
+
+/// Sends an idempotent call, at another target after a failure, within the attempt limit. Returns
+/// the first complete response, or sets `error` to the last failure.
+std::optional<net::Response> sendRepeatable(const TrafficThread &thread, const ServiceCall &call,
+                                            const boost::asio::yield_context &yield,
+                                            std::error_code &error);
+
+/// Sends a call that must not be repeated. Another target is tried only while no byte has been
+/// sent. Sets `error` to `TargetUnreachable`, `NoTarget`, `Overloaded` or `DeadlineUnreachable` if
+/// and only if the call was not sent to any target.
+std::optional<net::Response> sendOnce(const TrafficThread &thread, const ServiceCall &call,
+                                      const boost::asio::yield_context &yield,
+                                      std::error_code &error);
+
+/// Returns true if and only if `error` of `sendOnce` proves that no target has seen the call.
+bool provesNotSent(const std::error_code &error);
+
+} // namespace chervilfield::traffic
--- /dev/null
+++ b/packages/traffic/include/traffic/order_desk.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "orders/order_attempt.h"
+#include "orders/own_intents.h"
+#include "orders/tickets.h"
+
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chervilfield::traffic {
+
+/// State of calls that must not be repeated, shared by the traffic threads of one process life: the
+/// intents that it has written and the tickets that it has issued. Safe to use from several
+/// threads.
+class OrderDesk
+{
+public:
+    /// `life` names this process life and is unique over all processes. `lifeEnded` tells whether
+    /// another process life is known to have ended.
+    OrderDesk(std::string life, std::function<bool(const std::string &)> lifeEnded);
+
+    const std::string &life() const { return life_; }
+    bool hasEnded(const std::string &life) const { return lifeEnded_(life); }
+
+    /// Advances an attempt under the lock that guards the intents.
+    std::vector<orders::Action> step(orders::Attempt &attempt, const orders::Event &event);
+
+    std::optional<std::string> issueTicket(std::string_view customer);
+    orders::Redemption redeem(const orders::Identity &identity, std::string_view fingerprint);
+    void recordAnswer(const orders::Identity &identity, orders::Answer answer);
+    void recordLost(const orders::Identity &identity);
+    void recordNotSent(const orders::Identity &identity);
+
+private:
+    std::string life_;
+    std::function<bool(const std::string &)> lifeEnded_;
+    std::mutex mutex_;
+    orders::OwnIntents intents_;
+    orders::TicketBook tickets_;
+};
+
+} // namespace chervilfield::traffic
--- a/packages/traffic/include/traffic/services.h
+++ b/packages/traffic/include/traffic/services.h
@@ -2,7 +2,9 @@
 
 #include "base/time_line.h"
 #include "net/http_client.h"
+#include "platform/platform_client.h"
 #include "traffic/metrics.h"
+#include "traffic/order_desk.h"
 #include "traffic/router.h"
 #include "traffic/target_table.h"
 
@@ -28,6 +30,7 @@
     Router &router;
     Metrics &metrics;
     base::TimeLine &timeLine;
+    OrderDesk &orderDesk;
     std::function<TargetTablePtr()> targetTable; ///< Of the configuration in force.
     TrafficOptions options;
 };
@@ -38,6 +41,7 @@
     const Services &services;
     boost::asio::io_context &context;
     net::HttpClient &client;
+    platform::PlatformClient &platform;
 };
 
 } // namespace chervilfield::traffic
