--- /dev/null
+++ b/bench/driver/callers.py
@@ -0,0 +1,200 @@
+"""Callers of a deployment: they follow the address list, resume streams and record histories."""
+
+import http.client
+import json
+import threading
+import time
+import uuid
+
+from driver.processes import request_json
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 8.0
+MAX_ATTEMPTS = 12
+
+
+class AddressList:
+    """The addresses that a caller may use, from GET /v1/entries, kept until their time is up."""
+
+    def __init__(self, seeds):
+        self.seeds = list(seeds)
+        self.entries = []
+        self.expires = 0.0
+        self.lock = threading.Lock()
+
+    def pick(self, avoid=()):
+        """Returns the most preferred address that is not in `avoid`."""
+        with self.lock:
+            if time.monotonic() > self.expires:
+                self._refresh(avoid)
+            known = self.entries + [seed for seed in self.seeds if seed not in self.entries]
+        for address in known:
+            if address not in avoid:
+                return address
+        return known[0]
+
+    def _refresh(self, avoid):
+        known = self.entries + self.seeds
+        for address in sorted(known, key=lambda one: one in avoid):
+            try:
+                status, body = request_json(address, "GET", "/v1/entries",
+                                            timeout_s=CONNECT_TIMEOUT_S)
+            except OSError:
+                continue
+            if status == 200 and body["entries"]:
+                self.entries = [entry["address"] for entry in body["entries"]]
+                self.expires = time.monotonic() + body["ttlMs"] / 1000
+                return
+
+
+class StreamResult:
+    """What a caller received for one streamed completion."""
+
+    def __init__(self, prompt, max_tokens):
+        self.request_id = uuid.uuid4().hex
+        self.prompt = prompt
+        self.max_tokens = max_tokens
+        self.text = ""
+        self.last_event_id = ""
+        self.complete = False
+        self.refusal = None
+        self.faults = []
+        self.attempts = 0
+        self.first_token_s = None
+        self.longest_gap_s = 0.0
+
+
+def _events(response):
+    """Yields (id, type, data) of the server-sent events of a response."""
+    fields = {"id": "", "event": "", "data": ""}
+    for raw in response:
+        line = raw.decode().rstrip("\r\n")
+        if line:
+            name, _, value = line.partition(": ")
+            fields[name] = value
+        elif fields["data"]:
+            yield fields["id"], fields["event"], fields["data"]
+            fields = {"id": "", "event": "", "data": ""}
+
+
+def _accept_token(result, event_id, data, started):
+    offset = int(event_id.rsplit("/", 1)[1])
+    expected = 0
+    if result.last_event_id:
+        expected = int(result.last_event_id.rsplit("/", 1)[1]) + 1
+    if offset != expected:
+        result.faults.append(f"offset {offset} instead of {expected}")
+    result.text += json.loads(data)["choices"][0]["text"]
+    result.last_event_id = event_id
+    if result.first_token_s is None:
+        result.first_token_s = time.monotonic() - started
+
+
+def _attempt(result, address, api_key, model, started):
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
+    try:
+        connection.connect()
+        connection.sock.settimeout(READ_TIMEOUT_S)
+        headers = {"Authorization": f"Bearer {api_key}", "X-Request-Id": result.request_id}
+        if result.last_event_id:
+            headers["Last-Event-ID"] = result.last_event_id
+        body = {"model": model, "prompt": result.prompt, "max_tokens": result.max_tokens,
+                "stream": True}
+        connection.request("POST", "/v1/completions", json.dumps(body), headers)
+        response = connection.getresponse()
+        if response.status != 200:
+            result.refusal = json.loads(response.read())["error"]
+            return
+        last = time.monotonic()
+        for event_id, kind, data in _events(response):
+            result.longest_gap_s = max(result.longest_gap_s, time.monotonic() - last)
+            last = time.monotonic()
+            if data == "[DONE]":
+                result.complete = True
+                return
+            if kind == "error":
+                return
+            if event_id:
+                _accept_token(result, event_id, data, started)
+    finally:
+        connection.close()
+
+
+def stream_completion(addresses, api_key, model, prompt, max_tokens):
+    """Sends a streamed completion and follows it over instances until it is whole."""
+    result = StreamResult(prompt, max_tokens)
+    started = time.monotonic()
+    avoid = []
+    while not result.complete and result.attempts < MAX_ATTEMPTS:
+        result.attempts += 1
+        result.refusal = None
+        address = addresses.pick(avoid)
+        try:
+            _attempt(result, address, api_key, model, started)
+        except (OSError, http.client.HTTPException):
+            pass
+        if result.complete:
+            break
+        if result.refusal is None:
+            avoid.append(address)
+        elif result.refusal["code"] < 2000:
+            break
+        else:
+            time.sleep(0.1)
+    return result
+
+
+class OrderResult:
+    """What a caller learnt about one order."""
+
+    def __init__(self, order_id, key):
+        self.order_id = order_id
+        self.key = key
+        self.work = None
+        self.status = None
+        self.attempts = []
+
+
+def place_order(addresses, api_key, path, order_id, retries=6, ticket=None):
+    """Places an order and retries with the same identity until its result is known."""
+    result = OrderResult(order_id, uuid.uuid4().hex)
+    avoid = []
+    for _ in range(retries):
+        address = addresses.pick(avoid)
+        headers = {"Authorization": f"Bearer {api_key}", "Content-Type": "application/json"}
+        headers["Order-Ticket" if ticket else "Idempotency-Key"] = ticket or result.key
+        try:
+            status, body = request_json(address, "POST", path, {"id": order_id}, headers,
+                                        timeout_s=READ_TIMEOUT_S)
+        except (OSError, http.client.HTTPException):
+            result.attempts.append((address, "lost"))
+            result.work = "unknown"
+            avoid.append(address)
+            continue
+        error = (body or {}).get("error") if isinstance(body, dict) else None
+        result.status = status
+        result.work = error["work"] if isinstance(error, dict) else "ran"
+        result.attempts.append((address, result.work))
+        if result.work == "ran":
+            break
+        time.sleep(0.1)
+    return result
+
+
+def look_up(addresses, api_key, path):
+    """Sends an idempotent call and returns its status, or None if no instance answered."""
+    avoid = []
+    for _ in range(MAX_ATTEMPTS):
+        address = addresses.pick(avoid)
+        try:
+            status, _ = request_json(address, "GET", path,
+                                     headers={"Authorization": f"Bearer {api_key}"},
+                                     timeout_s=READ_TIMEOUT_S)
+        except (OSError, http.client.HTTPException):
+            avoid.append(address)
+            continue
+        if status < 500:
+            return status
+        time.sleep(0.1)
+    return None
--- /dev/null
+++ b/packages/daemon/test/drain_test.cpp
@@ -0,0 +1,49 @@
+#include "daemon/drain.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace chervilfield::daemon {
+
+using std::chrono::milliseconds;
+
+class DrainTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DrainTest);
+    CPPUNIT_TEST(phasesFollowTimeAndRequests);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a shutdown that cuts requests or leaves while callers hold the address.
+    void phasesFollowTimeAndRequests()
+    {
+        struct Row
+        {
+            std::string name;
+            milliseconds at;
+            std::size_t active;
+            DrainPhase expected;
+        };
+        const Row rows[] = {
+            { "callers may still come", milliseconds(0), 0, DrainPhase::Announcing },
+            { "answers have not expired", milliseconds(99), 0, DrainPhase::Announcing },
+            { "answers have expired", milliseconds(100), 0, DrainPhase::Finishing },
+            { "a request is in progress", milliseconds(150), 1, DrainPhase::Finishing },
+            { "last request is finished", milliseconds(200), 0, DrainPhase::Done },
+        };
+        const Clock::time_point start{};
+        Drain drain{ .options = { .announceTime = milliseconds(100),
+                                  .finishLimit = milliseconds(1000) } };
+        startDrain(drain, start);
+        for (const Row &row : rows) {
+            advanceDrain(drain, row.active, start + row.at);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, static_cast<int>(row.expected),
+                                         static_cast<int>(drain.phase));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DrainTest);
+
+} // namespace chervilfield::daemon
--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -80,6 +80,9 @@
     /// Returns the bound address.
     Address localAddress() const;
 
+    /// Ends each connection after its next response, so that callers connect elsewhere.
+    void closeAfterResponses();
+
     /// Stops accepting. Connections that are served end after their current request.
     void stopAccepting();
 
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -202,6 +202,7 @@
 
     void listen(const Address &address, std::error_code &error);
     void stopAccepting();
+    void closeAfterResponses() { closing_ = true; }
     Address localAddress() const;
 
     std::atomic<std::size_t> active{ 0 };
@@ -319,7 +320,7 @@
     if (!readRequest(stream, buffer, parser, yield))
         return false;
     const CountGuard counted(active);
-    const bool keepAlive = parser.get().keep_alive() && !stopping_;
+    const bool keepAlive = parser.get().keep_alive() && !stopping_ && !closing_;
     ConnectionExchange exchange(stream, peer, fromWire(parser.release()), options_.writeTimeout,
                                 keepAlive);
     worker.handler(exchange, yield);
@@ -372,6 +373,11 @@
     return implementation_->localAddress();
 }
 
+void HttpServer::closeAfterResponses()
+{
+    implementation_->closeAfterResponses();
+}
+
 void HttpServer::stopAccepting()
 {
     implementation_->stopAccepting();
--- a/standins/engine/engine.cpp
+++ b/standins/engine/engine.cpp
@@ -99,6 +99,8 @@
         return order(exchange, yield);
     if (path == "/control")
         return control(exchange, yield);
+    if (path == "/control/answer")
+        return expectedAnswer(exchange, yield);
     if (path == "/control/history")
         return respond(exchange, 200, history_, yield);
     if (path == "/v1/identity")
@@ -279,6 +281,17 @@
     respond(exchange, 200, json::object{ { "weights", options_.weights } }, yield);
 }
 
+// Tells a test the right answer, without computing or caching anything.
+void Engine::expectedAnswer(Exchange &exchange, const Yield &yield)
+{
+    const json::object body = parseBody(exchange);
+    const std::string prompt = text(body, "prompt");
+    std::string answer;
+    for (std::uint64_t i = 0; i < number(body, "max_tokens", 16); ++i)
+        answer += answerToken(prompt, options_.weights, i);
+    respond(exchange, 200, json::object { { "text", answer } }, yield);
+}
+
 void Engine::control(Exchange &exchange, const Yield &yield)
 {
     const json::object body = parseBody(exchange);
--- a/standins/engine/engine.h
+++ b/standins/engine/engine.h
@@ -71,6 +71,7 @@
     void attach(net::Exchange &exchange, const Yield &yield);
     void cancel(net::Exchange &exchange, const Yield &yield);
     void order(net::Exchange &exchange, const Yield &yield);
+    void expectedAnswer(net::Exchange &exchange, const Yield &yield);
     void control(net::Exchange &exchange, const Yield &yield);
     void streamTokens(net::Exchange &exchange, const GenerationPtr &generation, std::uint64_t from,
                       const Yield &yield);
