--- /dev/null
+++ b/bench/load/main.cpp
@@ -0,0 +1,171 @@
+// Load client: keeps a number of streams open against an engine or a daemon for some seconds and
+// prints one JSON object with the times to the first token and the rate of finished requests.
+
+#include "common/process.h"
+#include "net/event_stream.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <chrono>
+#include <iostream>
+#include <random>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace chervilfield;
+using boost::asio::yield_context;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kTimeout{ 30000 };
+
+struct LoadOptions
+{
+    std::vector<net::Address> targets;
+    bool direct = false; ///< The target is an engine, not a daemon.
+    std::string apiKey;
+    std::size_t streams = 1;
+    std::size_t tokens = 1;
+    std::size_t promptBytes = 200;
+    std::chrono::milliseconds duration{ 1000 };
+    std::uint64_t seed = 1;
+};
+
+struct Measurement
+{
+    std::vector<double> firstTokenMs;
+    std::size_t finished = 0;
+    std::size_t failed = 0;
+};
+
+net::Request makeRequest(const LoadOptions &options, std::mt19937_64 &random)
+{
+    boost::json::object body{ { "prompt",
+                                std::string(options.promptBytes, 'p') + std::to_string(random()) },
+                              { "max_tokens", options.tokens },
+                              { "stream", true } };
+    if (options.direct)
+        body["request_id"] = std::to_string(random());
+    else
+        body["model"] = "crest-1";
+    net::Request request{ .method = "POST",
+                          .target = "/v1/completions",
+                          .headers = { { "Content-Type", "application/json" } },
+                          .body = boost::json::serialize(body) };
+    if (!options.direct)
+        request.headers.push_back({ "Authorization", "Bearer " + options.apiKey });
+    return request;
+}
+
+// Sends one request and records its first token; returns false if it failed.
+bool runOne(const LoadOptions &options, const net::Address &target, net::HttpClient &client,
+            std::mt19937_64 &random, Measurement &measurement, const yield_context &yield)
+{
+    const net::Request request = makeRequest(options, random);
+    const auto start = steady_clock::now();
+    std::error_code error;
+    auto stream = client.open(target, request, kTimeout, yield, error);
+    constexpr int kHttpOk = 200;
+    if (stream == nullptr || stream->status() != kHttpOk)
+        return false;
+    std::string bytes;
+    bool first = true;
+    bool whole = false;
+    while (stream->read(bytes, kTimeout, yield, error)) {
+        if (first) {
+            const std::chrono::duration<double, std::milli> elapsed = steady_clock::now() - start;
+            measurement.firstTokenMs.push_back(elapsed.count());
+            first = false;
+        }
+        whole = whole || bytes.find("[DONE]") != std::string::npos;
+        bytes.clear();
+    }
+    return whole && !error;
+}
+
+Measurement runThread(const LoadOptions &options, std::size_t streams, std::uint64_t seed)
+{
+    boost::asio::io_context context;
+    net::HttpClient client(context.get_executor(), { .maxIdlePerAddress = streams });
+    Measurement measurement;
+    const auto end = steady_clock::now() + options.duration;
+    for (std::size_t i = 0; i < streams; ++i) {
+        net::spawnCoroutine(context, "[load]", [&, i](const yield_context &yield) {
+            std::mt19937_64 random(seed * 1000003 + i);
+            const net::Address &target = options.targets[i % options.targets.size()];
+            while (steady_clock::now() < end) {
+                if (runOne(options, target, client, random, measurement, yield))
+                    ++measurement.finished;
+                else
+                    ++measurement.failed;
+            }
+        });
+    }
+    context.run();
+    return measurement;
+}
+
+LoadOptions readOptions(const standins::Arguments &arguments)
+{
+    LoadOptions options{ .direct = arguments.flag("direct"),
+                         .apiKey = arguments.text("api-key", "key") };
+    std::string rest = arguments.text("targets", "");
+    while (!rest.empty()) {
+        const std::size_t comma = rest.find(',');
+        if (const auto address = net::parseAddress(rest.substr(0, comma)))
+            options.targets.push_back(*address);
+        rest = comma == std::string::npos ? "" : rest.substr(comma + 1);
+    }
+    options.streams = static_cast<std::size_t>(arguments.number("streams", 1));
+    options.tokens = static_cast<std::size_t>(arguments.number("tokens", 1));
+    options.promptBytes = static_cast<std::size_t>(arguments.number("prompt-bytes", 200));
+    options.duration =
+            milliseconds(static_cast<std::int64_t>(arguments.number("seconds", 1) * 1000));
+    options.seed = static_cast<std::uint64_t>(arguments.number("seed", 1));
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const standins::Arguments arguments(argc, argv);
+    const LoadOptions options = readOptions(arguments);
+    if (options.targets.empty()) {
+        std::cerr << "load_client: --targets needs at least one address" << std::endl;
+        return 2;
+    }
+    const auto threads = static_cast<std::size_t>(arguments.number("threads", 1));
+    std::vector<Measurement> parts(threads);
+    std::vector<std::thread> runners;
+    const auto start = steady_clock::now();
+    for (std::size_t i = 0; i < threads; ++i) {
+        runners.emplace_back([&, i] {
+            parts[i] = runThread(options, options.streams / threads, options.seed * 64 + i);
+        });
+    }
+    for (std::thread &runner : runners)
+        runner.join();
+    const std::chrono::duration<double> elapsed = steady_clock::now() - start;
+    boost::json::array samples;
+    std::size_t finished = 0;
+    std::size_t failed = 0;
+    for (const Measurement &part : parts) {
+        samples.insert(samples.end(), part.firstTokenMs.begin(), part.firstTokenMs.end());
+        finished += part.finished;
+        failed += part.failed;
+    }
+    std::cout << boost::json::serialize(boost::json::object{ { "finished", finished },
+                                                             { "failed", failed },
+                                                             { "seconds", elapsed.count() },
+                                                             { "first_token_ms", samples } })
+              << std::endl;
+    return failed == 0 ? 0 : 1;
+}
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -222,6 +222,7 @@
     ServerOptions options_;
     tcp::acceptor acceptor_;
     std::atomic<bool> stopping_{ false };
+    std::atomic<bool> closing_{ false };
     std::size_t next_ = 0;
 };
 
--- a/standins/engine/engine.cpp
+++ b/standins/engine/engine.cpp
@@ -67,6 +67,16 @@
     return std::min(generation.maxTokens, generation.firstToken + count);
 }
 
+microseconds timeToNextToken(const Generation &generation)
+{
+    if (!generation.decoding)
+        return kWaitStep;
+    const auto count = producedUpTo(generation) - generation.firstToken;
+    const auto due = generation.decodeStart + generation.tokenInterval * count;
+    const auto left = std::chrono::duration_cast<microseconds>(due - steady_clock::now());
+    return std::max(left, microseconds(1)) + microseconds(1);
+}
+
 json::object usageOf(const Generation &generation)
 {
     return { { "prompt_tokens", generation.promptTokens },
@@ -208,7 +218,7 @@
             return;
         const std::uint64_t produced = producedUpTo(*generation);
         if (next >= produced || silenceEpoch != silenceEpoch_) {
-            pause(kWaitStep, yield);
+            pause(timeToNextToken(*generation), yield);
             continue;
         }
         std::string events;
@@ -289,7 +299,7 @@
     std::string answer;
     for (std::uint64_t i = 0; i < number(body, "max_tokens", 16); ++i)
         answer += answerToken(prompt, options_.weights, i);
-    respond(exchange, 200, json::object { { "text", answer } }, yield);
+    respond(exchange, 200, json::object{ { "text", answer } }, yield);
 }
 
 void Engine::control(Exchange &exchange, const Yield &yield)
