--- /dev/null
+++ b/bench/routing/measures.cpp
@@ -0,0 +1,133 @@
+#include "measures.h"
+
+#include "prefix/chain.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chervilfield::bench {
+
+namespace {
+
+constexpr Cost kSpread{ 0.05 };
+constexpr Cost kSlice{ 0.5 };
+constexpr Cost kLate{ 60 };
+
+template<typename Visit>
+void forEach(const RunResult &run, const Window &window, Visit visit)
+{
+    for (std::size_t i = 0; i < run.arrivals.size(); ++i) {
+        const Arrival &arrival = run.arrivals[i];
+        if (arrival.at < window.from || arrival.at >= window.until)
+            continue;
+        if (window.workClass && arrival.workClass != *window.workClass)
+            continue;
+        visit(arrival, run.outcomes[i]);
+    }
+}
+
+/// Returns the mean time to first token of arrivals in the slice; an unanswered one counts as late.
+Cost meanFirstToken(const RunResult &run, Cost from)
+{
+    Cost sum{};
+    std::size_t count = 0;
+    forEach(run, { .from = from, .until = from + kSlice }, [&](const Arrival &, const Outcome &o) {
+        sum += o.ending == Ending::Answered ? o.firstToken : kLate;
+        ++count;
+    });
+    return count == 0 ? Cost(0) : sum / static_cast<double>(count);
+}
+
+} // namespace
+
+double hitRate(const RunResult &run, const Window &window, std::optional<bool> restarted)
+{
+    double cached = 0;
+    double all = 0;
+    forEach(run, window, [&](const Arrival &arrival, const Outcome &outcome) {
+        if (outcome.ending != Ending::Answered || (restarted && outcome.restarted != *restarted))
+            return;
+        cached += outcome.cachedTokens;
+        all += static_cast<double>(arrival.chain.size() * prefix::kBlockTokens);
+    });
+    return all > 0 ? cached / all : 0;
+}
+
+Cost firstTokenQuantile(const RunResult &run, const Window &window, double quantile)
+{
+    std::vector<Cost> times;
+    forEach(run, window, [&](const Arrival &, const Outcome &outcome) {
+        times.push_back(outcome.ending == Ending::Answered ? outcome.firstToken : kLate);
+    });
+    if (times.empty())
+        return Cost(0);
+    const auto rank = static_cast<std::ptrdiff_t>(quantile * static_cast<double>(times.size() - 1));
+    std::ranges::nth_element(times, times.begin() + rank);
+    return times[static_cast<std::size_t>(rank)];
+}
+
+double answeredShare(const RunResult &run, const Window &window)
+{
+    double answered = 0;
+    double all = 0;
+    forEach(run, window, [&](const Arrival &, const Outcome &outcome) {
+        answered += outcome.ending == Ending::Answered ? 1 : 0;
+        all += 1;
+    });
+    return all > 0 ? answered / all : 1;
+}
+
+double answersPerSecond(const RunResult &run, Cost from, Cost until)
+{
+    double answers = 0;
+    forEach(run, {}, [&](const Arrival &arrival, const Outcome &outcome) {
+        const Cost at = arrival.at + outcome.firstToken;
+        if (outcome.ending == Ending::Answered && at >= from && at < until)
+            answers += 1;
+    });
+    return answers / (until - from).count();
+}
+
+double herding(const RunResult &run, std::size_t engines)
+{
+    std::vector<std::size_t> counts(engines);
+    Cost end = kSpread;
+    double sum = 0;
+    std::size_t weight = 0;
+    const auto close = [&] {
+        std::size_t all = 0;
+        for (const std::size_t count : counts)
+            all += count;
+        if (all > 1) {
+            sum += static_cast<double>(std::ranges::max(counts) * engines);
+            weight += all;
+        }
+        std::ranges::fill(counts, 0);
+    };
+    forEach(run, { .workClass = routing::WorkClass::Short },
+            [&](const Arrival &arrival, const Outcome &outcome) {
+                while (arrival.at >= end) {
+                    close();
+                    end += kSpread;
+                }
+                if (outcome.ending != Ending::Refused)
+                    ++counts[outcome.target];
+            });
+    return weight > 0 ? sum / static_cast<double>(weight) : 1;
+}
+
+Cost recoveryTime(const RunResult &run, Cost plateauStart, Cost crestStart, Cost crestEnd)
+{
+    Cost worst{};
+    for (Cost from = plateauStart; from + kSlice <= crestStart; from += kSlice)
+        worst = std::max(worst, meanFirstToken(run, from));
+    Cost recovered = crestEnd;
+    const Cost last = run.arrivals.back().at;
+    for (Cost from = crestEnd; from + kSlice <= last; from += kSlice) {
+        if (meanFirstToken(run, from) > 1.5 * worst)
+            recovered = from + kSlice;
+    }
+    return recovered - crestEnd;
+}
+
+} // namespace chervilfield::bench
--- /dev/null
+++ b/bench/routing/rows.cpp
@@ -0,0 +1,206 @@
+#include "rows.h"
+
+#include "measures.h"
+
+#include <functional>
+
+namespace chervilfield::bench {
+
+namespace {
+
+using routing::WorkClass;
+
+constexpr Policy kBaselines[] = { Policy::RoundRobin, Policy::FewestOutstanding, Policy::PrefixHash,
+                                  Policy::BoundedLoadHash, Policy::CompleteKnowledge };
+constexpr Cost kPlateauStart{ 10 };
+constexpr Cost kCrestStart{ 20 };
+constexpr Cost kCrestEnd{ 26 };
+constexpr Cost kRestartPeriod{ 2 };
+constexpr double kSaneDivisor = 1e-9;
+
+double ratio(double value, double divisor)
+{
+    return value / std::max(divisor, kSaneDivisor);
+}
+
+/// Runs of one policy in all scenarios.
+struct Runs
+{
+    RunResult steady;
+    RunResult withoutLong;
+    RunResult slowed;
+    RunResult crest;
+};
+
+Runs runAll(RunSettings settings, Policy policy, std::size_t slowed)
+{
+    settings.policy = policy;
+    Runs runs;
+    runs.steady = simulate(settings);
+    RunSettings changed = settings;
+    changed.workload.longPresent = false;
+    runs.withoutLong = simulate(changed);
+    changed = settings;
+    changed.slowed = slowed;
+    runs.slowed = simulate(changed);
+    changed = settings;
+    changed.workload.duration = Cost(45);
+    changed.workload.crestStart = kCrestStart;
+    changed.workload.crestEnd = kCrestEnd;
+    runs.crest = simulate(changed);
+    return runs;
+}
+
+double shortP99(const RunResult &run, Cost from)
+{
+    return firstTokenQuantile(run, { .from = from, .workClass = WorkClass::Short }, 0.99).count();
+}
+
+double longP99(const RunResult &run, Cost from)
+{
+    return firstTokenQuantile(run, { .from = from, .workClass = WorkClass::Long }, 0.99).count();
+}
+
+double crestAnswerRatio(const RunResult &run)
+{
+    return ratio(answersPerSecond(run, kCrestStart, kCrestEnd),
+                 answersPerSecond(run, kPlateauStart, kCrestStart));
+}
+
+using Measure = std::function<double(const Runs &)>;
+
+struct Measured
+{
+    Runs ours;
+    std::map<Policy, Runs> baselines;
+
+    Row row(const char *name, const char *unit, Goal goal, double target,
+            const Measure &measure) const
+    {
+        Row row{
+            .name = name, .unit = unit, .value = measure(ours), .goal = goal, .target = target
+        };
+        for (const auto &[policy, runs] : baselines)
+            row.baselines[std::string(toString(policy))] = measure(runs);
+        return row;
+    }
+};
+
+/// Restarts one daemon after another and compares requests in the first second after a restart
+/// with all others of the same run.
+Row restartRow(RunSettings settings, const RunResult &steady)
+{
+    settings.restartPeriod = kRestartPeriod;
+    const RunResult run = simulate(settings);
+    const Window window{ .from = settings.warmUp };
+    return { .name = "restart_hit_rate_ratio",
+             .unit = "ratio",
+             .value = ratio(hitRate(run, window, true), hitRate(steady, window)),
+             .goal = Goal::AtLeast,
+             .target = 0.9,
+             .baselines = { { "other_daemons_same_run",
+                              ratio(hitRate(run, window, false), hitRate(steady, window)) } } };
+}
+
+struct Ablation
+{
+    const char *mechanism;
+    std::function<void(RunSettings &)> remove;
+};
+
+const std::vector<Ablation> &ablations()
+{
+    static const std::vector<Ablation> list{
+        { "widening", [](RunSettings &s) { s.options.workPerHome = 1e9; } },
+        { "spares", [](RunSettings &s) { s.options.spares = 0; } },
+        { "pressure", [](RunSettings &s) { s.options.pressureShare = 0; } },
+        { "home_preference", [](RunSettings &s) { s.options.homeShare = 0; } },
+        { "long_slot_share", [](RunSettings &s) { s.options.longSlotShare = 1; } },
+        { "placement_exchange", [](RunSettings &s) { s.exchange.hints = false; } },
+        { "displacement", [](RunSettings &s) { s.options.displacementShare = 0; } },
+        { "near_equal_draw", [](RunSettings &s) { s.options.nearEqual = Cost(0); } },
+        { "placements", [](RunSettings &s) { s.dropPlacements = true; } },
+        { "digests", [](RunSettings &s) { s.exchange.digests = false; } },
+        { "reports", [](RunSettings &s) { s.exchange.reports = false; } },
+        { "demand_exchange", [](RunSettings &s) { s.exchange.demand = false; } },
+    };
+    return list;
+}
+
+/// Adds rows for the decision without each mechanism; the baseline `with` is the full decision.
+void addAblations(const RunSettings &settings, std::size_t slowed, const Runs &ours,
+                  std::vector<Row> &rows)
+{
+    const Window window{ .from = settings.warmUp };
+    const std::pair<const char *, Measure> measures[] = {
+        { "hit_rate", [&](const Runs &r) { return hitRate(r.steady, window); } },
+        { "short_ttft_p99_ms",
+          [&](const Runs &r) { return 1e3 * shortP99(r.steady, settings.warmUp); } },
+        { "long_ttft_p99_ms",
+          [&](const Runs &r) { return 1e3 * longP99(r.steady, settings.warmUp); } },
+        { "short_slowed_p99_ms",
+          [&](const Runs &r) { return 1e3 * shortP99(r.slowed, settings.warmUp); } },
+        { "crest_answer_ratio", [](const Runs &r) { return crestAnswerRatio(r.crest); } },
+        { "herding", [&](const Runs &r) { return herding(r.steady, settings.workload.engines); } },
+    };
+    for (const Ablation &ablation : ablations()) {
+        RunSettings changed = settings;
+        ablation.remove(changed);
+        const Runs runs = runAll(changed, Policy::Chervilfield, slowed);
+        for (const auto &[name, measure] : measures)
+            rows.push_back({ .name = std::string("ablation_") + ablation.mechanism + "_" + name,
+                             .unit = "see suffix",
+                             .value = measure(runs),
+                             .baselines = { { "with", measure(ours) } } });
+    }
+}
+
+} // namespace
+
+std::vector<Row> measureRows(const RunSettings &settings, std::size_t slowed)
+{
+    Measured measured{ .ours = runAll(settings, Policy::Chervilfield, slowed), .baselines = {} };
+    for (const Policy policy : kBaselines)
+        measured.baselines[policy] = runAll(settings, policy, slowed);
+    const Runs &bound = measured.baselines[Policy::CompleteKnowledge];
+    const Cost from = settings.warmUp;
+    const Window window{ .from = from };
+    std::vector<Row> rows;
+    rows.push_back(
+            measured.row("hit_rate_of_bound", "ratio", Goal::AtLeast, 0.95, [&](const Runs &r) {
+                return ratio(hitRate(r.steady, window), hitRate(bound.steady, window));
+            }));
+    rows.push_back(
+            measured.row("wasted_recompute_of_bound", "ratio", Goal::None, 0, [&](const Runs &r) {
+                return ratio(double(r.steady.wastedTokens), double(bound.steady.wastedTokens));
+            }));
+    rows.push_back(measured.row(
+            "short_ttft_p99_with_long_ratio", "ratio", Goal::AtMost, 1.25, [&](const Runs &r) {
+                return ratio(shortP99(r.steady, from), shortP99(r.withoutLong, from));
+            }));
+    rows.push_back(measured.row(
+            "short_ttft_p99_slowed_ratio", "ratio", Goal::AtMost, 1.5, [&](const Runs &r) {
+                return ratio(shortP99(r.slowed, from), shortP99(r.steady, from));
+            }));
+    rows.push_back(measured.row("crest_answer_ratio", "ratio", Goal::AtLeast, 1.0,
+                                [](const Runs &r) { return crestAnswerRatio(r.crest); }));
+    rows.push_back(measured.row("crest_recovery_s", "s", Goal::AtMost, 3, [](const Runs &r) {
+        return recoveryTime(r.crest, kPlateauStart, kCrestStart, kCrestEnd).count();
+    }));
+    rows.push_back(restartRow(settings, measured.ours.steady));
+    rows.push_back(measured.row("hit_rate", "ratio", Goal::None, 0,
+                                [&](const Runs &r) { return hitRate(r.steady, window); }));
+    rows.push_back(measured.row("short_ttft_p99_ms", "ms", Goal::None, 0,
+                                [&](const Runs &r) { return 1e3 * shortP99(r.steady, from); }));
+    rows.push_back(measured.row("long_ttft_p99_ms", "ms", Goal::None, 0,
+                                [&](const Runs &r) { return 1e3 * longP99(r.steady, from); }));
+    rows.push_back(measured.row("answered_share", "ratio", Goal::None, 0,
+                                [&](const Runs &r) { return answeredShare(r.steady, window); }));
+    rows.push_back(measured.row("herding", "ratio to even", Goal::None, 0, [&](const Runs &r) {
+        return herding(r.steady, settings.workload.engines);
+    }));
+    addAblations(settings, slowed, measured.ours, rows);
+    return rows;
+}
+
+} // namespace chervilfield::bench
--- /dev/null
+++ b/bench/routing/rows.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "report.h"
+#include "simulation.h"
+
+namespace chervilfield::bench {
+
+/// Measures all rows of the bench. `settings` describes the run under steady demand; `slowed` is
+/// the number of slowed engines in the rows about slowed targets.
+std::vector<Row> measureRows(const RunSettings &settings, std::size_t slowed);
+
+} // namespace chervilfield::bench
--- /dev/null
+++ b/bench/routing/simulation.cpp
@@ -0,0 +1,424 @@
+#include "simulation.h"
+
+#include "base/hash.h"
+#include "prefix/chain.h"
+#include "prefix/rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chervilfield::bench {
+
+namespace {
+
+using routing::DigestEntry;
+using routing::Priority;
+using routing::Random;
+using routing::WorkClass;
+
+constexpr std::size_t kDataCentres = 3;
+constexpr Cost kLocalPath{ 0.001 };  // Round trip within a data centre.
+constexpr Cost kRemotePath{ 0.008 }; // Round trip between data centres.
+constexpr double kPathJitter = 0.2;
+constexpr Cost kDigestPeriod{ 0.1 };
+constexpr std::size_t kDigestPrefixes = 32;
+constexpr std::size_t kDigestHints = 32;
+constexpr std::size_t kStartHints = 1024; // From one peer, when a daemon starts.
+constexpr Cost kReportPeriod{ 0.2 };
+constexpr Cost kReportDelay{ 0.3 };
+constexpr double kSlowFactor = 5;
+constexpr Cost kSlowPeriod{ 15 }; // Engines are slow for two thirds of each period.
+constexpr Cost kPatience[] = { Cost(2), Cost(10) }; // By class.
+constexpr double kLoadBound = 1.25;                 // Of the bounded-load hash, over the mean.
+
+struct Daemon
+{
+    std::vector<routing::Target> targets;
+    routing::State state;
+    Random random;
+    std::vector<std::uint32_t> outstanding; ///< Per engine, for the baselines.
+    std::size_t next = 0;                   ///< Of round robin.
+    std::uint32_t life = 0;
+    Cost restartedAt{ -1 };
+};
+
+class Simulation
+{
+public:
+    explicit Simulation(const RunSettings &settings);
+    RunResult run();
+
+private:
+    void makeEngines();
+    void makeDaemons();
+    void every(Cost period, const std::function<void()> &action);
+    void arrive(std::size_t index);
+    void send(std::size_t index, std::size_t target, std::optional<routing::Sent> sent);
+    std::optional<std::size_t> choose(const Arrival &arrival, std::optional<routing::Sent> &sent);
+    std::optional<std::size_t> chooseOurs(const Arrival &arrival,
+                                          std::optional<routing::Sent> &sent);
+    std::optional<std::size_t> chooseKnowing(const Arrival &arrival);
+    std::size_t chooseFewest(Daemon &daemon);
+    std::size_t chooseHashed(Daemon &daemon, const Arrival &arrival, double bound);
+    void exchangeDigests();
+    void reportLoad();
+    void restartDaemon();
+    void slowEngines(bool slow);
+    Cost sinceStart() const { return queue_.now() - start_; }
+    Cost oneWay(const Daemon &daemon, std::size_t target);
+
+    RunSettings settings_;
+    EventQueue queue_;
+    Time start_;
+    Random random_; ///< Of the network; policies draw from their daemons' generators.
+    std::unordered_map<std::uint64_t, std::uint32_t> copies_;
+    std::vector<std::unique_ptr<EngineFake>> engines_;
+    std::vector<Daemon> daemons_;
+    std::size_t nextRestart_ = 0;
+    RunResult result_;
+};
+
+Simulation::Simulation(const RunSettings &settings)
+    : settings_(settings), start_(queue_.now()), random_(settings.workload.seed + 1)
+{
+    result_.arrivals = generateArrivals(settings_.workload);
+    result_.outcomes.resize(result_.arrivals.size());
+    makeEngines();
+    makeDaemons();
+}
+
+void Simulation::makeEngines()
+{
+    const Workload &workload = settings_.workload;
+    EngineSettings engine;
+    engine.cacheBlocks = static_cast<std::size_t>(
+            std::ceil(workload.cacheRatio * static_cast<double>(sharedBlocks(workload))
+                      / static_cast<double>(workload.engines)));
+    for (std::size_t i = 0; i < workload.engines; ++i)
+        engines_.push_back(std::make_unique<EngineFake>(queue_, engine, copies_));
+}
+
+void Simulation::makeDaemons()
+{
+    daemons_.resize(settings_.workload.daemons);
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+        Daemon &daemon = daemons_[i];
+        daemon.random.seed(settings_.workload.seed * 1000 + i);
+        daemon.outstanding.resize(engines_.size());
+        daemon.next = i;
+        for (std::size_t j = 0; j < engines_.size(); ++j) {
+            const bool local = i % kDataCentres == j % kDataCentres;
+            daemon.targets.push_back({ .id = base::combineHash(settings_.workload.seed, j + 1),
+                                       .life = 1,
+                                       .prefillRate = engines_[j]->settings().prefillRate,
+                                       .slots = engines_[j]->settings().slots,
+                                       .path = local ? kLocalPath : kRemotePath });
+        }
+    }
+}
+
+void Simulation::every(Cost period, const std::function<void()> &action)
+{
+    queue_.schedule(period, [this, period, action] {
+        action();
+        every(period, action);
+    });
+}
+
+Cost Simulation::oneWay(const Daemon &daemon, std::size_t target)
+{
+    std::exponential_distribution<double> jitter(1 / kPathJitter);
+    return daemon.targets[target].path * (0.5 + jitter(random_) / 2);
+}
+
+std::size_t Simulation::chooseFewest(Daemon &daemon)
+{
+    const std::uint32_t fewest = std::ranges::min(daemon.outstanding);
+    std::vector<std::size_t> equal;
+    for (std::size_t i = 0; i < daemon.outstanding.size(); ++i) {
+        if (daemon.outstanding[i] == fewest)
+            equal.push_back(i);
+    }
+    return equal[daemon.random() % equal.size()];
+}
+
+std::size_t Simulation::chooseHashed(Daemon &daemon, const Arrival &arrival, double bound)
+{
+    // Prompts without a complete block share nothing, so they take the least loaded engine.
+    if (arrival.chain.empty())
+        return chooseFewest(daemon);
+    double sum = 1;
+    for (const std::uint32_t count : daemon.outstanding)
+        sum += count;
+    const double limit = std::ceil(bound * sum / static_cast<double>(engines_.size()));
+    std::vector<std::size_t> order(engines_.size());
+    for (std::size_t i = 0; i < order.size(); ++i)
+        order[i] = i;
+    std::ranges::sort(order, std::ranges::greater(), [&](std::size_t i) {
+        return prefix::rendezvousScore(arrival.chain.front(), daemon.targets[i].id);
+    });
+    for (const std::size_t target : order) {
+        if (daemon.outstanding[target] + 1 <= limit)
+            return target;
+    }
+    return order.front();
+}
+
+routing::Request makeRequest(const Arrival &arrival)
+{
+    return { .chain = arrival.chain,
+             .promptTokens = arrival.promptTokens,
+             .outputTokens = arrival.workClass == WorkClass::Long ? 300U : 60U,
+             .workClass = arrival.workClass,
+             .priority = arrival.workClass == WorkClass::Long ? Priority::Batch
+                                                              : Priority::Interactive };
+}
+
+std::optional<std::size_t> Simulation::chooseOurs(const Arrival &arrival,
+                                                  std::optional<routing::Sent> &sent)
+{
+    Daemon &daemon = daemons_[arrival.daemon];
+    const routing::Request request = makeRequest(arrival);
+    const Time now = queue_.now();
+    const routing::Decision decision = routing::decide(request, daemon.targets, daemon.state,
+                                                       settings_.options, now, daemon.random);
+    if (decision.code != base::Result::Ok)
+        return std::nullopt;
+    sent = routing::startRequest(daemon.state, request, daemon.targets, decision, settings_.options,
+                                 now);
+    if (settings_.dropPlacements)
+        daemon.state.placements.entries.clear();
+    return decision.choice().index;
+}
+
+std::optional<std::size_t> Simulation::chooseKnowing(const Arrival &arrival)
+{
+    const Daemon &daemon = daemons_[arrival.daemon];
+    const bool isLong = arrival.workClass == WorkClass::Long;
+    std::uint32_t anywhere = 0;
+    for (const auto &engine : engines_)
+        anywhere = std::max(anywhere, engine->cache().leading(arrival.chain));
+    std::size_t best = 0;
+    Cost bestCost = Cost::max();
+    Cost bestFirstToken{};
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+        const EngineFake &engine = *engines_[i];
+        const double rate = engine.settings().prefillRate / engine.slowness();
+        const auto waiting = engine.waitingTokens();
+        const double ahead = waiting[0] + (isLong ? waiting[1] : 0);
+        const std::uint32_t cached = engine.cache().leading(arrival.chain);
+        const double uncached = arrival.promptTokens - cached * double(prefix::kBlockTokens);
+        const double duplicates = (anywhere - cached) * double(prefix::kBlockTokens);
+        const Cost firstToken = daemon.targets[i].path + Cost((ahead + uncached) / rate);
+        const Cost cost =
+                firstToken + Cost(settings_.options.displacementShare * duplicates / rate);
+        if (cost < bestCost) {
+            best = i;
+            bestCost = cost;
+            bestFirstToken = firstToken;
+        }
+    }
+    if (bestFirstToken > settings_.options.maxWait[isLong])
+        return std::nullopt;
+    return best;
+}
+
+std::optional<std::size_t> Simulation::choose(const Arrival &arrival,
+                                              std::optional<routing::Sent> &sent)
+{
+    Daemon &daemon = daemons_[arrival.daemon];
+    switch (settings_.policy) {
+    case Policy::RoundRobin:
+        return daemon.next++ % engines_.size();
+    case Policy::FewestOutstanding:
+        return chooseFewest(daemon);
+    case Policy::PrefixHash:
+        return chooseHashed(daemon, arrival, 1e9);
+    case Policy::BoundedLoadHash:
+        return chooseHashed(daemon, arrival, kLoadBound);
+    case Policy::CompleteKnowledge:
+        return chooseKnowing(arrival);
+    case Policy::Chervilfield:
+        break;
+    }
+    return chooseOurs(arrival, sent);
+}
+
+void Simulation::arrive(std::size_t index)
+{
+    const Arrival &arrival = result_.arrivals[index];
+    if (index + 1 < result_.arrivals.size())
+        queue_.schedule(result_.arrivals[index + 1].at - arrival.at,
+                        [this, index] { arrive(index + 1); });
+    const Daemon &daemon = daemons_[arrival.daemon];
+    result_.outcomes[index].restarted =
+            daemon.restartedAt >= Cost(0) && arrival.at - daemon.restartedAt < Cost(1);
+    std::optional<routing::Sent> sent;
+    if (const auto target = choose(arrival, sent))
+        send(index, *target, sent);
+}
+
+void Simulation::send(std::size_t index, std::size_t target, std::optional<routing::Sent> sent)
+{
+    const Arrival &arrival = result_.arrivals[index];
+    Daemon &daemon = daemons_[arrival.daemon];
+    ++daemon.outstanding[target];
+    Outcome &outcome = result_.outcomes[index];
+    outcome.target = static_cast<std::uint32_t>(target);
+    outcome.ending = Ending::Abandoned;
+    const routing::Request request = makeRequest(arrival);
+    const auto job = std::make_shared<Job>();
+    job->chain = arrival.chain;
+    job->promptTokens = arrival.promptTokens;
+    job->outputTokens = arrival.outputTokens;
+    job->priority = request.priority;
+    job->workClass = arrival.workClass;
+    const auto patience = kPatience[static_cast<std::size_t>(arrival.workClass)];
+    job->abandonAt = queue_.now() + std::chrono::duration_cast<Time::duration>(patience);
+    const auto shared = std::make_shared<std::optional<routing::Sent>>(sent);
+    const std::uint32_t life = daemon.life;
+    const Job *raw = job.get();
+    job->onFirstToken = [this, index, target, shared, life, raw, &daemon, &outcome] {
+        outcome.cachedTokens = raw->cachedTokens;
+        queue_.schedule(oneWay(daemon, target), [this, index, shared, life, &daemon, &outcome] {
+            outcome.ending = Ending::Answered;
+            outcome.firstToken = sinceStart() - result_.arrivals[index].at;
+            if (*shared && daemon.life == life)
+                routing::firstToken(daemon.state, **shared);
+        });
+    };
+    job->onEnd = [this, target, shared, life, raw, &daemon](bool answered) {
+        const std::uint32_t cached = raw->cachedTokens;
+        queue_.schedule(oneWay(daemon, target), [target, shared, life, answered, cached, &daemon] {
+            --daemon.outstanding[target];
+            if (*shared && daemon.life == life)
+                routing::endRequest(daemon.state, **shared,
+                                    answered ? std::optional(cached) : std::nullopt);
+        });
+    };
+    queue_.schedule(oneWay(daemon, target), [this, target, job] { engines_[target]->submit(job); });
+}
+
+void Simulation::exchangeDigests()
+{
+    for (std::size_t from = 0; from < daemons_.size(); ++from) {
+        routing::State &state = daemons_[from].state;
+        const auto digest = routing::ownDigest(state.load);
+        const auto increments = routing::takeIncrements(state.hot, kDigestPrefixes);
+        const auto hints = routing::takeHints(state.placements, kDigestHints);
+        for (std::size_t to = 0; to < daemons_.size(); ++to) {
+            if (to == from)
+                continue;
+            const bool local = from % kDataCentres == to % kDataCentres;
+            std::exponential_distribution<double> jitter(1 / kPathJitter);
+            const Cost path = (local ? kLocalPath : kRemotePath) * (0.5 + jitter(random_) / 2);
+            queue_.schedule(path, [this, from, to, digest, increments, hints] {
+                routing::State &other = daemons_[to].state;
+                if (settings_.exchange.digests)
+                    routing::mergeDigest(other.load, from, digest, queue_.now());
+                if (settings_.exchange.hints)
+                    routing::mergeHints(other.placements, hints, queue_.now());
+                if (!settings_.exchange.demand)
+                    return;
+                for (const auto &increment : increments)
+                    routing::countIncrement(other.hot, increment, queue_.now());
+            });
+        }
+    }
+}
+
+void Simulation::reportLoad()
+{
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+        const EngineFake &engine = *engines_[i];
+        const routing::TargetReport report{ .target = daemons_.front().targets[i].id,
+                                            .waitingTokens = engine.waitingTokens(),
+                                            .waiting = engine.waitingRequests(),
+                                            .running = engine.runningRequests(),
+                                            .measured = queue_.now() };
+        queue_.schedule(kReportDelay, [this, report] {
+            for (Daemon &daemon : daemons_)
+                routing::mergeReport(daemon.state.load, report);
+        });
+    }
+}
+
+void Simulation::restartDaemon()
+{
+    Daemon &daemon = daemons_[nextRestart_ % daemons_.size()];
+    const Daemon &peer = daemons_[(nextRestart_ + 1) % daemons_.size()];
+    ++nextRestart_;
+    daemon.state = {};
+    ++daemon.life;
+    daemon.restartedAt = sinceStart();
+    if (settings_.exchange.hints)
+        routing::mergeHints(daemon.state.placements,
+                            routing::exportHints(peer.state.placements, kStartHints, queue_.now()),
+                            queue_.now());
+    if (settings_.exchange.demand) {
+        for (const auto &increment :
+             routing::exportDemand(peer.state.hot, kDigestPrefixes, queue_.now()))
+            routing::countIncrement(daemon.state.hot, increment, queue_.now());
+    }
+}
+
+void Simulation::slowEngines(bool slow)
+{
+    for (std::size_t i = 0; i < std::min(settings_.slowed, engines_.size()); ++i)
+        engines_[(settings_.workload.seed + i * 5) % engines_.size()]->setSlowness(
+                slow ? kSlowFactor : 1);
+}
+
+RunResult Simulation::run()
+{
+    if (!result_.arrivals.empty())
+        queue_.schedule(result_.arrivals.front().at, [this] { arrive(0); });
+    if (settings_.policy == Policy::Chervilfield) {
+        every(kDigestPeriod, [this] { exchangeDigests(); });
+        if (settings_.exchange.reports)
+            every(kReportPeriod, [this] { reportLoad(); });
+    }
+    if (settings_.restartPeriod > Cost(0))
+        every(settings_.restartPeriod, [this] { restartDaemon(); });
+    if (settings_.slowed > 0) {
+        every(kSlowPeriod, [this] {
+            slowEngines(true);
+            queue_.schedule(kSlowPeriod * (2.0 / 3), [this] { slowEngines(false); });
+        });
+    }
+    const Cost end = settings_.workload.duration + Cost(20);
+    queue_.runUntil(start_ + std::chrono::duration_cast<Time::duration>(end));
+    for (const auto &engine : engines_) {
+        result_.computedTokens += engine->computedTokens();
+        result_.wastedTokens += engine->wastedTokens();
+    }
+    return std::move(result_);
+}
+
+} // namespace
+
+std::string_view toString(Policy policy)
+{
+    switch (policy) {
+    case Policy::RoundRobin:
+        return "round_robin";
+    case Policy::FewestOutstanding:
+        return "fewest_outstanding";
+    case Policy::PrefixHash:
+        return "prefix_hash";
+    case Policy::BoundedLoadHash:
+        return "bounded_load_hash";
+    case Policy::Chervilfield:
+        return "chervilfield";
+    case Policy::CompleteKnowledge:
+        break;
+    }
+    return "complete_knowledge";
+}
+
+RunResult simulate(const RunSettings &settings)
+{
+    return Simulation(settings).run();
+}
+
+} // namespace chervilfield::bench
--- /dev/null
+++ b/bench/routing/simulation.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "engine_fake.h"
+#include "routing/decision.h"
+#include "workload.h"
+
+#include <string_view>
+#include <vector>
+
+namespace chervilfield::bench {
+
+enum class Policy {
+    RoundRobin,
+    FewestOutstanding,
+    PrefixHash,
+    BoundedLoadHash,
+    Chervilfield,
+    CompleteKnowledge, ///< Sees every engine's cache and queue as they are.
+};
+
+std::string_view toString(Policy policy);
+
+/// Information that daemons exchange; an ablation turns one off.
+struct Exchange
+{
+    bool digests = true;
+    bool reports = true;
+    bool demand = true;
+    bool hints = true;
+};
+
+struct RunSettings
+{
+    Workload workload{};
+    Policy policy = Policy::Chervilfield;
+    routing::Options options{};
+    Exchange exchange{};
+    bool dropPlacements = false; ///< Ablation: the daemon forgets its placements at once.
+    std::size_t slowed = 0;      ///< Engines that are five times slower most of the time.
+    Cost restartPeriod{};        ///< One daemon restarts this often; zero means never.
+    Cost warmUp{ 10 };           ///< Arrivals before this are not measured.
+};
+
+enum class Ending { Refused, Abandoned, Answered };
+
+/// What became of one arrival.
+struct Outcome
+{
+    Ending ending = Ending::Refused;
+    Cost firstToken{}; ///< Time from arrival to first token at the daemon.
+    std::uint32_t target = 0;
+    std::uint32_t cachedTokens = 0;
+    bool restarted = false; ///< The daemon had restarted within the second before the arrival.
+};
+
+struct RunResult
+{
+    std::vector<Arrival> arrivals;
+    std::vector<Outcome> outcomes; ///< One per arrival.
+    std::uint64_t computedTokens = 0;
+    std::uint64_t wastedTokens = 0; ///< Blocks computed while another engine had them.
+};
+
+/// Plays the arrivals of the workload against engine fakes under one policy.
+RunResult simulate(const RunSettings &settings);
+
+} // namespace chervilfield::bench
--- a/packages/routing/include/routing/decision.h
+++ b/packages/routing/include/routing/decision.h
@@ -19,8 +19,8 @@
     std::uint32_t index = 0; ///< Into the targets passed to `decide`.
     TargetId target = 0;
     std::uint32_t homeDepth = 0; ///< Leading blocks for which the target is a rendezvous home.
+    bool full = false;           ///< The class's share of the slots is taken.
     double cachedTokens = 0;     ///< Expected prompt tokens that need no prefill.
-    Cost hintAge{};              ///< Age of the placement behind `cachedTokens`; 0 if none.
     Cost path{};
     Cost queue{};
     Cost prefill{};
@@ -49,19 +49,25 @@
 struct Options
 {
     /// Engine seconds per second that one home takes before a prefix widens to another.
-    double workPerHome = 0.4;
+    double workPerHome = 0.5;
     std::size_t maxHomes = 10;
     /// Candidates beyond the homes, next in rendezvous order.
-    std::size_t spares = 2;
+    std::size_t spares = 1;
     /// Candidates drawn at random, so that no free target stays unseen.
-    std::size_t randomCandidates = 2;
-    /// Share of the time to recompute a duplicate block that is charged to a placement off home.
-    double displacementShare = 0.3;
+    std::size_t randomCandidates = 0;
+    /// Share of the time to compute duplicates of blocks that another candidate caches.
+    double displacementShare = 4;
+    /// Share of the time to compute all inserted blocks, at a target with average insertions.
+    double pressureShare = 1;
+    /// Share of the time to compute blocks on a target that is not their home.
+    double homeShare = 1;
+    /// Share of a target's slots that long work may take.
+    double longSlotShare = 0.75;
     /// Candidates within this cost of the best one are drawn at random.
     Cost nearEqual{ 0.002 };
     /// Longest expected time to first token that is accepted without a deadline, by class.
     std::array<Cost, kClasses> maxWait{ Cost(1.0), Cost(3.0) };
-    /// Mean time between two tokens of an answer, for the wait for a batch slot.
+    /// Mean time between two tokens of an answer, for the time that a request holds a slot.
     Cost tokenTime{ 0.025 };
 };
 
@@ -85,15 +91,14 @@
 struct Sent
 {
     Flight flight{};
-    std::uint32_t promptTokens = 0;
+    double possibleCachedTokens = 0; ///< Tokens in complete blocks.
     double predictedCachedTokens = 0;
-    Cost hintAge{};
     Cost predictedFirstToken{};
 };
 
 /// Records that `request` is sent to the target that `decision` chose.
 Sent startRequest(State &state, const Request &request, std::span<const Target> targets,
-                  const Decision &decision, Time now);
+                  const Decision &decision, const Options &options, Time now);
 
 /// Records the first token of a request.
 void firstToken(State &state, Sent &sent);
--- a/packages/routing/include/routing/load_ledger.h
+++ b/packages/routing/include/routing/load_ledger.h
@@ -14,6 +14,7 @@
     std::array<double, kPriorities> waitingTokens{}; ///< Uncached prompt tokens, by priority.
     std::array<std::uint32_t, kClasses> waiting{};   ///< Requests without a first token, by class.
     std::array<std::uint32_t, kClasses> running{};   ///< Requests that generate, by class.
+    double recentTokens = 0; ///< Decayed sum of uncached prompt tokens sent lately.
 };
 
 /// Load report of a target about all its callers.
@@ -51,7 +52,8 @@
     struct Entry
     {
         Work own;
-        Work peers; ///< Sum over `digests`.
+        Time recentUpdated{}; ///< When `own.recentTokens` was decayed.
+        Work peers;           ///< Sum over `digests`.
         std::optional<TargetReport> report;
         Work ownAtReport; ///< `own` when the report was measured, as far as it is known.
     };
@@ -61,12 +63,14 @@
         Time received{};
     };
 
+    /// Averaging time of `Work::recentTokens`.
+    std::chrono::milliseconds recentTime{ 8000 };
     std::unordered_map<TargetId, Entry> targets;
     std::unordered_map<std::uint64_t, Digest> digests; ///< By sending daemon.
 };
 
 /// Counts a request that is about to be sent.
-void startFlight(LoadLedger &ledger, const Flight &flight);
+void startFlight(LoadLedger &ledger, const Flight &flight, Time now);
 /// Moves a request from waiting to running when its first token arrives.
 void markRunning(LoadLedger &ledger, Flight &flight);
 /// Removes a request that has ended in any way.
--- a/packages/routing/src/candidates.cpp
+++ b/packages/routing/src/candidates.cpp
@@ -128,9 +128,11 @@
         nestHomes(request, state, options, now, homes, decision);
         for (const Holder &holder : request.holders)
             addById(request, targets, holder.target, holder.life, decision);
-        for (const auto &placement : placementsOf(state.placements, request.chain.back())) {
-            if (placement.time != Time{})
-                addById(request, targets, placement.target, placement.life, decision);
+        for (std::size_t depth = request.chain.size(); depth > 0; --depth) {
+            for (const auto &placement : placementsOf(state.placements, request.chain[depth - 1])) {
+                if (placement.time != Time{} && now - placement.time < state.placements.lifetime)
+                    addById(request, targets, placement.target, placement.life, decision);
+            }
         }
         addRandom(request, targets, options.randomCandidates, random, decision);
     }
--- a/packages/routing/src/decision.cpp
+++ b/packages/routing/src/decision.cpp
@@ -12,12 +12,10 @@
 
 constexpr double kBlockTokens = prefix::kBlockTokens;
 
-double expectedHomeBlocks(const Request &request, const CandidateCost &candidate,
-                          std::span<const double> cachedAtHome)
+double expectedHomeBlocks(const CandidateCost &candidate, std::span<const double> cachedAtHome)
 {
     double blocks = 0;
-    for (std::size_t depth = 0; depth < candidate.homeDepth && depth < request.chain.size();
-         ++depth)
+    for (std::size_t depth = 0; depth < candidate.homeDepth && depth < cachedAtHome.size(); ++depth)
         blocks += cachedAtHome[depth];
     return blocks;
 }
@@ -56,10 +54,7 @@
                 continue;
             const Cost age = now - placement.time;
             const double cached = tokens * survival(state.placements, age);
-            if (cached > candidate->cachedTokens) {
-                candidate->cachedTokens = cached;
-                candidate->hintAge = age;
-            }
+            candidate->cachedTokens = std::max(candidate->cachedTokens, cached);
         }
     }
 }
@@ -69,8 +64,7 @@
 {
     const auto cachedAtHome = homeProbabilities(request, state, options, now);
     for (CandidateCost &candidate : candidates)
-        candidate.cachedTokens =
-                kBlockTokens * expectedHomeBlocks(request, candidate, cachedAtHome);
+        candidate.cachedTokens = kBlockTokens * expectedHomeBlocks(candidate, cachedAtHome);
     applyPlacements(request, targets, state, now, candidates);
     for (const Holder &holder : request.holders) {
         const auto candidate = std::ranges::find(candidates, holder.target, &CandidateCost::target);
@@ -80,47 +74,69 @@
     }
 }
 
-/// Returns the expected wait for a free batch slot.
-Cost slotWait(const Work &work, const Target &target, const Request &request,
-              const Options &options)
+/// Returns whether the slots that the request's class may take are taken. Long work leaves some
+/// slots to short work, which would otherwise wait for a whole long answer to end.
+bool isFull(const Work &work, const Target &target, const Request &request, const Options &options)
 {
-    double ahead = work.running[0] + work.running[1] + work.waiting[0];
+    const double longs = work.running[1] + work.waiting[1];
     if (request.workClass == WorkClass::Long)
-        ahead += work.waiting[1];
-    if (ahead < target.slots)
-        return Cost(0);
-    const double perSlot = options.tokenTime.count() * request.outputTokens / target.slots;
-    return Cost((ahead - target.slots + 1) * perSlot * target.slowness);
+        return longs >= target.slots * options.longSlotShare;
+    return longs + work.running[0] + work.waiting[0] >= target.slots;
 }
 
-void addCosts(const Request &request, const Target &target, const State &state,
-              const Options &options, Time now, CandidateCost &candidate)
+void addCosts(const Request &request, const Target &target, const Work &work,
+              const Options &options, CandidateCost &candidate)
 {
-    const Work work = estimateWork(state.load, target.id, now);
     const double rate = target.prefillRate / target.slowness;
     double ahead = work.waitingTokens[0];
     if (request.priority == Priority::Batch)
         ahead += work.waitingTokens[1];
     candidate.path = target.path;
-    candidate.queue = Cost(ahead / rate) + slotWait(work, target, request, options);
+    candidate.queue = Cost(ahead / rate);
+    candidate.full = isFull(work, target, request, options);
     candidate.cachedTokens = std::min<double>(candidate.cachedTokens, request.promptTokens);
     candidate.prefill = Cost((request.promptTokens - candidate.cachedTokens) / rate);
-    const double strangeBlocks = static_cast<double>(request.chain.size()) - candidate.homeDepth;
-    const double duplicates = std::max(0.0, strangeBlocks * kBlockTokens - candidate.cachedTokens);
-    candidate.displacement = Cost(options.displacementShare * duplicates / target.prefillRate);
 }
 
-/// Returns the index of a random candidate among those with nearly the lowest cost. Daemons see
-/// nearly the same costs; without the draw they would all choose the same target until the next
-/// digest.
-std::size_t drawNearBest(std::span<const CandidateCost> candidates, Cost nearEqual, Random &random)
+void addDisplacement(const Request &request, std::span<const Target> targets,
+                     std::span<const double> recentTokens, const Options &options,
+                     std::span<CandidateCost> candidates)
 {
-    const Cost best =
-            std::ranges::min(candidates, {}, [](const auto &c) { return c.total(); }).total();
-    std::size_t chosen = 0;
+    const double blockTokens = static_cast<double>(request.chain.size()) * kBlockTokens;
+    double mostCached = 0;
+    double meanRecent = 1;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        mostCached = std::max(mostCached, candidates[i].cachedTokens);
+        meanRecent += recentTokens[i] / static_cast<double>(candidates.size());
+    }
+    mostCached = std::min(mostCached, blockTokens);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        CandidateCost &candidate = candidates[i];
+        const double inserted = std::max(0.0, blockTokens - candidate.cachedTokens);
+        const double duplicates = std::max(0.0, mostCached - candidate.cachedTokens);
+        const double strange = std::min(inserted, blockTokens - candidate.homeDepth * kBlockTokens);
+        const double tokens = options.pressureShare * inserted * recentTokens[i] / meanRecent
+                              + options.displacementShare * duplicates
+                              + options.homeShare * strange;
+        candidate.displacement = Cost(tokens / targets[candidate.index].prefillRate);
+    }
+}
+
+/// Returns the index of a random candidate among those with nearly the lowest cost, or nothing if
+/// all are full. Daemons see nearly the same costs; without the draw they would all choose the same
+/// target until the next digest.
+std::optional<std::size_t> drawNearBest(std::span<const CandidateCost> candidates, Cost nearEqual,
+                                        Random &random)
+{
+    Cost best = Cost::max();
+    for (const CandidateCost &candidate : candidates) {
+        if (!candidate.full)
+            best = std::min(best, candidate.total());
+    }
+    std::optional<std::size_t> chosen;
     std::size_t near = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (candidates[i].total() > best + nearEqual)
+        if (candidates[i].full || candidates[i].total() > best + nearEqual)
             continue;
         ++near;
         if (std::uniform_int_distribution<std::size_t>(1, near)(random) == 1)
@@ -129,15 +145,12 @@
     return chosen;
 }
 
-base::Result admit(const Request &request, std::span<const CandidateCost> candidates,
-                   const Options &options)
+base::Result admit(const Request &request, const CandidateCost &choice, const Options &options)
 {
-    const Cost soonest = std::ranges::min(candidates, {}, [](const auto &c) {
-                             return c.firstToken();
-                         }).firstToken();
     if (request.deadline)
-        return soonest <= *request.deadline ? base::Result::Ok : base::Result::DeadlineUnreachable;
-    return soonest <= options.maxWait[static_cast<std::size_t>(request.workClass)]
+        return choice.firstToken() <= *request.deadline ? base::Result::Ok
+                                                        : base::Result::DeadlineUnreachable;
+    return choice.firstToken() <= options.maxWait[static_cast<std::size_t>(request.workClass)]
                    ? base::Result::Ok
                    : base::Result::Overloaded;
 }
@@ -155,15 +168,40 @@
     }
     const std::span candidates = std::span(decision.candidates).first(decision.candidateCount);
     estimateCached(request, targets, state, options, now, candidates);
-    for (CandidateCost &candidate : candidates)
-        addCosts(request, targets[candidate.index], state, options, now, candidate);
-    decision.code = admit(request, candidates, options);
-    decision.chosen = drawNearBest(candidates, options.nearEqual, random);
+    std::array<double, kMaxCandidates> recentTokens{};
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const Work work = estimateWork(state.load, candidates[i].target, now);
+        addCosts(request, targets[candidates[i].index], work, options, candidates[i]);
+        recentTokens[i] = work.recentTokens;
+    }
+    addDisplacement(request, targets, recentTokens, options, candidates);
+    const auto chosen = drawNearBest(candidates, options.nearEqual, random);
+    if (!chosen) {
+        decision.code = base::Result::Overloaded;
+        return decision;
+    }
+    decision.chosen = *chosen;
+    decision.code = admit(request, decision.choice(), options);
     return decision;
 }
 
+namespace {
+
+/// Returns the share of an engine that the request takes: its prefill or its time in one of the
+/// slots, whichever is larger.
+Cost engineTime(const Request &request, const Target &target, double uncached,
+                const Options &options)
+{
+    const Cost prefill(uncached / target.prefillRate);
+    const Cost slot =
+            options.tokenTime * (static_cast<double>(request.outputTokens) / target.slots);
+    return std::max(prefill, slot);
+}
+
+} // namespace
+
 Sent startRequest(State &state, const Request &request, std::span<const Target> targets,
-                  const Decision &decision, Time now)
+                  const Decision &decision, const Options &options, Time now)
 {
     const CandidateCost &choice = decision.choice();
     const Target &target = targets[choice.index];
@@ -172,12 +210,11 @@
                            .tokens = uncached,
                            .workClass = request.workClass,
                            .priority = request.priority },
-               .promptTokens = request.promptTokens,
+               .possibleCachedTokens = static_cast<double>(request.chain.size()) * kBlockTokens,
                .predictedCachedTokens = choice.cachedTokens,
-               .hintAge = choice.hintAge,
                .predictedFirstToken = choice.firstToken() };
-    startFlight(state.load, sent.flight);
-    countRequest(state.hot, request.chain, Cost(uncached / target.prefillRate), now);
+    startFlight(state.load, sent.flight, now);
+    countRequest(state.hot, request.chain, engineTime(request, target, uncached, options), now);
     recordPlacement(state.placements, request.chain, target.id, target.life, now);
     return sent;
 }
@@ -190,8 +227,9 @@
 void endRequest(State &state, const Sent &sent, std::optional<std::uint32_t> cachedTokens)
 {
     endFlight(state.load, sent.flight);
-    if (cachedTokens && sent.hintAge > Cost(0))
-        correctLifetime(state.placements, sent.hintAge, sent.predictedCachedTokens, *cachedTokens);
+    if (cachedTokens)
+        correctLifetime(state.placements, sent.predictedCachedTokens, *cachedTokens,
+                        sent.possibleCachedTokens);
 }
 
 } // namespace chervilfield::routing
--- a/packages/routing/src/load_ledger.cpp
+++ b/packages/routing/src/load_ledger.cpp
@@ -1,6 +1,7 @@
 #include "routing/load_ledger.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chervilfield::routing {
 
@@ -40,6 +41,8 @@
         sum.waiting[i] += add ? change.waiting[i] : -change.waiting[i];
         sum.running[i] += add ? change.running[i] : -change.running[i];
     }
+    sum.recentTokens =
+            std::max(0.0, sum.recentTokens + (add ? change.recentTokens : -change.recentTokens));
 }
 
 void removeDigest(LoadLedger &ledger, const LoadLedger::Digest &digest)
@@ -53,9 +56,14 @@
 
 } // namespace
 
-void startFlight(LoadLedger &ledger, const Flight &flight)
+void startFlight(LoadLedger &ledger, const Flight &flight, Time now)
 {
-    Work &own = ledger.targets[flight.target].own;
+    LoadLedger::Entry &entry = ledger.targets[flight.target];
+    Work &own = entry.own;
+    const Cost age = now - entry.recentUpdated;
+    own.recentTokens *= std::exp(-std::max(age.count(), 0.0) / Cost(ledger.recentTime).count());
+    own.recentTokens += flight.tokens;
+    entry.recentUpdated = now;
     own.waitingTokens[level(flight.priority)] += flight.tokens;
     ++own.waiting[level(flight.workClass)];
 }
--- a/packages/routing/src/recent_placements.cpp
+++ b/packages/routing/src/recent_placements.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace chervilfield::routing {
 
@@ -11,33 +12,96 @@
 
 constexpr Cost kMinLifetime{ 0.5 };
 constexpr Cost kMaxLifetime{ 30 };
-// Lifetime change by one prediction: a miss weighs more than a hit because a wrong hint costs a
-// full prefill, a missing one only a longer queue.
-constexpr double kMissFactor = 0.95;
-constexpr double kHitFactor = 1.02;
+// Relative change of the lifetime by a prediction that was wrong by the whole prompt. Small enough
+// that one unlucky request does not matter, large enough to follow a change of demand in seconds.
+constexpr double kLearningRate = 0.05;
+
+// Bounds the memory of a daemon whose hints nobody takes.
+constexpr std::size_t kMaxUnshared = 1024;
+
+/// Returns the placement of the prefix on the target, moved to the front of its entry; takes over
+/// the oldest placement of the entry, and the oldest entry of the set, if there is none.
+RecentPlacements::Placement &latestPlacement(RecentPlacements &recent, const PlacementHint &hint)
+{
+    if (recent.entries.empty())
+        recent.entries.resize(internal::kSets * internal::kWays);
+    const auto set = internal::setOf(recent.entries, hint.prefix);
+    auto entry = std::ranges::find(set, hint.prefix, &RecentPlacements::Entry::prefix);
+    if (entry == set.end()) {
+        entry = std::ranges::min_element(
+                set, {}, [](const RecentPlacements::Entry &e) { return e.placements[0].time; });
+        *entry = { .prefix = hint.prefix };
+    }
+    auto &placements = entry->placements;
+    auto same = std::ranges::find(placements, hint.target, &RecentPlacements::Placement::target);
+    if (same == placements.end()) {
+        same = placements.end() - 1;
+        *same = { .target = hint.target, .life = hint.life };
+    }
+    if (same->life != hint.life)
+        *same = { .target = hint.target, .life = hint.life };
+    std::rotate(placements.begin(), same, same + 1);
+    return placements.front();
+}
 
 } // namespace
 
 void recordPlacement(RecentPlacements &recent, std::span<const std::uint64_t> chain,
                      TargetId target, std::uint64_t life, Time now)
 {
-    if (recent.entries.empty())
-        recent.entries.resize(internal::kSets * internal::kWays);
     for (const std::uint64_t prefix : chain) {
-        const auto set = internal::setOf(recent.entries, prefix);
-        auto entry = std::ranges::find(set, prefix, &RecentPlacements::Entry::prefix);
-        if (entry == set.end()) {
-            entry = std::ranges::min_element(
-                    set, {}, [](const RecentPlacements::Entry &e) { return e.placements[0].time; });
-            *entry = { .prefix = prefix };
+        RecentPlacements::Placement &placement =
+                latestPlacement(recent, { .prefix = prefix, .target = target, .life = life });
+        placement.time = now;
+        if (now - placement.shared < recent.shareInterval)
+            continue;
+        placement.shared = now;
+        recent.unshared.push_back({ .prefix = prefix, .target = target, .life = life });
+    }
+    if (recent.unshared.size() > kMaxUnshared)
+        recent.unshared.erase(recent.unshared.begin(),
+                              recent.unshared.end() - static_cast<std::ptrdiff_t>(kMaxUnshared));
+}
+
+std::vector<PlacementHint> takeHints(RecentPlacements &recent, std::size_t limit)
+{
+    std::vector<PlacementHint> hints = std::move(recent.unshared);
+    recent.unshared.clear();
+    hints.resize(std::min(hints.size(), limit));
+    return hints;
+}
+
+void mergeHints(RecentPlacements &recent, std::span<const PlacementHint> hints, Time now)
+{
+    for (const PlacementHint &hint : hints) {
+        RecentPlacements::Placement &placement = latestPlacement(recent, hint);
+        placement.time = now;
+        placement.shared = now;
+    }
+}
+
+std::vector<PlacementHint> exportHints(const RecentPlacements &recent, std::size_t limit, Time now)
+{
+    struct Aged
+    {
+        Time time;
+        PlacementHint hint;
+    };
+    std::vector<Aged> aged;
+    for (const RecentPlacements::Entry &entry : recent.entries) {
+        for (const RecentPlacements::Placement &placement : entry.placements) {
+            if (placement.time != Time{} && now - placement.time < recent.lifetime)
+                aged.push_back({ placement.time,
+                                 { .prefix = entry.prefix,
+                                   .target = placement.target,
+                                   .life = placement.life } });
         }
-        auto &placements = entry->placements;
-        const auto same =
-                std::ranges::find(placements, target, &RecentPlacements::Placement::target);
-        const auto end = same == placements.end() ? placements.end() : same + 1;
-        std::shift_right(placements.begin(), end, 1);
-        placements[0] = { .target = target, .life = life, .time = now };
     }
+    std::ranges::sort(aged, std::ranges::greater(), &Aged::time);
+    std::vector<PlacementHint> hints;
+    for (std::size_t i = 0; i < std::min(limit, aged.size()); ++i)
+        hints.push_back(aged[i].hint);
+    return hints;
 }
 
 std::array<RecentPlacements::Placement, RecentPlacements::kTargets>
@@ -54,18 +118,19 @@
 
 double survival(const RecentPlacements &recent, Cost age)
 {
-    return std::exp(-std::max(age.count(), 0.0) / recent.lifetime.count());
+    // Engines evict the least recently used block, so nearly all blocks used within the lifetime
+    // are still cached and nearly none older than that.
+    const double relative = std::max(age.count(), 0.0) / recent.lifetime.count();
+    return 1 / (1 + std::pow(relative, 4));
 }
 
-void correctLifetime(RecentPlacements &recent, Cost age, double predicted, double reported)
+void correctLifetime(RecentPlacements &recent, double predicted, double reported, double possible)
 {
-    if (predicted <= 0)
+    if (possible <= 0)
         return;
-    if (reported < predicted / 2)
-        recent.lifetime *= kMissFactor;
-    else if (age > recent.lifetime / 4)
-        recent.lifetime *= kHitFactor;
-    recent.lifetime = std::clamp(recent.lifetime, kMinLifetime, kMaxLifetime);
+    const double error = std::clamp((reported - predicted) / possible, -1.0, 1.0);
+    recent.lifetime =
+            std::clamp(recent.lifetime * (1 + kLearningRate * error), kMinLifetime, kMaxLifetime);
 }
 
 } // namespace chervilfield::routing
--- a/packages/routing/test/decision_test.cpp
+++ b/packages/routing/test/decision_test.cpp
@@ -94,7 +94,8 @@
             State state;
             for (Target &target : targets) {
                 target.accepting = row.accepting;
-                startFlight(state.load, { .target = target.id, .tokens = row.queuedTokens });
+                startFlight(state.load, { .target = target.id, .tokens = row.queuedTokens },
+                            kStart);
             }
             Random random(1);
             const Request request{ .promptTokens = 100, .deadline = row.deadline };
--- a/packages/routing/test/load_ledger_test.cpp
+++ b/packages/routing/test/load_ledger_test.cpp
@@ -28,7 +28,7 @@
                           .tokens = *rc::gen::inRange(0, 30000) / 3.0,
                           .workClass = *rc::gen::element(WorkClass::Short, WorkClass::Long),
                           .priority = *rc::gen::element(Priority::Interactive, Priority::Batch) });
-                startFlight(ledger, flights.back());
+                startFlight(ledger, flights.back(), Time(std::chrono::seconds(1)));
                 if (*rc::gen::arbitrary<bool>())
                     markRunning(ledger, flights.back());
             }
