--- /dev/null
+++ b/packages/control/src/configuration_control.cpp
@@ -0,0 +1,242 @@
+#include "control/configuration_control.h"
+
+#include "configuration/in_force.h"
+#include "configuration/json.h"
+#include "internal/actor_system.h"
+
+#include <caf/event_based_actor.hpp>
+#include <caf/exit_reason.hpp>
+#include <caf/send.hpp>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <utility>
+
+namespace chervilfield::control {
+
+using configuration::OfferOutcome;
+using configuration::Revision;
+
+namespace {
+
+// Messages of the actor. They stay within the process.
+struct NoteRevision
+{
+    RevisionNumber revision = 0;
+};
+
+struct OfferRevisions
+{
+    std::shared_ptr<const std::vector<Revision>> entries;
+    std::string source;
+};
+
+struct OfferConfiguration
+{
+    ConfigurationPtr offered;
+    std::string source;
+};
+
+using RecentEntries = std::deque<std::shared_ptr<const LogEntry>>;
+
+} // namespace
+
+} // namespace chervilfield::control
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(chervilfield::control::NoteRevision)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(chervilfield::control::OfferRevisions)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(chervilfield::control::OfferConfiguration)
+
+namespace chervilfield::control {
+
+/// What the actor shows to other threads at one revision.
+struct ConfigurationControl::Published
+{
+    ConfigurationPtr configuration;
+    RecentEntries recent; ///< Without gaps, up to the revision of `configuration`.
+};
+
+/// Shared by the actor, which alone changes it, and the readers.
+struct ConfigurationControl::State
+{
+    explicit State(ConfigurationControlOptions given) : options(std::move(given)) {}
+
+    void note(RevisionNumber revision);
+    void offer(const OfferRevisions &message);
+    void offer(const OfferConfiguration &message);
+    void publish(RevisionNumber before, const std::string &source);
+    void keepRecent(const std::vector<Revision> &entries, RevisionNumber before);
+    void requestMissing();
+
+    ConfigurationControlOptions options;
+    configuration::InForce inForce;
+    RecentEntries recent;
+    std::size_t recentBytes = 0;
+
+    std::atomic<std::shared_ptr<const Published>> published{ std::make_shared<const Published>(
+            Published{ inForce.current, {} }) };
+    std::atomic<RevisionNumber> highestKnown{ 0 };
+    caf::actor actor;
+};
+
+void ConfigurationControl::State::requestMissing()
+{
+    highestKnown = inForce.highestKnown;
+    if (inForce.highestKnown > inForce.current->revision() && options.fetchNeeded)
+        options.fetchNeeded(inForce.highestKnown);
+}
+
+void ConfigurationControl::State::note(RevisionNumber revision)
+{
+    configuration::noteRevision(inForce, revision);
+    requestMissing();
+}
+
+void ConfigurationControl::State::keepRecent(const std::vector<Revision> &entries,
+                                             RevisionNumber before)
+{
+    for (const Revision &entry : entries) {
+        const RevisionNumber last = recent.empty() ? before : recent.back()->revision;
+        if (entry.number != last + 1 || entry.number > inForce.current->revision())
+            continue;
+        recent.push_back(std::make_shared<const LogEntry>(LogEntry{ entry.number, toJson(entry) }));
+        recentBytes += recent.back()->value.size();
+    }
+    while (recentBytes > options.recentBytes) {
+        recentBytes -= recent.front()->value.size();
+        recent.pop_front();
+    }
+}
+
+void ConfigurationControl::State::offer(const OfferRevisions &message)
+{
+    const RevisionNumber before = inForce.current->revision();
+    configuration::offerRevisions(inForce, *message.entries);
+    if (inForce.current->revision() > before) {
+        keepRecent(*message.entries, before);
+        publish(before, message.source);
+    }
+    requestMissing();
+}
+
+void ConfigurationControl::State::offer(const OfferConfiguration &message)
+{
+    const RevisionNumber before = inForce.current->revision();
+    const auto outcome = configuration::offerConfiguration(inForce, message.offered);
+    if (outcome == OfferOutcome::Advanced) {
+        // The entries between the two revisions are unknown, so older ones are of no use to peers.
+        recent.clear();
+        recentBytes = 0;
+        publish(before, message.source);
+    }
+    requestMissing();
+}
+
+void ConfigurationControl::State::publish(RevisionNumber before, const std::string &source)
+{
+    const RevisionNumber revision = inForce.current->revision();
+    published = std::make_shared<const Published>(Published{ inForce.current, recent });
+    highestKnown = inForce.highestKnown;
+    LOG(INFO) << "[control] Revision " << revision << " is in force after " << before << ", from "
+              << source << '.';
+    if (options.timeLine != nullptr) {
+        options.timeLine->record("control", "configuration-in-force", std::to_string(revision),
+                                 "after " + std::to_string(before) + ", from " + source);
+    }
+    if (options.published)
+        options.published(inForce.current);
+}
+
+ConfigurationControl::ConfigurationControl(ControlSystem &system,
+                                           ConfigurationControlOptions options)
+    : state_(std::make_shared<State>(std::move(options)))
+{
+    // The actor keeps the state alive, because it may still run while this object is destroyed.
+    state_->actor = system.implementation().system.spawn(
+            [state = state_](caf::event_based_actor *) -> caf::behavior {
+                return { [state](const NoteRevision &message) { state->note(message.revision); },
+                         [state](const OfferRevisions &message) { state->offer(message); },
+                         [state](const OfferConfiguration &message) { state->offer(message); } };
+            });
+}
+
+ConfigurationControl::~ConfigurationControl()
+{
+    caf::anon_send_exit(state_->actor, caf::exit_reason::user_shutdown);
+    state_->actor = nullptr;
+}
+
+ConfigurationPtr ConfigurationControl::current() const
+{
+    return state_->published.load()->configuration;
+}
+
+RevisionNumber ConfigurationControl::highestKnown() const
+{
+    return state_->highestKnown;
+}
+
+void ConfigurationControl::noteRevision(RevisionNumber revision)
+{
+    // Peers repeat the revision in every message; most of them tell nothing new.
+    if (revision > current()->revision())
+        caf::anon_send(state_->actor, NoteRevision{ revision });
+}
+
+void ConfigurationControl::offerRevisions(std::vector<Revision> entries, std::string source)
+{
+    if (entries.empty())
+        return;
+    auto shared = std::make_shared<const std::vector<Revision>>(std::move(entries));
+    caf::anon_send(state_->actor, OfferRevisions{ std::move(shared), std::move(source) });
+}
+
+void ConfigurationControl::offerConfiguration(ConfigurationPtr offered, std::string source)
+{
+    if (offered != nullptr)
+        caf::anon_send(state_->actor, OfferConfiguration{ std::move(offered), std::move(source) });
+}
+
+void ConfigurationControl::offerEntries(const std::vector<LogEntry> &entries,
+                                        const std::string &source)
+{
+    std::vector<Revision> revisions;
+    for (const LogEntry &entry : entries) {
+        std::vector<configuration::ValidationError> errors;
+        if (auto revision = configuration::parseRevision(entry.value, errors)) {
+            revisions.push_back(std::move(*revision));
+            continue;
+        }
+        errors.clear();
+        auto whole = configuration::parseConfiguration(entry.value, errors);
+        if (whole == nullptr) {
+            LOG(ERROR) << "[control] Entry " << entry.revision << " from " << source
+                       << " cannot be parsed: " << toString(errors.front()) << '.';
+            break;
+        }
+        offerConfiguration(std::move(whole), source);
+    }
+    offerRevisions(std::move(revisions), source);
+}
+
+std::vector<LogEntry> ConfigurationControl::entriesAfter(RevisionNumber after) const
+{
+    const auto published = state_->published.load();
+    const RevisionNumber revision = published->configuration->revision();
+    if (after >= revision)
+        return {};
+    const RecentEntries &recent = published->recent;
+    if (recent.empty() || recent.front()->revision > after + 1)
+        return { { revision, toJson(*published->configuration) } };
+    std::vector<LogEntry> entries;
+    for (const auto &entry : recent) {
+        if (entry->revision > after)
+            entries.push_back(*entry);
+    }
+    return entries;
+}
+
+} // namespace chervilfield::control
--- a/packages/platform/include/platform/platform_client.h
+++ b/packages/platform/include/platform/platform_client.h
@@ -87,6 +87,11 @@
     std::optional<TableRow> read(const std::string &key, boost::asio::yield_context yield,
                                  std::error_code &error);
 
+    /// As `read`, but never stale: asks by a conditional write that cannot succeed, whose refusal
+    /// carries the current row. Counts as a write against the limits of the service.
+    std::optional<TableRow> readLatest(const std::string &key, boost::asio::yield_context yield,
+                                       std::error_code &error);
+
     /// Returns rows in ascending order of their keys, at most `range.limit`.
     std::vector<TableRow> list(const TableRange &range, boost::asio::yield_context yield,
                                std::error_code &error);
--- a/packages/platform/src/platform_client.cpp
+++ b/packages/platform/src/platform_client.cpp
@@ -33,6 +33,8 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
+/// Largest whole number that every JSON parser reads exactly; no row reaches it.
+constexpr std::uint64_t kImpossibleVersion = (std::uint64_t(1) << 53U) - 1;
 
 std::string tablePath(const std::string &key)
 {
@@ -93,6 +95,19 @@
     return row;
 }
 
+std::optional<TableRow> PlatformClient::readLatest(const std::string &key,
+                                                   asio::yield_context yield,
+                                                   std::error_code &error)
+{
+    error.clear();
+    Attempt attempt = put({ .key = key, .ifVersion = kImpossibleVersion }, yield);
+    if (attempt.outcome == Attempt::Unsent || attempt.outcome == Attempt::Undecided)
+        error = Result::StoreUnavailable;
+    else if (!attempt.row)
+        error = Result::NotFound;
+    return std::move(attempt.row);
+}
+
 std::vector<TableRow> PlatformClient::list(const TableRange &range, asio::yield_context yield,
                                            std::error_code &error)
 {
