--- a/standins/platform/src/platform_service.cpp
+++ b/standins/platform/platform_service.cpp
@@ -1,4 +1,4 @@
-#include "platform_standin/platform_service.h"
+#include "platform/platform_service.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
--- a/standins/platform/include/platform_standin/platform_service.h
+++ b/standins/platform/platform_service.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "net/http_server.h"
-#include "platform_standin/platform_store.h"
+#include "platform/platform_store.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/standins/platform/src/platform_store.cpp
+++ b/standins/platform/platform_store.cpp
@@ -1,4 +1,4 @@
-#include "platform_standin/platform_store.h"
+#include "platform/platform_store.h"
 
 #include <algorithm>
 #include <utility>
