Serve completions end to end by separate processes

Cause: the packages had no process that connects them. Change: the daemon chervilfieldd (settings, traffic threads, control plane with the configuration actor and follower, peer exchange, drain on SIGTERM, version and check options).

--- /dev/null
+++ b/packages/daemon/include/daemon/app.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "base/hybrid_clock.h"
+#include "base/time_line.h"
+#include "daemon/control_plane.h"
+#include "daemon/drain.h"
+#include "daemon/settings.h"
+#include "daemon/traffic_pool.h"
+#include "traffic/metrics.h"
+#include "traffic/order_desk.h"
+#include "traffic/router.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <string>
+
+namespace chervilfield::daemon {
+
+/// One router daemon. `run()` serves until SIGTERM or SIGINT and then drains.
+class App
+{
+public:
+    explicit App(const Settings &settings);
+
+    /// Returns the exit status of the process.
+    int run();
+
+private:
+    void waitForSignal(boost::asio::io_context &context);
+    void drainStep(boost::asio::io_context &context);
+    void enter(DrainPhase phase);
+
+    const Settings settings_;
+    const std::string life_;
+    base::HybridClock clock_;
+    base::TimeLine timeLine_;
+    traffic::Metrics metrics_;
+    traffic::Router router_;
+    traffic::OrderDesk orderDesk_;
+    ControlPlane control_;
+    traffic::Services services_;
+    traffic::InstanceView view_;
+    TrafficPool traffic_;
+    Drain drain_;
+};
+
+} // namespace chervilfield::daemon
--- /dev/null
+++ b/packages/daemon/include/daemon/control_plane.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "base/time_line.h"
+#include "control/configuration_control.h"
+#include "control/configuration_follower.h"
+#include "control/configuration_log.h"
+#include "control/control_system.h"
+#include "daemon/settings.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "platform/platform_client.h"
+#include "traffic/target_table.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <thread>
+#include <vector>
+
+namespace chervilfield::daemon {
+
+/// Control part of a daemon: the actors that own control state, and the control I/O thread that
+/// moves bytes for them and serves the administration and the peer address.
+class ControlPlane
+{
+public:
+    /// `timeLine` and `services` outlive the control plane.
+    ControlPlane(const Settings &settings, std::string life, base::TimeLine &timeLine);
+    ~ControlPlane();
+    ControlPlane(const ControlPlane &) = delete;
+    ControlPlane &operator=(const ControlPlane &) = delete;
+
+    /// Binds the addresses and starts the threads. Sets `error` if binding fails.
+    void start(std::error_code &error);
+
+    /// Returns the targets of the configuration in force; never null.
+    traffic::TargetTablePtr targetTable() const { return table_.load(); }
+
+    /// Returns true once the first configuration has been looked for everywhere.
+    bool started() const { return started_; }
+
+    /// Returns the body of `GET /v1/entries`.
+    std::string entriesBody(const net::Address &caller) const;
+
+    /// Tells the other instances that this one is leaving.
+    void announceLeaving();
+
+    /// Address that callers are told; set it once the callers' server is bound.
+    void setCallerAddress(const net::Address &address);
+
+    net::Address adminAddress() const;
+    net::Address peerAddress() const;
+
+private:
+    void runFollower(const boost::asio::yield_context &yield);
+    void publish(const configuration::ConfigurationPtr &configuration);
+
+    const Settings settings_;
+    const std::string life_;
+    base::TimeLine &timeLine_;
+    std::atomic<traffic::TargetTablePtr> table_;
+    std::atomic<bool> started_{ false };
+    std::atomic<bool> leaving_{ false };
+    net::Address callerAddress_;
+
+    boost::asio::io_context context_{ 1 };
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    net::HttpClient client_;
+    platform::PlatformClient platform_;
+    control::ConfigurationLog log_;
+    control::ControlSystem system_;
+    std::unique_ptr<control::ConfigurationFollower> follower_;
+    std::unique_ptr<control::ConfigurationControl> configuration_;
+    std::unique_ptr<net::HttpServer> adminServer_;
+    std::unique_ptr<net::HttpServer> peerServer_;
+    std::thread runner_;
+};
+
+} // namespace chervilfield::daemon
--- /dev/null
+++ b/packages/daemon/main/main.cpp
@@ -0,0 +1,93 @@
+#include "daemon/app.h"
+#include "daemon/settings.h"
+
+#include <getopt.h>
+#include <glog/logging.h>
+
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace chervilfield::daemon;
+
+constexpr int kUsageStatus = 2;
+
+constexpr std::string_view kUsage = "usage: chervilfieldd --config FILE [--check]\n"
+                                    "  --config FILE  settings in TOML; see docs/operators.md\n"
+                                    "  --check        check the settings and exit\n"
+                                    "  --version      print the version and exit\n"
+                                    "  --help         print this text and exit\n";
+
+struct CommandLine
+{
+    std::string config;
+    bool check = false;
+    bool help = false;
+    bool version = false;
+    bool valid = true;
+};
+
+CommandLine parseCommandLine(int argc, char **argv)
+{
+    constexpr option kOptions[] = { { "config", required_argument, nullptr, 'c' },
+                                    { "check", no_argument, nullptr, 'k' },
+                                    { "help", no_argument, nullptr, 'h' },
+                                    { "version", no_argument, nullptr, 'v' },
+                                    { nullptr, 0, nullptr, 0 } };
+    CommandLine line;
+    for (int key = 0; (key = getopt_long(argc, argv, "", kOptions, nullptr)) != -1;) {
+        switch (key) {
+        case 'c':
+            line.config = optarg;
+            break;
+        case 'k':
+            line.check = true;
+            break;
+        case 'h':
+            line.help = true;
+            break;
+        case 'v':
+            line.version = true;
+            break;
+        default:
+            line.valid = false;
+        }
+    }
+    line.valid =
+            line.valid && optind == argc && (line.help || line.version || !line.config.empty());
+    return line;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    const CommandLine line = parseCommandLine(argc, argv);
+    if (!line.valid) {
+        std::cerr << kUsage;
+        return kUsageStatus;
+    }
+    if (line.help) {
+        std::cout << kUsage;
+        return 0;
+    }
+    if (line.version) {
+        std::cout << "chervilfieldd " << CHERVILFIELD_VERSION << '\n';
+        return 0;
+    }
+    std::vector<SettingsError> errors;
+    const Settings settings = readSettings(line.config, errors);
+    for (const SettingsError &error : errors)
+        std::cerr << toString(error) << '\n';
+    if (!errors.empty())
+        return kUsageStatus;
+    if (line.check) {
+        std::cout << "settings are valid\n";
+        return 0;
+    }
+    return App(settings).run();
+}
--- a/packages/traffic/src/router.cpp
+++ b/packages/traffic/src/router.cpp
@@ -40,7 +40,8 @@
     }
     const std::uint32_t index = decision.choice().index;
     return Placement{ .target = targets.targets[index],
-                      .sent = routing::startRequest(state_, request, described, decision, now),
+                      .sent = routing::startRequest(state_, request, described, decision,
+                                                    options_.decision, now),
                       .life = described[index].life };
 }
 
