--- /dev/null
+++ b/packages/routing/src/decision.cpp
@@ -0,0 +1,235 @@
+#include "routing/decision.h"
+
+#include "internal/candidates.h"
+#include "prefix/chain.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chervilfield::routing {
+
+namespace {
+
+constexpr double kBlockTokens = prefix::kBlockTokens;
+
+double expectedHomeBlocks(const CandidateCost &candidate, std::span<const double> cachedAtHome)
+{
+    double blocks = 0;
+    for (std::size_t depth = 0; depth < candidate.homeDepth && depth < cachedAtHome.size(); ++depth)
+        blocks += cachedAtHome[depth];
+    return blocks;
+}
+
+constexpr std::size_t kMaxDepth = 64;
+
+/// Returns for each depth the probability that a home of the prefix caches it: a request for the
+/// prefix has come to that home within the lifetime of a block.
+std::array<double, kMaxDepth> homeProbabilities(const Request &request, const State &state,
+                                                const Options &options, Time now)
+{
+    std::array<double, kMaxDepth> result{};
+    const std::size_t depths = std::min(request.chain.size(), kMaxDepth);
+    for (std::size_t depth = 0; depth < depths; ++depth) {
+        const PrefixDemand demand = demandOf(state.hot, request.chain[depth], now);
+        if (demand.requests <= 0)
+            break;
+        const auto homes = static_cast<double>(internal::homeCount(demand, options));
+        const double arrivals = demand.requests * state.placements.lifetime.count() / homes;
+        result[depth] = 1 - std::exp(-arrivals);
+    }
+    return result;
+}
+
+void applyPlacements(const Request &request, std::span<const Target> targets, const State &state,
+                     Time now, std::span<CandidateCost> candidates)
+{
+    for (std::size_t depth = request.chain.size(); depth > 0; --depth) {
+        const double tokens = static_cast<double>(depth) * kBlockTokens;
+        for (const auto &placement : placementsOf(state.placements, request.chain[depth - 1])) {
+            if (placement.time == Time{})
+                continue;
+            const auto candidate =
+                    std::ranges::find(candidates, placement.target, &CandidateCost::target);
+            if (candidate == candidates.end() || targets[candidate->index].life != placement.life)
+                continue;
+            const Cost age = now - placement.time;
+            const double cached = tokens * survival(state.placements, age);
+            candidate->cachedTokens = std::max(candidate->cachedTokens, cached);
+        }
+    }
+}
+
+void estimateCached(const Request &request, std::span<const Target> targets, const State &state,
+                    const Options &options, Time now, std::span<CandidateCost> candidates)
+{
+    const auto cachedAtHome = homeProbabilities(request, state, options, now);
+    for (CandidateCost &candidate : candidates)
+        candidate.cachedTokens = kBlockTokens * expectedHomeBlocks(candidate, cachedAtHome);
+    applyPlacements(request, targets, state, now, candidates);
+    for (const Holder &holder : request.holders) {
+        const auto candidate = std::ranges::find(candidates, holder.target, &CandidateCost::target);
+        if (candidate != candidates.end() && targets[candidate->index].life == holder.life)
+            candidate->cachedTokens =
+                    std::max(candidate->cachedTokens, kBlockTokens * holder.blocks);
+    }
+}
+
+/// Returns whether the slots that the request's class may take are taken. Long work leaves some
+/// slots to short work, which would otherwise wait for a whole long answer to end.
+bool isFull(const Work &work, const Target &target, const Request &request, const Options &options)
+{
+    const double longs = work.running[1] + work.waiting[1];
+    if (request.workClass == WorkClass::Long)
+        return longs >= target.slots * options.longSlotShare;
+    return longs + work.running[0] + work.waiting[0] >= target.slots;
+}
+
+void addCosts(const Request &request, const Target &target, const Work &work,
+              const Options &options, CandidateCost &candidate)
+{
+    const double rate = target.prefillRate / target.slowness;
+    double ahead = work.waitingTokens[0];
+    if (request.priority == Priority::Batch)
+        ahead += work.waitingTokens[1];
+    candidate.path = target.path;
+    candidate.queue = Cost(ahead / rate);
+    candidate.full = isFull(work, target, request, options);
+    candidate.cachedTokens = std::min<double>(candidate.cachedTokens, request.promptTokens);
+    candidate.prefill = Cost((request.promptTokens - candidate.cachedTokens) / rate);
+}
+
+void addDisplacement(const Request &request, std::span<const Target> targets,
+                     std::span<const double> recentTokens, const Options &options,
+                     std::span<CandidateCost> candidates)
+{
+    const double blockTokens = static_cast<double>(request.chain.size()) * kBlockTokens;
+    double mostCached = 0;
+    double meanRecent = 1;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        mostCached = std::max(mostCached, candidates[i].cachedTokens);
+        meanRecent += recentTokens[i] / static_cast<double>(candidates.size());
+    }
+    mostCached = std::min(mostCached, blockTokens);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        CandidateCost &candidate = candidates[i];
+        const double inserted = std::max(0.0, blockTokens - candidate.cachedTokens);
+        const double duplicates = std::max(0.0, mostCached - candidate.cachedTokens);
+        const double strange = std::min(inserted, blockTokens - candidate.homeDepth * kBlockTokens);
+        const double tokens = options.pressureShare * inserted * recentTokens[i] / meanRecent
+                              + options.displacementShare * duplicates
+                              + options.homeShare * strange;
+        candidate.displacement = Cost(tokens / targets[candidate.index].prefillRate);
+    }
+}
+
+/// Returns the index of a random candidate among those with nearly the lowest cost, or nothing if
+/// all are full. Daemons see nearly the same costs; without the draw they would all choose the same
+/// target until the next digest.
+std::optional<std::size_t> drawNearBest(std::span<const CandidateCost> candidates, Cost nearEqual,
+                                        Random &random)
+{
+    Cost best = Cost::max();
+    for (const CandidateCost &candidate : candidates) {
+        if (!candidate.full)
+            best = std::min(best, candidate.total());
+    }
+    std::optional<std::size_t> chosen;
+    std::size_t near = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].full || candidates[i].total() > best + nearEqual)
+            continue;
+        ++near;
+        if (std::uniform_int_distribution<std::size_t>(1, near)(random) == 1)
+            chosen = i;
+    }
+    return chosen;
+}
+
+base::Result admit(const Request &request, const CandidateCost &choice, const Options &options)
+{
+    if (request.deadline)
+        return choice.firstToken() <= *request.deadline ? base::Result::Ok
+                                                        : base::Result::DeadlineUnreachable;
+    return choice.firstToken() <= options.maxWait[static_cast<std::size_t>(request.workClass)]
+                   ? base::Result::Ok
+                   : base::Result::Overloaded;
+}
+
+} // namespace
+
+Decision decide(const Request &request, std::span<const Target> targets, const State &state,
+                const Options &options, Time now, Random &random)
+{
+    Decision decision;
+    internal::selectCandidates(request, targets, state, options, now, random, decision);
+    if (decision.candidateCount == 0) {
+        decision.code = base::Result::NoTarget;
+        return decision;
+    }
+    const std::span candidates = std::span(decision.candidates).first(decision.candidateCount);
+    estimateCached(request, targets, state, options, now, candidates);
+    std::array<double, kMaxCandidates> recentTokens{};
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const Work work = estimateWork(state.load, candidates[i].target, now);
+        addCosts(request, targets[candidates[i].index], work, options, candidates[i]);
+        recentTokens[i] = work.recentTokens;
+    }
+    addDisplacement(request, targets, recentTokens, options, candidates);
+    const auto chosen = drawNearBest(candidates, options.nearEqual, random);
+    if (!chosen) {
+        decision.code = base::Result::Overloaded;
+        return decision;
+    }
+    decision.chosen = *chosen;
+    decision.code = admit(request, decision.choice(), options);
+    return decision;
+}
+
+namespace {
+
+/// Returns the share of an engine that the request takes: its prefill or its time in one of the
+/// slots, whichever is larger.
+Cost engineTime(const Request &request, const Target &target, double uncached,
+                const Options &options)
+{
+    const Cost prefill(uncached / target.prefillRate);
+    const Cost slot =
+            options.tokenTime * (static_cast<double>(request.outputTokens) / target.slots);
+    return std::max(prefill, slot);
+}
+
+} // namespace
+
+Sent startRequest(State &state, const Request &request, std::span<const Target> targets,
+                  const Decision &decision, const Options &options, Time now)
+{
+    const CandidateCost &choice = decision.choice();
+    const Target &target = targets[choice.index];
+    const double uncached = request.promptTokens - choice.cachedTokens;
+    Sent sent{ .flight = { .target = target.id,
+                           .tokens = uncached,
+                           .workClass = request.workClass,
+                           .priority = request.priority },
+               .possibleCachedTokens = static_cast<double>(request.chain.size()) * kBlockTokens,
+               .predictedCachedTokens = choice.cachedTokens,
+               .predictedFirstToken = choice.firstToken() };
+    startFlight(state.load, sent.flight, now);
+    countRequest(state.hot, request.chain, engineTime(request, target, uncached, options), now);
+    recordPlacement(state.placements, request.chain, target.id, target.life, now);
+    return sent;
+}
+
+void firstToken(State &state, Sent &sent)
+{
+    markRunning(state.load, sent.flight);
+}
+
+void endRequest(State &state, const Sent &sent, std::optional<std::uint32_t> cachedTokens)
+{
+    endFlight(state.load, sent.flight);
+    if (cachedTokens)
+        correctLifetime(state.placements, sent.predictedCachedTokens, *cachedTokens,
+                        sent.possibleCachedTokens);
+}
+
+} // namespace chervilfield::routing
