Add the order service stand-in and the demo of the whole path

Cause: nothing showed the whole path under a kill of an instance and of an engine. Change: standins/service, the scenario of the drivers, scripts/demo: six daemons, four engines, three order services and the platform as processes; one daemon and one engine are killed with SIGKILL while 48 streams are open.

--- /dev/null
+++ b/bench/demo/demo.py
@@ -0,0 +1,140 @@
+"""Main job of the project on one machine; see scripts/demo."""
+
+import argparse
+import concurrent.futures
+import pathlib
+import random
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+
+from driver import callers, scenario  # noqa: E402
+from driver.processes import Deployment, new_directory, port_of, request_json  # noqa: E402
+
+DATA_CENTRES = ["leon", "silao", "irapuato"]
+DAEMONS = 6
+ENGINES = 4
+SERVICES = 3
+DOSSIER_BYTES = 5 * 16384
+STREAMS = 48
+ORDERS = 40
+LOOKUPS = 60
+
+
+def make_prompts(rng):
+    """Returns prompts of three nested levels and short questions."""
+    dossiers = [f"dossier {i} " + rng.randbytes(DOSSIER_BYTES // 2).hex() for i in range(3)]
+    prompts = []
+    for i in range(STREAMS):
+        if i % 3 == 2:
+            prompts.append(f"Which thread colour fits number {rng.randrange(10**6)}?")
+        else:
+            school = f" school {rng.randrange(4)} " * 2000
+            prompts.append(rng.choice(dossiers) + school + f" badge {rng.randrange(10**6)}")
+    return prompts
+
+
+def start(deployment):
+    deployment.start_platform()
+    for i in range(ENGINES):
+        deployment.start_engine(f"engine-{i}")
+    for i in range(SERVICES):
+        deployment.start_service(f"desk-{i}")
+    for i in range(DAEMONS):
+        deployment.start_daemon(f"entry-{i}", DATA_CENTRES[i % len(DATA_CENTRES)])
+
+
+def run_traffic(deployment, pool, addresses, rng):
+    """Starts all requests and kills an entry instance and an engine while streams are open."""
+    key = scenario.api_key(scenario.CUSTOMERS[0])
+    streams = [pool.submit(callers.stream_completion, addresses, key, scenario.MODEL, prompt,
+                           rng.randrange(300, 900)) for prompt in make_prompts(rng)]
+    orders = [pool.submit(callers.place_order, addresses, key, "/orders", f"order-{i}")
+              for i in range(ORDERS)]
+    lookups = [pool.submit(callers.look_up, addresses, key, f"/status/order-{i % ORDERS}")
+               for i in range(LOOKUPS)]
+    time.sleep(0.7)
+    deployment.daemons["entry-0"].kill()
+    time.sleep(0.3)
+    port = port_of(deployment.engines["engine-1"].address)
+    deployment.engines["engine-1"].kill()
+    deployment.start_engine("engine-1", port)
+    return ([one.result() for one in streams], [one.result() for one in orders],
+            [one.result() for one in lookups])
+
+
+def expected_answer(deployment, result):
+    _, body = request_json(deployment.engines["engine-0"].address, "POST", "/control/answer",
+                           {"prompt": result.prompt, "max_tokens": result.max_tokens})
+    return body["text"]
+
+
+def executions(deployment):
+    counts = {}
+    for service in deployment.services.values():
+        _, history = request_json(service.address, "GET", "/control/executions")
+        for entry in history:
+            counts[entry["id"]] = counts.get(entry["id"], 0) + 1
+    return counts
+
+
+def percentile(values, share):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else float("nan")
+
+
+def report(deployment, streams, orders, lookups, in_force_s):
+    """Prints the table and returns the number of violations."""
+    whole = [one for one in streams if one.complete and not one.faults
+             and one.text == expected_answer(deployment, one)]
+    counts = executions(deployment)
+    twice = [order for order, count in counts.items() if count > 1]
+    false_not_run = [one for one in orders if one.work == "not-run" and counts.get(one.order_id)]
+    lost = [one for one in orders if one.work == "ran" and not counts.get(one.order_id)]
+    first = [one.first_token_s for one in streams if one.first_token_s is not None]
+    rows = [
+        ("daemons, one killed", DAEMONS), ("engines, one killed and restarted", ENGINES),
+        ("streams", len(streams)), ("streams whole and right", len(whole)),
+        ("streams continued elsewhere", sum(one.attempts > 1 for one in streams)),
+        ("first token p50 / p99, ms",
+         f"{percentile(first, 0.5) * 1000:.0f} / {percentile(first, 0.99) * 1000:.0f}"),
+        ("orders", len(orders)), ("orders ran", sum(one.work == "ran" for one in orders)),
+        ("orders unknown", sum(one.work == "unknown" for one in orders)),
+        ("orders that ran twice", len(twice)), ("false not-run", len(false_not_run)),
+        ("lookups answered", f"{sum(one is not None for one in lookups)} of {len(lookups)}"),
+        ("change in force at all daemons, s", f"{in_force_s:.2f}"),
+    ]
+    width = max(len(name) for name, _ in rows)
+    for name, value in rows:
+        print(f"{name:<{width}}  {value}")
+    return (len(streams) - len(whole) + len(twice) + len(false_not_run) + len(lost)
+            + sum(one is None for one in lookups))
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    seed = parser.parse_args().seed
+    rng = random.Random(seed)
+    deployment = Deployment(new_directory("demo"))
+    try:
+        start(deployment)
+        daemons = list(deployment.daemons.values())
+        revision = scenario.apply(daemons[0].listeners[1],
+                                  scenario.resources(deployment, DATA_CENTRES), 0)
+        in_force_s = scenario.wait_in_force(daemons, revision)
+        addresses = callers.AddressList([daemon.address for daemon in daemons])
+        with concurrent.futures.ThreadPoolExecutor(STREAMS + ORDERS + LOOKUPS) as pool:
+            results = run_traffic(deployment, pool, addresses, rng)
+        violations = report(deployment, *results, in_force_s)
+    finally:
+        deployment.stop()
+    print(f"logs: {deployment.directory}")
+    if violations:
+        print(f"{violations} violations; seed {seed}, repeat with scripts/demo --seed {seed}")
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/service/order_service.cpp
@@ -0,0 +1,107 @@
+#include "service/order_service.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace chervilfield::standins {
+
+namespace json = boost::json;
+using boost::asio::yield_context;
+
+namespace {
+
+constexpr std::string_view kStatusPath = "/status/";
+
+json::object parseBody(const net::Exchange &exchange)
+{
+    boost::system::error_code error;
+    json::value value = json::parse(exchange.request().body, error);
+    return error || !value.is_object() ? json::object() : value.as_object();
+}
+
+void respond(net::Exchange &exchange, int status, const json::value &body,
+             const yield_context &yield)
+{
+    std::error_code ignored;
+    exchange.respond(net::jsonResponse(status, json::serialize(body)), yield, ignored);
+}
+
+void readCount(const json::object &body, const char *name, std::uint64_t &value)
+{
+    if (const auto *found = body.if_contains(name))
+        value = found->to_number<std::uint64_t>();
+}
+
+} // namespace
+
+void OrderService::handle(net::Exchange &exchange, const yield_context &yield)
+{
+    const std::string_view path = net::pathOf(exchange.request().target);
+    if (path == "/orders")
+        return order(exchange, yield);
+    if (path.starts_with(kStatusPath))
+        return status(exchange, path.substr(kStatusPath.size()), yield);
+    if (path == "/control")
+        return control(exchange, yield);
+    if (path == "/control/executions")
+        return respond(exchange, 200, history_, yield);
+    respond(exchange, 404, json::object{ { "message", "not found" } }, yield);
+}
+
+void OrderService::order(net::Exchange &exchange, const yield_context &yield)
+{
+    if (faults_.refuse > 0) {
+        --faults_.refuse;
+        return respond(exchange, 503, json::object{ { "message", "refused" } }, yield);
+    }
+    const json::object body = parseBody(exchange);
+    const json::value *id = body.if_contains("id");
+    if (id == nullptr || !id->is_string())
+        return respond(exchange, 400, json::object{ { "message", "id missing" } }, yield);
+    const std::uint64_t count = ++executions_[std::string(id->as_string())];
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    history_.push_back(json::object{
+            { "id", *id },
+            { "request_id",
+              net::findHeader(exchange.request().headers, "X-Request-Id").value_or("") },
+            { "at_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now).count() } });
+    pause(yield);
+    if (faults_.dropAnswers > 0) {
+        --faults_.dropAnswers;
+        std::error_code ignored;
+        // An unfinished stream makes the server close the connection.
+        return exchange.startStream(200, {}, yield, ignored);
+    }
+    respond(exchange, 201, json::object{ { "id", *id }, { "execution", count } }, yield);
+}
+
+void OrderService::status(net::Exchange &exchange, std::string_view id, const yield_context &yield)
+{
+    pause(yield);
+    const auto found = executions_.find(id);
+    if (found == executions_.end())
+        return respond(exchange, 404, json::object{ { "message", "unknown order" } }, yield);
+    respond(exchange, 200, json::object{ { "id", id }, { "executions", found->second } }, yield);
+}
+
+void OrderService::control(net::Exchange &exchange, const yield_context &yield)
+{
+    const json::object body = parseBody(exchange);
+    if (const auto *delay = body.if_contains("delayMs"))
+        faults_.delay = std::chrono::milliseconds(delay->to_number<std::int64_t>());
+    readCount(body, "dropAnswers", faults_.dropAnswers);
+    readCount(body, "refuse", faults_.refuse);
+    respond(exchange, 200, json::object(), yield);
+}
+
+void OrderService::pause(const yield_context &yield)
+{
+    if (faults_.delay.count() == 0)
+        return;
+    boost::asio::steady_timer timer(context_, faults_.delay);
+    boost::system::error_code ignored;
+    timer.async_wait(yield[ignored]);
+}
+
+} // namespace chervilfield::standins
