--- /dev/null
+++ b/bench/driver/report.py
@@ -0,0 +1,59 @@
+"""The JSON object that every bench writes."""
+
+import json
+import os
+import pathlib
+import platform
+import subprocess
+import sys
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+
+def row(name, unit, value, target=None, met=None, baselines=None):
+    """Returns one row. `target` is text such as "<=2"; `met` is None if there is no target."""
+    result = {"name": name, "unit": unit, "value": value}
+    if target is not None:
+        result.update({"target": target, "met": met})
+    if baselines:
+        result["baselines"] = baselines
+    return result
+
+
+def at_most(name, unit, value, limit, baselines=None):
+    return row(name, unit, value, f"<={limit}", value <= limit, baselines)
+
+
+def machine():
+    """Returns a description of the machine that the figures depend on."""
+    model = "unknown processor"
+    for line in pathlib.Path("/proc/cpuinfo").read_text().splitlines():
+        if line.startswith("model name"):
+            model = line.split(":", 1)[1].strip()
+            break
+    return f"{os.cpu_count()} x {model}, Linux {platform.release()}"
+
+
+def commit():
+    def git(*arguments):
+        return subprocess.run(["git", *arguments], cwd=ROOT, capture_output=True, text=True,
+                              check=False)
+    name = git("rev-parse", "--short", "HEAD").stdout.strip()
+    return name + ("-dirty" if git("diff", "--quiet", "HEAD").returncode else "")
+
+
+def write(bench, seed, started, rows, out):
+    """Writes the object to the file `out`, or to standard output if it is None."""
+    text = json.dumps({"bench": bench, "seed": seed, "commit": commit(), "machine": machine(),
+                       "seconds": round(time.monotonic() - started, 1), "rows": rows}, indent=1)
+    if out:
+        pathlib.Path(out).write_text(text + "\n")
+    else:
+        sys.stdout.write(text + "\n")
+
+
+def percentile(values, share):
+    """Returns the smallest value that is not below `share` of all values."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else float("nan")
--- /dev/null
+++ b/bench/footprint/footprint.py
@@ -0,0 +1,96 @@
+"""Resident memory of an idle daemon and its growth with each open stream."""
+
+import argparse
+import pathlib
+import subprocess
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+
+from driver import report, scenario  # noqa: E402
+from driver.processes import BINARIES, Deployment, new_directory, wait_until  # noqa: E402
+
+ENGINE = ["--token-interval-us", 200000, "--slots", 4096, "--prefill-tokens-per-second", 1e9]
+SIZES = (0, 250, 500, 1000, 2000)
+LEVEL_S = 4.0
+
+
+def resident_kb(pid):
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1])
+    raise RuntimeError("no resident size")
+
+
+def start_daemon(name):
+    deployment = Deployment(new_directory(name), ENGINE)
+    deployment.start_platform()
+    deployment.start_engine("engine-0")
+    deployment.start_daemon("entry-0", "leon")
+    daemon = deployment.daemons["entry-0"]
+    scenario.wait_in_force([daemon], scenario.apply(
+        daemon.listeners[1], scenario.resources(deployment, ["leon"]), 0))
+    return deployment, daemon
+
+
+def measure(streams, seed):
+    """Returns the resident size of a fresh daemon with this number of open streams."""
+    deployment, daemon = start_daemon(f"footprint-{streams}")
+    client = None
+    try:
+        if streams:
+            command = [BINARIES / "load_client", "--targets", daemon.address, "--streams", streams,
+                       "--tokens", 30, "--seconds", 0.1, "--seed", seed,
+                       "--api-key", scenario.api_key(scenario.CUSTOMERS[0])]
+            client = subprocess.Popen([str(part) for part in command],
+                                      stdout=subprocess.DEVNULL)
+            peak = [0]
+
+            def settled():
+                size = resident_kb(daemon.child.pid)
+                grown = size > peak[0]
+                peak[0] = max(peak[0], size)
+                return not grown and time.monotonic() > until
+            until = time.monotonic() + LEVEL_S
+            wait_until(settled, 4 * LEVEL_S, "the resident size to level off")
+            return peak[0]
+        return resident_kb(daemon.child.pid)
+    finally:
+        if client:
+            client.kill()
+            client.wait()
+        deployment.stop()
+
+
+def slope(points):
+    """Returns the least-squares slope and the coefficient of determination."""
+    n = len(points)
+    mean_x = sum(x for x, _ in points) / n
+    mean_y = sum(y for _, y in points) / n
+    sxx = sum((x - mean_x) ** 2 for x, _ in points)
+    sxy = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    syy = sum((y - mean_y) ** 2 for _, y in points)
+    return sxy / sxx, (sxy * sxy / (sxx * syy)) if syy else 1.0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--out")
+    options = parser.parse_args()
+    started = time.monotonic()
+    points = [(streams, measure(streams, options.seed)) for streams in SIZES]
+    per_stream, fit = slope(points)
+    rows = [
+        report.at_most("idle_rss_mb", "MB", points[0][1] / 1024, 32),
+        report.at_most("rss_per_stream_kb", "KB", per_stream, 64),
+        report.row("rss_per_stream_r2", "ratio", fit),
+    ]
+    rows += [report.row(f"rss_{streams}_streams_mb", "MB", size / 1024)
+             for streams, size in points]
+    report.write("footprint", options.seed, started, rows, options.out)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/overhead/overhead.py
@@ -0,0 +1,101 @@
+"""Latency that a daemon adds to the first token, and the rate of short requests that it carries."""
+
+import argparse
+import json
+import pathlib
+import subprocess
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+
+from driver import report, scenario  # noqa: E402
+from driver.processes import BINARIES, Deployment, new_directory  # noqa: E402
+
+STREAMS = 200
+TOKENS = 20
+# 20 ms between tokens, and a prompt that takes no time: what remains is the path.
+LATENCY_ENGINE = ["--token-interval-us", 20000, "--slots", 512,
+                  "--prefill-tokens-per-second", 1e9]
+RATE_ENGINE = ["--token-interval-us", 1, "--slots", 4096, "--prefill-tokens-per-second", 1e9]
+RATE_ENGINES = 4
+RATE_STREAMS = 128
+
+
+def load(targets, seconds, seed, direct=False, streams=STREAMS, tokens=TOKENS, threads=1):
+    """Runs the load client and returns its measurement."""
+    command = [BINARIES / "load_client", "--targets", ",".join(targets), "--seconds", seconds,
+               "--streams", streams, "--tokens", tokens, "--seed", seed, "--threads", threads,
+               "--api-key", scenario.api_key(scenario.CUSTOMERS[0])]
+    if direct:
+        command.append("--direct")
+    run = subprocess.run([str(part) for part in command], capture_output=True, text=True,
+                         check=False)
+    if not run.stdout:
+        raise RuntimeError(f"load client failed: {run.stderr}")
+    return json.loads(run.stdout)
+
+
+def deploy(engine_options, engines, threads, name):
+    deployment = Deployment(new_directory(name), engine_options)
+    deployment.start_platform()
+    for i in range(engines):
+        deployment.start_engine(f"engine-{i}")
+    deployment.start_daemon("entry-0", "leon", extra=f"[traffic]\nthreads = {threads}\n")
+    daemon = deployment.daemons["entry-0"]
+    scenario.wait_in_force([daemon], scenario.apply(
+        daemon.listeners[1], scenario.resources(deployment, ["leon"]), 0))
+    return deployment
+
+
+def measure_latency(seed, seconds):
+    """Alternates between the engine itself and the daemon, so that both see the same machine."""
+    deployment = deploy(LATENCY_ENGINE, 1, 2, "overhead")
+    try:
+        engine = deployment.engines["engine-0"].address
+        daemon = deployment.daemons["entry-0"].address
+        direct, through = [], []
+        for i in range(4):
+            direct += load([engine], seconds, seed + i, direct=True)["first_token_ms"]
+            result = load([daemon], seconds, seed + i + 100)
+            through += result["first_token_ms"]
+    finally:
+        deployment.stop()
+    return direct, through
+
+
+def measure_rate(threads, seed, seconds):
+    deployment = deploy(RATE_ENGINE, RATE_ENGINES, threads, f"rate-{threads}")
+    try:
+        result = load([deployment.daemons["entry-0"].address], seconds, seed,
+                      streams=RATE_STREAMS, tokens=1, threads=2)
+    finally:
+        deployment.stop()
+    return result["finished"] / result["seconds"]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=3.0, help="length of one phase")
+    parser.add_argument("--out")
+    options = parser.parse_args()
+    started = time.monotonic()
+    direct, through = measure_latency(options.seed, options.seconds)
+    rates = {threads: measure_rate(threads, options.seed, options.seconds)
+             for threads in (1, 2, 4)}
+    rows = []
+    for share, limit, label in ((0.5, 0.5, "p50"), (0.99, 2, "p99")):
+        base = report.percentile(direct, share)
+        rows.append(report.at_most(f"added_ttft_{label}_ms", "ms",
+                                   report.percentile(through, share) - base, limit,
+                                   {"direct": base}))
+    rows.append(report.row("requests_per_second_1_thread", "1/s", rates[1]))
+    rows.append(report.row("speedup_2_threads", "ratio", rates[2] / rates[1]))
+    rows.append(report.row("speedup_4_threads", "ratio", rates[4] / rates[1]))
+    rows.append(report.row("samples", "1", len(direct) + len(through)))
+    report.write("overhead", options.seed, started, rows, options.out)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/traffic/src/completions.cpp
+++ b/packages/traffic/src/completions.cpp
@@ -80,8 +80,9 @@
         return std::nullopt;
     if (!job.scope.context.lastEventId.empty()) {
         job.lastEvent = parseEventId(job.scope.context.lastEventId);
-        if (!job.lastEvent.has_value()) {
-            detail = "Last-Event-ID: expected <requestId>/<engine>/<life>/<offset>";
+        if (!job.lastEvent.has_value() || job.lastEvent->offset >= job.request.maxTokens) {
+            detail = "Last-Event-ID: expected <requestId>/<engine>/<life>/<offset> with an offset "
+                     "below max_tokens";
             error = Result::InvalidField;
             return std::nullopt;
         }
--- /dev/null
+++ b/packages/traffic/test/request_handler_test.cpp
@@ -0,0 +1,100 @@
+#include "traffic/request_handler.h"
+
+#include "traffic_fixture.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace chervilfield::traffic {
+
+using boost::asio::yield_context;
+
+namespace {
+
+net::Request post(const std::string &target, const std::string &body, net::Headers headers = {})
+{
+    return { .method = "POST", .target = target, .headers = std::move(headers), .body = body };
+}
+
+} // namespace
+
+class RequestHandlerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RequestHandlerTest);
+    CPPUNIT_TEST(badRequestsAreRefusedWithTheirCode);
+    CPPUNIT_TEST(orderWithoutStoreNeedsTicket);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against requests that reach a target although they are not allowed or not valid.
+    void badRequestsAreRefusedWithTheirCode()
+    {
+        struct Row
+        {
+            std::string name;
+            net::Request request;
+            int expectedCode;
+        };
+        const std::string path = "/v1/completions";
+        const std::string good = R"({"model":"m","prompt":"p"})";
+        const net::Headers wrongKey{ { "Authorization", "Bearer other" } };
+        const Row rows[] = {
+            { "wrong key", post(path, good, wrongKey), 1006 },
+            { "wrong key on a path", { .target = "/status/1", .headers = wrongKey }, 1006 },
+            { "unknown model", post(path, R"({"model":"x","prompt":"p"})"), 1007 },
+            { "unknown path", { .target = "/nothing" }, 1008 },
+            { "path of another segment", { .target = "/statusboard" }, 1008 },
+            { "method", { .target = path }, 1012 },
+            { "bad request id", post(path, good, { { "X-Request-Id", "a/b" } }), 1013 },
+            { "bad deadline", post(path, good, { { "X-Deadline-Ms", "-5" } }), 1013 },
+            { "bad event id", post(path, good, { { "Last-Event-ID", "x" } }), 1013 },
+            { "event id past the end",
+              post(path, good, { { "Last-Event-ID", "r/engine-0/1/9000" } }), 1013 },
+            { "order without identity", post("/orders", R"({"id":"1"})"), 1009 },
+            { "invalid JSON", post(path, "{"), 1004 },
+        };
+        TrafficFixture fixture(1);
+        fixture.run([&](const yield_context &yield) {
+            for (const Row &row : rows) {
+                const auto response = fixture.send(row.request, yield);
+                CPPUNIT_ASSERT_MESSAGE(row.name, response.has_value());
+                const auto body = boost::json::parse(response->body).as_object();
+                CPPUNIT_ASSERT_MESSAGE(row.name + response->body, body.contains("error"));
+                const auto &error = body.at("error").as_object();
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.expectedCode,
+                                             error.at("code").to_number<int>());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string("not-run"),
+                                             std::string(error.at("work").as_string()));
+            }
+        });
+    }
+
+    // Guards against an order that runs without a record while the store is down, and against a
+    // ticket that runs an order twice.
+    void orderWithoutStoreNeedsTicket()
+    {
+        TrafficFixture fixture(1);
+        fixture.run([&](const yield_context &yield) {
+            const std::string body = R"({"id":"1"})";
+            const auto refused =
+                    fixture.send(post("/orders", body, { { "Idempotency-Key", "k" } }), yield);
+            CPPUNIT_ASSERT_EQUAL(503, refused->status);
+            // An earlier attempt with this key may have run at another instance.
+            CPPUNIT_ASSERT(refused->body.find("\"work\":\"unknown\"") != std::string::npos);
+
+            const auto issued = fixture.send(post("/v1/tickets", ""), yield);
+            const auto ticket = boost::json::parse(issued->body).as_object().at("ticket");
+            const net::Headers headers{ { "Order-Ticket", std::string(ticket.as_string()) } };
+            for (int attempt = 0; attempt < 2; ++attempt) {
+                const auto placed = fixture.send(post("/orders", body, headers), yield);
+                CPPUNIT_ASSERT_EQUAL(201, placed->status);
+                CPPUNIT_ASSERT(placed->body.find("\"execution\":1") != std::string::npos);
+            }
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestHandlerTest);
+
+} // namespace chervilfield::traffic
