Add decision and slopes benches; share health and bound retry budgets

Change: bench/decision measures index lookup, routing::decide and admission at 860 targets and 383,333 blocks and compares the limit with a gradient and fixed limits on a simulated engine; bench/slopes fits a line to each cost in a table; both use bench/support. Daemons exchange median ratios of targets, each peer counting as one job. ExtraBudgets forgets full budgets.

--- /dev/null
+++ b/bench/decision/main.cpp
@@ -0,0 +1,121 @@
+#include "limit_comparison.h"
+#include "support/decision_scene.h"
+#include "support/measure.h"
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+namespace {
+
+using namespace chervilfield::bench;
+
+constexpr int kWarmUp = 10'000;
+constexpr int kDecisions = 100'000;
+
+struct DecisionTimes
+{
+    std::vector<double> microseconds;
+    double allocations = 0; ///< Per decision.
+    double admitted = 0;    ///< Part of the decisions.
+};
+
+DecisionTimes measureDecisions(Scene &scene)
+{
+    using Clock = std::chrono::steady_clock;
+    DecisionTimes times;
+    times.microseconds.reserve(kDecisions);
+    const auto request = [&scene](int i) -> const SceneRequest & {
+        return scene.requests[static_cast<std::size_t>(i) % scene.requests.size()];
+    };
+    for (int i = 0; i < kWarmUp; ++i)
+        decideOnce(scene, request(i));
+    const HeapUse before = heapUse();
+    int admitted = 0;
+    for (int i = 0; i < kDecisions; ++i) {
+        scene.now += std::chrono::microseconds(100);
+        const Clock::time_point start = Clock::now();
+        admitted += decideOnce(scene, request(i)) ? 1 : 0;
+        const std::chrono::duration<double, std::micro> passed = Clock::now() - start;
+        times.microseconds.push_back(passed.count());
+    }
+    times.allocations =
+            static_cast<double>(heapUse().allocations - before.allocations) / kDecisions;
+    times.admitted = static_cast<double>(admitted) / kDecisions;
+    return times;
+}
+
+/// Returns the heap bytes per indexed block, the worst of several table sizes on the way to the
+/// daemon's share, because the table grows in steps.
+double bytesPerBlock(const SceneSize &size, std::uint64_t seed)
+{
+    constexpr int kSteps = 16;
+    double worst = 0;
+    chervilfield::routing::Random random(seed);
+    for (int step = kSteps / 2; step <= kSteps; ++step) {
+        const std::size_t blocks = size.blocks * static_cast<std::size_t>(step) / kSteps;
+        const std::int64_t before = heapUse().liveBytes;
+        chervilfield::prefix::BlockIndex index;
+        fillIndex(index, size.followedEngines, blocks, random,
+                  std::chrono::steady_clock::time_point(std::chrono::hours(1)));
+        const auto bytes = static_cast<double>(heapUse().liveBytes - before);
+        worst = std::max(worst, bytes / static_cast<double>(index.size()));
+    }
+    return worst;
+}
+
+/// Returns the median time of a copy of the index, which the control thread publishes to readers.
+double copyMilliseconds(const chervilfield::prefix::BlockIndex &index)
+{
+    constexpr int kCopies = 21;
+    std::vector<double> times;
+    std::size_t blocks = 0;
+    for (int i = 0; i < kCopies; ++i) {
+        const auto start = std::chrono::steady_clock::now();
+        chervilfield::prefix::BlockIndex copy(index);
+        const std::chrono::duration<double, std::milli> passed =
+                std::chrono::steady_clock::now() - start;
+        copy.sweep(1, start);
+        blocks += copy.size();
+        times.push_back(passed.count());
+    }
+    return blocks > 0 ? percentile(times, 0.5) : 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const BenchArguments arguments = parseArguments(argc, argv,
+                                                    "Measures the choice of a target at the design "
+                                                    "scale: index lookup, routing decision and "
+                                                    "admission.");
+    const auto start = std::chrono::steady_clock::now();
+    const SceneSize size;
+    const double memory = bytesPerBlock(size, arguments.seed);
+    Scene scene = makeScene(size, arguments.seed);
+    DecisionTimes times = measureDecisions(scene);
+    const double p50 = percentile(times.microseconds, 0.5);
+    const double p99 = percentile(times.microseconds, 0.99);
+    std::vector<Row> rows{
+        { .name = "decision_p99_us",
+          .unit = "us",
+          .value = p99,
+          .goal = Goal::AtMost,
+          .target = 50 },
+        { .name = "decision_p50_us", .unit = "us", .value = p50 },
+        { .name = "allocations_per_decision", .unit = "1", .value = times.allocations },
+        { .name = "bytes_per_block",
+          .unit = "bytes",
+          .value = memory,
+          .goal = Goal::AtMost,
+          .target = 24 },
+        { .name = "admitted", .unit = "1", .value = times.admitted },
+        { .name = "targets", .unit = "1", .value = static_cast<double>(size.targets) },
+        { .name = "indexed_blocks", .unit = "1", .value = static_cast<double>(scene.index.size()) },
+        { .name = "index_copy_ms", .unit = "ms", .value = copyMilliseconds(scene.index) },
+    };
+    std::ranges::move(compareLimits(arguments.seed), std::back_inserter(rows));
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - start;
+    return writeReport("decision", arguments, elapsed.count(), rows);
+}
--- /dev/null
+++ b/bench/slopes/main.cpp
@@ -0,0 +1,175 @@
+#include "support/decision_scene.h"
+#include "support/measure.h"
+
+#include "routing/target_health.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <vector>
+
+namespace {
+
+using namespace chervilfield;
+using namespace chervilfield::bench;
+
+const std::chrono::steady_clock::time_point kNow{ std::chrono::hours(1) };
+constexpr int kRepeats = 5;
+constexpr std::size_t kFollowedEngines = 5;
+
+std::size_t count(double size)
+{
+    return static_cast<std::size_t>(size);
+}
+
+/// Returns the heap bytes that `build` leaves in use while its result lives.
+template<typename Build>
+double bytesOf(const Build &build)
+{
+    const std::int64_t before = heapUse().liveBytes;
+    const auto held = build();
+    return static_cast<double>(heapUse().liveBytes - before);
+}
+
+double indexBytes(std::uint64_t seed, double blocks)
+{
+    return bytesOf([&] {
+        routing::Random random(seed);
+        prefix::BlockIndex index;
+        fillIndex(index, kFollowedEngines, count(blocks), random, kNow);
+        return index;
+    });
+}
+
+/// Applies `events` events to the index of a daemon's share: every second event stores a new block
+/// and the others evict the block stored longest ago, so that the index keeps its size.
+double eventNanoseconds(std::uint64_t seed, double events)
+{
+    routing::Random random(seed);
+    prefix::BlockIndex index;
+    fillIndex(index, kFollowedEngines, SceneSize().blocks, random, kNow);
+    const prefix::HolderSlot slot = index.beginLife({ 1, 1 }, true);
+    constexpr std::size_t kCached = 1'000;
+    std::vector<std::uint64_t> cached(kCached);
+    std::ranges::generate(cached, random);
+    std::uint64_t number = 0;
+    const auto apply = [&](prefix::CacheEventKind kind, std::uint64_t block) {
+        index.applyEvent(slot, { ++number, kind, { &block, 1 } }, kNow);
+    };
+    for (const std::uint64_t block : cached)
+        apply(prefix::CacheEventKind::Stored, block);
+    return cpuNanoseconds(kRepeats, [&] {
+        for (std::size_t i = 0; i < count(events) / 2; ++i) {
+            std::uint64_t &block = cached[i % kCached];
+            apply(prefix::CacheEventKind::Evicted, block);
+            block = random();
+            apply(prefix::CacheEventKind::Stored, block);
+        }
+    });
+}
+
+double decisionNanoseconds(std::uint64_t seed, double targets)
+{
+    constexpr int kDecisions = 20'000;
+    Scene scene = makeScene({ .targets = count(targets), .blocks = 50'000 }, seed);
+    const double total = cpuNanoseconds(kRepeats, [&scene] {
+        for (std::size_t i = 0; i < kDecisions; ++i)
+            decideOnce(scene, scene.requests[i % scene.requests.size()]);
+    });
+    return total / kDecisions;
+}
+
+/// Returns the time of one health update of a pool in which every target has a full window.
+double healthNanoseconds(std::uint64_t seed, double targets)
+{
+    using std::chrono::microseconds;
+    routing::Random random(seed);
+    std::vector<routing::TargetHealth> pool(count(targets));
+    for (routing::TargetHealth &health : pool) {
+        for (std::uint64_t job = 0; job < routing::RatioWindow::kCapacity; ++job) {
+            const routing::JobTimes times{ job, microseconds(50'000 + random() % 100'000),
+                                           microseconds(100'000) };
+            routing::recordFirstToken(health, times, kNow);
+            routing::recordInterToken(health, times, kNow);
+        }
+    }
+    const routing::HealthOptions options;
+    std::chrono::steady_clock::time_point now = kNow;
+    return cpuNanoseconds(10, [&] {
+        now += options.updateInterval;
+        routing::updateHealth(pool, options, now);
+    });
+}
+
+/// Returns the time of one lookup of a chain that the index holds completely.
+double lookupNanoseconds(std::uint64_t seed, double blocks)
+{
+    constexpr std::size_t kChains = 256;
+    routing::Random random(seed);
+    prefix::BlockIndex index;
+    fillIndex(index, kFollowedEngines, SceneSize().blocks, random, kNow);
+    const prefix::HolderSlot slot = index.beginLife({ 1, 1 }, true);
+    std::vector<std::vector<std::uint64_t>> chains(kChains);
+    for (auto &chain : chains) {
+        chain.resize(count(blocks));
+        std::ranges::generate(chain, random);
+        index.recordPlacement(slot, chain, kNow);
+    }
+    std::array<prefix::PrefixHolder, routing::kMaxCandidates> out;
+    const double total = cpuNanoseconds(kRepeats, [&] {
+        for (const auto &chain : chains)
+            index.findHolders(chain, kNow, out);
+    });
+    return total / kChains;
+}
+
+double customerBytes(double customers)
+{
+    return bytesOf([&] {
+        admission::FairShares shares;
+        shares.setCapacity(1ULL << 40U);
+        for (std::uint64_t customer = 0; customer < count(customers); ++customer)
+            shares.admit(customer * 0x9e3779b97f4a7c15ULL, 1, 10, kNow);
+        return shares;
+    });
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const BenchArguments arguments = parseArguments(
+            argc, argv, "Measures how costs grow with size and fits a line to each.");
+    const auto start = std::chrono::steady_clock::now();
+    const std::uint64_t seed = arguments.seed;
+    const std::array slopes{
+        Slope{ .name = "index_memory_per_block",
+               .unit = "bytes",
+               .sizes = { 25'000, 50'000, 100'000, 200'000, 400'000, 800'000 },
+               .cost = [seed](double size) { return indexBytes(seed, size); } },
+        Slope{ .name = "index_cpu_per_event",
+               .unit = "ns",
+               .sizes = { 25'000, 50'000, 100'000, 200'000 },
+               .cost = [seed](double size) { return eventNanoseconds(seed, size); } },
+        Slope{ .name = "decision_cpu_per_target",
+               .unit = "ns",
+               .sizes = { 54, 108, 215, 430, 860 },
+               .cost = [seed](double size) { return decisionNanoseconds(seed, size); } },
+        Slope{ .name = "index_lookup_cpu_per_block",
+               .unit = "ns",
+               .sizes = { 4, 8, 16, 32, 64 },
+               .cost = [seed](double size) { return lookupNanoseconds(seed, size); } },
+        Slope{ .name = "health_update_cpu_per_target",
+               .unit = "ns",
+               .sizes = { 54, 108, 215, 430, 860 },
+               .cost = [seed](double size) { return healthNanoseconds(seed, size); } },
+        Slope{ .name = "admission_memory_per_customer",
+               .unit = "bytes",
+               .sizes = { 2'625, 5'250, 10'500, 21'000, 42'000 },
+               .cost = customerBytes },
+    };
+    std::vector<Row> rows;
+    std::ranges::transform(slopes, std::back_inserter(rows), measureSlope);
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - start;
+    return writeReport("slopes", arguments, elapsed.count(), rows);
+}
--- /dev/null
+++ b/bench/support/decision_scene.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "admission/admission.h"
+#include "prefix/block_index.h"
+#include "routing/decision.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace chervilfield::bench {
+
+/// Size of what one daemon sees. The defaults are the design scale of docs/design.md 1.8: each of
+/// 860 engines is followed by two of 360 daemons, so a daemon follows five engines and indexes
+/// 69 M * 2 / 360 blocks.
+struct SceneSize
+{
+    std::size_t targets = 860;
+    std::size_t models = 31;
+    std::size_t customers = 42'000;
+    std::size_t followedEngines = 5;
+    std::size_t blocks = 69'000'000ULL * 2 / 360;
+};
+
+/// A request as the decision sees it.
+struct SceneRequest
+{
+    std::vector<std::uint64_t> chain;
+    std::uint64_t customer = 0;
+    bool isLong = false;
+};
+
+/// State of one daemon under load, and requests to decide on.
+struct Scene
+{
+    SceneSize size;
+    prefix::BlockIndex index;
+    std::vector<routing::Target> targets;
+    routing::State state;
+    routing::Random random;
+    admission::PoolAdmission pool;
+    std::vector<admission::TargetAdmission> admissions; ///< One per target.
+    std::vector<SceneRequest> requests;
+    std::chrono::steady_clock::time_point now{ std::chrono::hours(1) };
+};
+
+Scene makeScene(const SceneSize &size, std::uint64_t seed);
+
+/// Fills `index` with the blocks of prompts that share nested prefixes, until it has `blocks`
+/// entries. The lives of `engines` engines hold them. Returns some of the prompts' chains.
+std::vector<std::vector<std::uint64_t>> fillIndex(prefix::BlockIndex &index, std::size_t engines,
+                                                  std::size_t blocks, routing::Random &random,
+                                                  std::chrono::steady_clock::time_point now);
+
+/// Decides on one request as the daemon does: index lookup, routing, admission. Admitted budgets
+/// are returned at once. Returns whether the request was admitted.
+bool decideOnce(Scene &scene, const SceneRequest &request);
+
+} // namespace chervilfield::bench
--- a/packages/admission/include/admission/extra_budget.h
+++ b/packages/admission/include/admission/extra_budget.h
@@ -2,7 +2,9 @@
 
 #include "admission/types.h"
 
+#include <cstddef>
 #include <optional>
+#include <unordered_map>
 
 namespace chervilfield::admission {
 
@@ -40,4 +42,17 @@
 bool takeHedge(ExtraBudget &budget, const ExtraBudgetOptions &options, bool repeatable,
                TimePoint now);
 
+/// Retry budgets by customer or by target, for as many as are active. A budget that was idle long
+/// enough to be full again is forgotten; it then starts with one retry.
+struct ExtraBudgets
+{
+    std::unordered_map<std::uint64_t, ExtraBudget> budgets;
+    TimePoint forgottenAt{};
+};
+
+/// Returns the budget of `id`, which starts with one attempt if it is new. The reference is valid
+/// until the next call.
+ExtraBudget &budgetOf(ExtraBudgets &budgets, std::uint64_t id, const ExtraBudgetOptions &options,
+                      TimePoint now);
+
 } // namespace chervilfield::admission
--- a/packages/admission/include/admission/fair_shares.h
+++ b/packages/admission/include/admission/fair_shares.h
@@ -25,7 +25,8 @@
 class FairShares
 {
 public:
-    explicit FairShares(FairShareOptions options = {}) : options_(options) {}
+    FairShares() = default;
+    explicit FairShares(FairShareOptions options) : options_(options) {}
 
     /// Sets the capacity in tokens of work in progress.
     void setCapacity(std::uint64_t tokens) { capacity_ = tokens; }
@@ -66,7 +67,7 @@
     void reserve(Customer &record);
     double share(const Customer &record) const;
 
-    FairShareOptions options_;
+    FairShareOptions options_{};
     std::uint64_t capacity_ = 0;
     std::uint64_t used_ = 0;
     double activeWeight_ = 0;
--- a/packages/admission/src/concurrency_limit.cpp
+++ b/packages/admission/src/concurrency_limit.cpp
@@ -4,10 +4,17 @@
 
 namespace chervilfield::admission {
 
+std::chrono::duration<double> acceptedFirstToken(const LimitSample &sample,
+                                                 const ConcurrencyLimitOptions &options)
+{
+    return sample.predicted * options.tolerance
+           + options.allowedDelay[static_cast<std::size_t>(sample.workClass)];
+}
+
 void updateLimit(ConcurrencyLimit &limit, const LimitSample &sample,
                  const ConcurrencyLimitOptions &options, TimePoint now)
 {
-    if (sample.failed || sample.ratio > options.tolerance) {
+    if (sample.failed || sample.observed > acceptedFirstToken(sample, options)) {
         if (now - limit.decreasedAt < options.decreaseInterval)
             return;
         limit.limit *= sample.failed ? options.failure : options.decrease;
--- a/packages/admission/src/extra_budget.cpp
+++ b/packages/admission/src/extra_budget.cpp
@@ -58,4 +58,17 @@
     return true;
 }
 
+ExtraBudget &budgetOf(ExtraBudgets &budgets, std::uint64_t id, const ExtraBudgetOptions &options,
+                      TimePoint now)
+{
+    const std::chrono::duration<double> timeToFull(options.most / std::max(options.perSecond, 0.1));
+    if (now - budgets.forgottenAt > timeToFull) {
+        std::erase_if(budgets.budgets, [&](const auto &entry) {
+            return now - entry.second.refilledAt > timeToFull;
+        });
+        budgets.forgottenAt = now;
+    }
+    return budgets.budgets.try_emplace(id, ExtraBudget{ .refilledAt = now }).first->second;
+}
+
 } // namespace chervilfield::admission
--- a/packages/admission/test/extra_budget_test.cpp
+++ b/packages/admission/test/extra_budget_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(boundsRetries);
     CPPUNIT_TEST(takesFromBothOrNeither);
     CPPUNIT_TEST(hedgesRepeatableWorkOnly);
+    CPPUNIT_TEST(forgetsIdleBudgets);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -75,6 +76,23 @@
         }
         CPPUNIT_ASSERT_EQUAL_MESSAGE("hedges", true, hedges >= 29 && hedges <= 31);
     }
+
+    // Guards against memory that grows with every customer ever seen, and against a customer that
+    // gets a new budget by being forgotten while its own is spent.
+    void forgetsIdleBudgets()
+    {
+        ExtraBudgets customers;
+        TimePoint now = kStart;
+        int retries = 0;
+        for (std::uint64_t id = 1; id <= 42'000; ++id, now += std::chrono::milliseconds(10)) {
+            ExtraBudget target{ .saved = 1 };
+            budgetOf(customers, id, kRetryBudget, now);
+            if (!takeRetry(budgetOf(customers, 0, kRetryBudget, now), target, kRetryBudget, now))
+                ++retries;
+        }
+        CPPUNIT_ASSERT(customers.budgets.size() <= 6'000);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("420 s earn 210 retries", true, retries <= 212);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ExtraBudgetTest);
--- a/packages/prefix/include/prefix/block_index.h
+++ b/packages/prefix/include/prefix/block_index.h
@@ -84,7 +84,8 @@
 class BlockIndex
 {
 public:
-    explicit BlockIndex(BlockIndexOptions options = {});
+    BlockIndex() : BlockIndex(BlockIndexOptions{}) {}
+    explicit BlockIndex(BlockIndexOptions options);
 
     /// Returns the slot of `life`, which it creates if needed. Another life of the same engine
     /// ends. `followed` states that the life's event stream is read. Returns `kNoHolder` if
@@ -100,6 +101,9 @@
     /// Returns true if and only if `slot` names a life that has not ended.
     bool isLive(HolderSlot slot) const { return slot < lives_.size() && lives_[slot].live; }
 
+    /// Returns the life that `slot` names; `isLive(slot)` must be true.
+    const EngineLife &lifeOf(HolderSlot slot) const { return lives_[slot].id; }
+
     EventOutcome applyEvent(HolderSlot slot, const CacheEvent &event, TimePoint now);
 
     /// Returns true if and only if events of the life are missing.
--- a/packages/prefix/test/block_index_test.cpp
+++ b/packages/prefix/test/block_index_test.cpp
@@ -36,7 +36,9 @@
     CPPUNIT_TEST(findsLongestPrefix);
     CPPUNIT_TEST(detectsGapsAndResynchronises);
     CPPUNIT_TEST(agreesWithModel);
+    CPPUNIT_TEST(recoversFromLostEvents);
     CPPUNIT_TEST(forgetsEndedLives);
+    CPPUNIT_TEST(clearsMovedEntries);
     CPPUNIT_TEST(keepsMemoryBounded);
     CPPUNIT_TEST(correctsWrongClaims);
     CPPUNIT_TEST(distrustsOldClaims);
@@ -135,6 +137,51 @@
         CPPUNIT_ASSERT(holds);
     }
 
+    // Guards against an index that differs from the engine after any pattern of lost, repeated and
+    // reordered events once the follower has loaded the snapshots that the index asks for.
+    void recoversFromLostEvents()
+    {
+        const bool holds = rc::check("the index equals the cache after resynchronisation", [] {
+            BlockIndex index;
+            const HolderSlot slot = index.beginLife({ 1, 1 }, true);
+            std::set<std::uint64_t> cache;
+            std::vector<std::pair<CacheEventKind, std::uint64_t>> log;
+            const auto snapshot = [&] {
+                return index.applySnapshot(slot, log.size(), Chain(cache.begin(), cache.end()),
+                                           kStart);
+            };
+            const auto deliver = [&](std::uint64_t number) {
+                const auto &[kind, hash] = log[number - 1];
+                index.applyEvent(slot, { number, kind, { &hash, 1 } }, kStart);
+            };
+            const int steps = *rc::gen::inRange(1, 150);
+            for (int i = 0; i < steps; ++i) {
+                const std::uint64_t hash = blockHash(*rc::gen::inRange<std::uint64_t>(0, 30));
+                const bool store = !cache.contains(hash);
+                log.emplace_back(store ? CacheEventKind::Stored : CacheEventKind::Evicted, hash);
+                if (store)
+                    cache.insert(hash);
+                else
+                    cache.erase(hash);
+                const int fate = *rc::gen::inRange(0, 8);
+                if (fate > 1) // One event in four is lost.
+                    deliver(log.size());
+                if (fate == 7)
+                    deliver(*rc::gen::inRange<std::uint64_t>(1, log.size() + 1));
+                if (index.needsSnapshot(slot) && *rc::gen::inRange(0, 4) == 0)
+                    RC_ASSERT(snapshot());
+            }
+            log.emplace_back(CacheEventKind::Evicted, blockHash(1'000));
+            deliver(log.size()); // Makes a loss at the end visible.
+            if (index.needsSnapshot(slot))
+                RC_ASSERT(snapshot());
+            for (std::uint64_t block = 0; block < 30; ++block)
+                RC_ASSERT(claimFor(index, slot, { blockHash(block) })
+                          == cache.count(blockHash(block)));
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
     // Guards against a claim of an ended life (invariant 1), also when its slot number is used
     // again by a later life.
     void forgetsEndedLives()
@@ -169,6 +216,29 @@
         CPPUNIT_ASSERT(holds);
     }
 
+    // Guards against an entry that an erasure moves past the sweep, so that it still names an ended
+    // life when the life's slot is given out again.
+    void clearsMovedEntries()
+    {
+        constexpr std::size_t kPlaces = 64; // Size of a new table.
+        constexpr std::uint64_t kHome = 10;
+        const std::uint64_t first = (kHome << 58U) | 1U;
+        const std::uint64_t second = (kHome << 58U) | 2U; // Takes the place after the first.
+        BlockIndex index({ .sweepPerChange = 0 });
+        const HolderSlot other = index.beginLife({ 1, 1 }, true);
+        const HolderSlot ended = index.beginLife({ 2, 1 }, true);
+        index.recordPlacement(other, Chain{ first }, kStart);
+        index.recordPlacement(ended, Chain{ second }, kStart);
+        index.sweep(kHome + 2, kStart);
+        index.endLife(ended);
+        index.sweep(kPlaces - (kHome + 2) + kHome + 1, kStart);
+        index.applyEvent(other, { 1, CacheEventKind::Evicted, { &first, 1 } }, kStart);
+        index.sweep(kPlaces - kHome, kStart);
+        const HolderSlot later = index.beginLife({ 3, 1 }, true);
+        CPPUNIT_ASSERT_EQUAL(ended, later);
+        CPPUNIT_ASSERT_EQUAL(0U, claimFor(index, later, { second }));
+    }
+
     // Guards against unbounded growth, and against eviction of recent entries before old ones.
     void keepsMemoryBounded()
     {
--- a/packages/routing/include/routing/target_health.h
+++ b/packages/routing/include/routing/target_health.h
@@ -49,6 +49,7 @@
         std::uint64_t job = 0;
         TimePoint at{};
         float ratio = 0; ///< 0 marks an unused sample.
+        bool fromPeer = false;
     };
     std::array<Sample, kCapacity> samples{};
     std::size_t next = 0;
@@ -74,6 +75,23 @@
 /// Records the mean time between tokens of a job so far.
 void recordInterToken(TargetHealth &health, const JobTimes &times, TimePoint now);
 
+/// Median ratios of one target over a daemon's own jobs, as daemons exchange them; 0 means that
+/// there was no job. At the design scale one daemon sends a target a job only about once a minute,
+/// so it depends on what its peers observe.
+struct HealthDigest
+{
+    float firstToken = 0;
+    float interToken = 0;
+};
+
+/// Returns the digest of the daemon's own samples within the window.
+HealthDigest ownHealth(const TargetHealth &health, const HealthOptions &options, TimePoint now);
+
+/// Records what daemon `peer` observed. Each peer counts as one job; its next digest replaces the
+/// one before.
+void recordPeerHealth(TargetHealth &health, std::uint64_t peer, const HealthDigest &digest,
+                      TimePoint now);
+
 /// Compares the targets of one pool with each other and moves slowness and weight one step. Uses
 /// the median over jobs, so a straggling job does not count against its target, and the median over
 /// targets, so a load peak that slows the whole pool reduces none of them. Call it at least every
--- a/packages/routing/src/target_health.cpp
+++ b/packages/routing/src/target_health.cpp
@@ -21,24 +21,34 @@
     double slowness = 1;
 };
 
-void record(RatioWindow &window, const JobTimes &times, TimePoint now)
+void insert(RatioWindow &window, const RatioWindow::Sample &added)
 {
-    if (times.predicted <= std::chrono::microseconds::zero())
-        return;
-    const float ratio = std::clamp(static_cast<float>(times.observed.count())
-                                           / static_cast<float>(times.predicted.count()),
-                                   kMinRatio, kMaxRatio);
     const auto known = std::ranges::find_if(window.samples, [&](const RatioWindow::Sample &sample) {
-        return sample.ratio > 0 && sample.job == times.job;
+        return sample.ratio > 0 && sample.job == added.job && sample.fromPeer == added.fromPeer;
     });
     if (known != window.samples.end()) {
-        *known = { times.job, now, ratio };
+        *known = added;
         return;
     }
-    window.samples[window.next] = { times.job, now, ratio };
+    window.samples[window.next] = added;
     window.next = (window.next + 1) % RatioWindow::kCapacity;
 }
 
+void record(RatioWindow &window, const JobTimes &times, TimePoint now)
+{
+    if (times.predicted <= std::chrono::microseconds::zero())
+        return;
+    const float ratio = static_cast<float>(times.observed.count())
+                        / static_cast<float>(times.predicted.count());
+    insert(window, { times.job, now, std::clamp(ratio, kMinRatio, kMaxRatio) });
+}
+
+void recordPeer(RatioWindow &window, std::uint64_t peer, float ratio, TimePoint now)
+{
+    if (ratio > 0)
+        insert(window, { peer, now, std::clamp(ratio, kMinRatio, kMaxRatio), true });
+}
+
 double middle(std::span<double> values)
 {
     const auto half = static_cast<std::ptrdiff_t>(values.size() / 2);
@@ -49,16 +59,19 @@
     return (upper + *std::max_element(values.begin(), values.begin() + half)) / 2;
 }
 
-std::optional<double> windowMedian(const RatioWindow &window, const HealthOptions &options,
-                                   TimePoint now)
+enum class Source { All, Own };
+
+std::optional<double> windowMedian(const RatioWindow &window, Source source, std::size_t minSamples,
+                                   const HealthOptions &options, TimePoint now)
 {
     std::array<double, RatioWindow::kCapacity> ratios{};
     std::size_t count = 0;
     for (const RatioWindow::Sample &sample : window.samples) {
-        if (sample.ratio > 0 && now - sample.at <= options.window)
+        const bool wanted = source == Source::All || !sample.fromPeer;
+        if (wanted && sample.ratio > 0 && now - sample.at <= options.window)
             ratios[count++] = sample.ratio;
     }
-    if (count < options.minSamples || count == 0)
+    if (count < std::max<std::size_t>(minSamples, 1))
         return std::nullopt;
     return middle(std::span(ratios).first(count));
 }
@@ -71,7 +84,8 @@
     std::vector<Judgement> judged;
     std::vector<double> medians;
     for (std::size_t i = 0; i < pool.size(); ++i) {
-        if (const auto median = windowMedian(pool[i].*window, options, now)) {
+        if (const auto median =
+                    windowMedian(pool[i].*window, Source::All, options.minSamples, options, now)) {
             judged.push_back({ i, *median });
             medians.push_back(*median);
         }
@@ -137,6 +151,23 @@
     health.lastSampleAt = now;
 }
 
+HealthDigest ownHealth(const TargetHealth &health, const HealthOptions &options, TimePoint now)
+{
+    const auto median = [&](const RatioWindow &window) {
+        return static_cast<float>(windowMedian(window, Source::Own, 1, options, now).value_or(0));
+    };
+    return { median(health.firstToken), median(health.interToken) };
+}
+
+void recordPeerHealth(TargetHealth &health, std::uint64_t peer, const HealthDigest &digest,
+                      TimePoint now)
+{
+    recordPeer(health.firstToken, peer, digest.firstToken, now);
+    recordPeer(health.interToken, peer, digest.interToken, now);
+    if (digest.firstToken > 0 || digest.interToken > 0)
+        health.lastSampleAt = now;
+}
+
 void updateHealth(std::span<TargetHealth> pool, const HealthOptions &options, TimePoint now)
 {
     if (pool.empty() || now - pool.front().updatedAt < options.updateInterval)
--- a/packages/routing/test/target_health_test.cpp
+++ b/packages/routing/test/target_health_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(keepsFloorCapAndStep);
     CPPUNIT_TEST(ignoresSlownessOfTheWholePool);
     CPPUNIT_TEST(probesUnsampledTargets);
+    CPPUNIT_TEST(learnsFromPeers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -195,6 +196,33 @@
             pool.update();
         CPPUNIT_ASSERT_EQUAL(1.0, slow.weight);
     }
+
+    // Guards against slowness that no daemon sees because each has too few jobs of its own, and
+    // against digests that circulate between daemons and count again.
+    void learnsFromPeers()
+    {
+        constexpr std::size_t kDaemons = 6;
+        constexpr std::size_t kTargets = 4;
+        std::vector<Pool> daemons(kDaemons, Pool{ .targets = std::vector<TargetHealth>(kTargets) });
+        for (Pool &daemon : daemons)
+            daemon.step({ 1, 1, 5, 1 });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, daemons[0].lowered());
+        for (int round = 0; round < 4; ++round) {
+            for (std::uint64_t from = 1; from < kDaemons; ++from) {
+                Pool &peer = daemons[from];
+                for (std::size_t t = 0; t < kTargets; ++t)
+                    recordPeerHealth(daemons[0].targets[t], from,
+                                     ownHealth(peer.targets[t], peer.options, peer.now), peer.now);
+            }
+            daemons[0].update();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, daemons[0].lowered());
+        CPPUNIT_ASSERT(daemons[0].targets[2].reduced);
+
+        TargetHealth onlyPeers;
+        recordPeerHealth(onlyPeers, 1, { 5, 5 }, kStart);
+        CPPUNIT_ASSERT_EQUAL(0.0F, ownHealth(onlyPeers, {}, kStart).firstToken);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetHealthTest);
