Add the administration API and chervilfieldctl

Operators need to change the configuration through any instance and to know the outcome of each change.

Package admin serves apply (with dry run), resources, status, time line, explain and drain; the last two and the list of instances are hooks of the daemon.

--- /dev/null
+++ b/packages/admin/src/admin_api.cpp
@@ -0,0 +1,239 @@
+#include "admin/admin_api.h"
+
+#include "base/result.h"
+#include "configuration/json.h"
+#include "http/error_response.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include <charconv>
+#include <chrono>
+#include <optional>
+#include <span>
+#include <utility>
+
+namespace chervilfield::admin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using base::Result;
+using base::WorkStatus;
+using configuration::Resource;
+using configuration::RevisionNumber;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::string_view kRoot = "/admin/v1/";
+/// Limit for the control actor to put an accepted change in force before the response is sent.
+constexpr milliseconds kInForceLimit{ 1000 };
+constexpr milliseconds kInForcePoll{ 1 };
+
+net::Response reply(const json::value &body)
+{
+    return net::jsonResponse(200, serialize(body));
+}
+
+net::Response refusal(Result code, WorkStatus work = WorkStatus::NotRun,
+                      std::string_view detail = {})
+{
+    return http::errorResponse({ .code = code, .work = work, .detail = detail });
+}
+
+/// Returns the refusal of a change, with the faults and the latest revision.
+net::Response applyRefusal(Result code, RevisionNumber revision,
+                           std::span<const configuration::ValidationError> errors)
+{
+    const WorkStatus work =
+            code == Result::WriteUndecided ? WorkStatus::Unknown : WorkStatus::NotRun;
+    json::value body = json::parse(http::errorBody({ .code = code, .work = work }));
+    body.as_object()["revision"] = revision;
+    body.as_object()["errors"] = json::parse(toJson(errors));
+    return net::jsonResponse(base::resultInfo(code).httpStatus, serialize(body));
+}
+
+/// Parses "<wall time in ms>.<counter>"; the counter may be left out.
+std::optional<base::HybridTime> parseTime(std::string_view text)
+{
+    base::HybridTime time;
+    const std::string_view wall = text.substr(0, text.find('.'));
+    const std::string_view counter =
+            wall.size() == text.size() ? "0" : text.substr(wall.size() + 1);
+    const auto parse = [](std::string_view digits, auto &out) {
+        const auto [end, error] =
+                std::from_chars(digits.data(), digits.data() + digits.size(), out);
+        return error == std::errc() && end == digits.data() + digits.size();
+    };
+    if (!parse(wall, time.wallMs) || !parse(counter, time.counter))
+        return std::nullopt;
+    return time;
+}
+
+json::object encode(const InstanceStatus &status)
+{
+    return { { "instance", status.instance },
+             { "dataCentre", status.dataCentre },
+             { "revision", status.revision } };
+}
+
+json::object encode(const base::TimeLineEvent &event)
+{
+    return { { "wallMs", event.time.wallMs }, { "counter", event.time.counter },
+             { "instance", event.instance },  { "part", event.part },
+             { "kind", event.kind },          { "subject", event.subject },
+             { "detail", event.detail } };
+}
+
+/// Appends the resources of one kind, or only the one called `name`.
+template<typename T>
+void append(json::array &result, const std::vector<std::shared_ptr<const T>> &entries,
+            const std::optional<std::string> &name)
+{
+    for (const auto &entry : entries) {
+        if (!name || entry->name == *name)
+            result.push_back(json::parse(toJson(Resource(*entry))));
+    }
+}
+
+} // namespace
+
+AdminApi::AdminApi(asio::io_context &context, control::ConfigurationControl &control,
+                   control::ConfigurationLog &log, AdminHooks hooks)
+    : context_(context), control_(control), log_(log), hooks_(std::move(hooks))
+{
+}
+
+net::Handler AdminApi::handler()
+{
+    return [this](net::Exchange &exchange, asio::yield_context yield) {
+        const net::Response response = handle(exchange.request(), yield);
+        std::error_code ignored;
+        exchange.respond(response, yield, ignored);
+    };
+}
+
+net::Response AdminApi::handle(const net::Request &request, asio::yield_context yield)
+{
+    const std::string_view path = net::pathOf(request.target);
+    if (!path.starts_with(kRoot))
+        return refusal(Result::UnknownPath);
+    const std::string_view name = path.substr(kRoot.size());
+    const bool isPost = name == "apply" || name == "drain";
+    if (request.method != (isPost ? "POST" : "GET"))
+        return refusal(Result::MethodNotAllowed);
+    if (name == "apply")
+        return apply(request, yield);
+    if (name == "drain")
+        return drain(request);
+    if (name == "status")
+        return status();
+    if (name == "timeline")
+        return timeLine(request);
+    if (name == "explain")
+        return hooks_.explain ? hooks_.explain(request) : refusal(Result::NotFound);
+    return get(request);
+}
+
+/// Hands the entries that an apply has read or written to the control actor, and waits until this
+/// daemon serves with them, so that an operator who reads after writing sees the change.
+void AdminApi::adopt(const control::ApplyResult &result, bool dryRun, asio::yield_context yield)
+{
+    control_.offerRevisions(result.entries, "apply");
+    const RevisionNumber last = result.entries.empty() ? 0 : result.entries.back().number;
+    const auto deadline = std::chrono::steady_clock::now() + kInForceLimit;
+    while (control_.current()->revision() < last && std::chrono::steady_clock::now() < deadline) {
+        asio::steady_timer timer(context_, kInForcePoll);
+        boost::system::error_code ignored;
+        timer.async_wait(yield[ignored]);
+    }
+    if (dryRun || last != result.revision)
+        return;
+    net::spawnCoroutine(context_, "[admin]",
+                        [&log = log_, entry = result.entries.back(),
+                         configuration = result.configuration](asio::yield_context inner) {
+                            log.publishObjects(entry, *configuration, inner);
+                        });
+}
+
+net::Response AdminApi::apply(const net::Request &request, asio::yield_context yield)
+{
+    std::vector<configuration::ValidationError> errors;
+    auto change = configuration::parseChange(request.body, errors);
+    if (!change)
+        return applyRefusal(Result::ValidationFailed, control_.current()->revision(), errors);
+    const bool dryRun = net::queryParameter(request.target, "dryRun").value_or("false") == "true";
+    std::error_code error;
+    const control::ApplyResult result =
+            log_.apply(control_.current(), { std::move(*change), dryRun }, yield, error);
+    adopt(result, dryRun || error, yield);
+    if (error)
+        return applyRefusal(base::toResult(error), result.revision, result.errors);
+    return reply(json::object{ { "revision", result.revision },
+                               { "dryRun", dryRun },
+                               { "differences", json::parse(toJson(result.differences)) } });
+}
+
+net::Response AdminApi::get(const net::Request &request) const
+{
+    const std::string_view kind = net::pathOf(request.target).substr(kRoot.size());
+    const auto name = net::queryParameter(request.target, "name");
+    const auto configuration = control_.current();
+    const configuration::ResourceSet &resources = configuration->resources();
+    const bool all = kind == "resources";
+    if (!all && kind != "pools" && kind != "targets" && kind != "customers" && kind != "intents")
+        return refusal(Result::UnknownPath);
+    json::array result;
+    if (all || kind == "pools")
+        append(result, resources.pools, name);
+    if (all || kind == "targets")
+        append(result, resources.targets, name);
+    if (all || kind == "customers")
+        append(result, resources.customers, name);
+    if (all || kind == "intents")
+        append(result, resources.intents, name);
+    if (name && result.empty())
+        return refusal(Result::NotFound);
+    return reply(json::object{ { "revision", configuration->revision() },
+                               { "resources", std::move(result) } });
+}
+
+net::Response AdminApi::status() const
+{
+    InstanceStatus self = hooks_.self;
+    self.revision = control_.current()->revision();
+    json::array instances{ encode(self) };
+    if (hooks_.peers) {
+        for (const InstanceStatus &peer : hooks_.peers())
+            instances.push_back(encode(peer));
+    }
+    return reply(json::object{ { "revision", self.revision },
+                               { "highestKnown", control_.highestKnown() },
+                               { "instances", std::move(instances) } });
+}
+
+net::Response AdminApi::timeLine(const net::Request &request) const
+{
+    if (hooks_.timeLine == nullptr)
+        return refusal(Result::NotFound);
+    const std::string text = net::queryParameter(request.target, "after").value_or("0");
+    const auto after = parseTime(text);
+    if (!after) {
+        return refusal(Result::InvalidField, WorkStatus::NotRun,
+                       "after: expected <milliseconds>.<counter>, found '" + text + "'");
+    }
+    json::array events;
+    for (const base::TimeLineEvent &event : hooks_.timeLine->since(*after))
+        events.push_back(encode(event));
+    return reply(json::object{ { "events", std::move(events) } });
+}
+
+net::Response AdminApi::drain(const net::Request &) const
+{
+    if (!hooks_.drain)
+        return refusal(Result::NotFound);
+    hooks_.drain();
+    return reply(json::object{ { "draining", true } });
+}
+
+} // namespace chervilfield::admin
--- /dev/null
+++ b/packages/admin/test/admin_api_test.cpp
@@ -0,0 +1,136 @@
+#include "admin/admin_api.h"
+
+#include "platform_fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace chervilfield::admin {
+
+namespace asio = boost::asio;
+using control::PlatformFixture;
+using std::chrono::milliseconds;
+
+class AdminApiTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AdminApiTest);
+    CPPUNIT_TEST(requestsGetTheDocumentedResponse);
+    CPPUNIT_TEST(copiesReachTheObjectService);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a change whose outcome the operator is told wrongly, and reads that do not see
+    // an accepted change.
+    void requestsGetTheDocumentedResponse()
+    {
+        struct Row
+        {
+            const char *method;
+            const char *target;
+            const char *body;
+            int status;
+            const char *part; ///< Of the response's body.
+        };
+        const char *pool = R"({"ifRevision":0,"writeId":"w1","upserts":[
+            {"resource":"pool","name":"p","model":"m","weights":"v"}]})";
+        const char *invalid = R"({"ifRevision":1,"writeId":"w3","upserts":[
+            {"resource":"pool","name":"p"}]})";
+        const Row rows[] = {
+            { "GET", "/admin/v1/status", "", 200,
+              R"({"revision":0,"highestKnown":0,"instances":[)"
+              R"({"instance":"i1","dataCentre":"leon","revision":0},)"
+              R"({"instance":"i2","dataCentre":"celaya","revision":7}]})" },
+            { "POST", "/admin/v1/apply?dryRun=true", pool, 200, R"("difference":"added")" },
+            { "GET", "/admin/v1/pools", "", 200, R"({"revision":0,"resources":[]})" },
+            { "POST", "/admin/v1/apply", pool, 200, R"({"revision":1,"dryRun":false,)" },
+            { "GET", "/admin/v1/pools?name=p", "", 200, R"("name":"p")" },
+            { "GET", "/admin/v1/resources", "", 200, R"({"revision":1,"resources":[{)" },
+            { "GET", "/admin/v1/targets", "", 200, R"("resources":[]})" },
+            { "GET", "/admin/v1/pools?name=x", "", 404, R"("name":"not-found")" },
+            { "POST", "/admin/v1/apply", pool, 200, R"({"revision":1,)" },
+            { "POST", "/admin/v1/apply", R"({"ifRevision":0,"writeId":"w2"})", 409,
+              R"("work":"not-run"},"revision":1)" },
+            { "POST", "/admin/v1/apply", invalid, 422, R"("field":"weights")" },
+            { "POST", "/admin/v1/apply", "{", 422, "expected JSON" },
+            { "POST", "/admin/v1/apply", R"({"upserts":[]})", 422, R"("field":"writeId")" },
+            { "GET", "/admin/v1/timeline", "", 200, R"("kind":"configuration-in-force")" },
+            { "GET", "/admin/v1/timeline?after=x", "", 400, "found 'x'" },
+            { "GET", "/admin/v1/explain", "", 404, "not-found" },
+            { "POST", "/admin/v1/drain", "", 200, R"({"draining":true})" },
+            { "GET", "/admin/v1/drain", "", 405, "method-not-allowed" },
+            { "GET", "/admin/v1/other", "", 404, "unknown-path" },
+            { "GET", "/other", "", 404, "unknown-path" },
+        };
+        withApi([&](AdminApi &api, PlatformFixture &fixture, asio::yield_context yield) {
+            for (const Row &row : rows) {
+                const auto response = api.handle(
+                        { .method = row.method, .target = row.target, .body = row.body }, yield);
+                const std::string context = std::string(row.target) + " -> " + response.body;
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(context, row.status, response.status);
+                CPPUNIT_ASSERT_MESSAGE(context, response.body.find(row.part) != std::string::npos);
+            }
+            CPPUNIT_ASSERT_EQUAL(1, drains_);
+            fixture.service.faults().loseAnswers = -1;
+            fixture.service.faults().staleReads = -1;
+            const auto lost = api.handle({ .method = "POST",
+                                           .target = "/admin/v1/apply",
+                                           .body = R"({"ifRevision":1,"writeId":"w9","upserts":[],
+                                                      "deletes":[{"resource":"pool","name":"p"}]})" },
+                                         yield);
+            CPPUNIT_ASSERT_MESSAGE(lost.body,
+                                   lost.body.find(R"("work":"unknown")") != std::string::npos);
+            fixture.service.faults().tableDown = true;
+            const auto down = api.handle(
+                    { .method = "POST", .target = "/admin/v1/apply", .body = invalid }, yield);
+            CPPUNIT_ASSERT_EQUAL(503, down.status);
+            CPPUNIT_ASSERT(down.body.find(R"("work":"not-run")") != std::string::npos);
+        });
+    }
+
+    // Guards against a start during an outage of the table that lacks accepted changes.
+    void copiesReachTheObjectService()
+    {
+        withApi([](AdminApi &api, PlatformFixture &fixture, asio::yield_context yield) {
+            for (const char *body : { R"({"ifRevision":0,"writeId":"w1","upserts":[
+                       {"resource":"intent","name":"a","model":"m"}]})",
+                                      R"({"ifRevision":1,"writeId":"w2","upserts":[
+                       {"resource":"intent","name":"b","model":"m"}]})" }) {
+                const auto response = api.handle(
+                        { .method = "POST", .target = "/admin/v1/apply", .body = body }, yield);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(response.body, 200, response.status);
+            }
+            // Two entries and, because snapshots are taken at every second revision, one snapshot.
+            CPPUNIT_ASSERT(fixture.waitUntil(
+                    [&] { return fixture.service.counters().objectWrites == 3; }, yield));
+        });
+    }
+
+private:
+    using Body = std::function<void(AdminApi &, PlatformFixture &, asio::yield_context)>;
+
+    void withApi(const Body &body)
+    {
+        PlatformFixture fixture;
+        control::ControlSystem system;
+        base::HybridClock clock;
+        base::TimeLine timeLine("i1", 100, clock);
+        control::ConfigurationControl control(system, { .timeLine = &timeLine });
+        platform::PlatformClient platform(fixture.context.get_executor(),
+                                          fixture.options(milliseconds(200)));
+        control::ConfigurationLog log(platform, { .snapshotEvery = 2 });
+        AdminApi api(fixture.context, control, log,
+                     { .self = { .instance = "i1", .dataCentre = "leon" },
+                       .peers =
+                               [] {
+                                   return std::vector<InstanceStatus>{ { "i2", "celaya", 7 } };
+                               },
+                       .drain = [this] { ++drains_; },
+                       .timeLine = &timeLine });
+        fixture.run({ [&](asio::yield_context yield) { body(api, fixture, yield); } });
+    }
+
+    int drains_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdminApiTest);
+
+} // namespace chervilfield::admin
--- /dev/null
+++ b/packages/ctl/src/commands.cpp
@@ -0,0 +1,347 @@
+#include "ctl/commands.h"
+
+#include "admin_client.h"
+#include "base/hash.h"
+#include "configuration/json.h"
+#include "configuration/validation.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <random>
+#include <sstream>
+#include <thread>
+
+namespace chervilfield::ctl {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr milliseconds kWaitPoll{ 200 };
+/// Attempts of a change whose response was lost. The write id makes repetitions harmless.
+constexpr int kApplyAttempts = 3;
+
+std::string memberText(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains(key);
+    if (value == nullptr)
+        return "-";
+    return value->is_string() ? std::string(value->get_string()) : serialize(*value);
+}
+
+std::string newWriteId()
+{
+    std::random_device random;
+    const auto randomBits = [&] { return (std::uint64_t(random()) << 32U) | random(); };
+    return "ctl-" + base::toHex(randomBits()) + base::toHex(randomBits());
+}
+
+/// Runs one command; holds what every command needs.
+class Runner
+{
+public:
+    Runner(const Options &options, std::ostream &out, std::ostream &err)
+        : options_(options), out_(out), err_(err)
+    {
+    }
+
+    ExitCode run();
+
+private:
+    ExitCode applyFile(bool dryRun);
+    ExitCode applyChanges(configuration::ResourceChanges changes, bool dryRun);
+    ExitCode deleteResources();
+    ExitCode get();
+    ExitCode status();
+    ExitCode explain();
+    ExitCode timeline();
+    ExitCode drain();
+
+    std::optional<configuration::ResourceChanges> readFile(ExitCode &code);
+    ExitCode report(const Answer &answer);
+    void printRows(const json::value &body, std::string_view member,
+                   std::initializer_list<std::string_view> columns);
+    ExitCode fail(ExitCode code, const std::string &message);
+
+    const Options &options_;
+    std::ostream &out_;
+    std::ostream &err_;
+};
+
+ExitCode Runner::fail(ExitCode code, const std::string &message)
+{
+    err_ << "chervilfieldctl: " << message << '\n';
+    return code;
+}
+
+/// Prints an error response, or the whole body with `--output json`.
+ExitCode Runner::report(const Answer &answer)
+{
+    if (options_.json && !answer.body.is_null()) {
+        out_ << answer.text << '\n';
+        return answer.code;
+    }
+    if (answer.code == ExitCode::Ok)
+        return answer.code;
+    const json::object *body = answer.body.if_object();
+    const json::value *error = body == nullptr ? nullptr : body->if_contains("error");
+    if (error == nullptr || !error->is_object())
+        return fail(answer.code, answer.text);
+    const json::object &fields = error->get_object();
+    fail(answer.code, memberText(fields, "message") + " (" + memberText(fields, "name") + ", work "
+                              + memberText(fields, "work") + ")");
+    printRows(answer.body, "errors", { "subject", "field", "message" });
+    return answer.code;
+}
+
+/// Prints one line for each object of the array `member`: the values of `columns`.
+void Runner::printRows(const json::value &body, std::string_view member,
+                       std::initializer_list<std::string_view> columns)
+{
+    const json::object *object = body.if_object();
+    const json::value *rows = object == nullptr ? nullptr : object->if_contains(member);
+    if (rows == nullptr || !rows->is_array())
+        return;
+    for (const json::value &row : rows->get_array()) {
+        std::string line;
+        for (const std::string_view column : columns)
+            line += (line.empty() ? "" : "\t") + memberText(row.as_object(), column);
+        out_ << line << '\n';
+    }
+}
+
+/// Reads the resources of the file, or prints every fault and stores the exit code in `code`.
+std::optional<configuration::ResourceChanges> Runner::readFile(ExitCode &code)
+{
+    std::ifstream file;
+    if (*options_.file != "-") {
+        file.open(*options_.file);
+        if (!file) {
+            code = fail(ExitCode::Usage, *options_.file + ": expected a readable file");
+            return std::nullopt;
+        }
+    }
+    std::istream &input = *options_.file == "-" ? std::cin : file;
+    const std::string text{ std::istreambuf_iterator<char>(input), {} };
+    std::vector<configuration::ValidationError> errors;
+    auto changes = configuration::parseResources(text, errors);
+    code = ExitCode::Invalid;
+    for (const auto &error : errors)
+        err_ << *options_.file << ": " << toString(error) << '\n';
+    return changes;
+}
+
+ExitCode Runner::applyFile(bool dryRun)
+{
+    ExitCode code = ExitCode::Ok;
+    auto changes = readFile(code);
+    if (!changes)
+        return code;
+    if (!options_.check)
+        return applyChanges(std::move(*changes), dryRun);
+    // Whether the resources to delete exist is known to the daemon only.
+    changes->deletes.clear();
+    const auto errors = validate(configuration::Configuration(), *changes);
+    for (const auto &error : errors)
+        err_ << *options_.file << ": " << toString(error) << '\n';
+    return errors.empty() ? ExitCode::Ok : ExitCode::Invalid;
+}
+
+ExitCode Runner::applyChanges(configuration::ResourceChanges changes, bool dryRun)
+{
+    configuration::Change change{ .changes = std::move(changes) };
+    if (options_.ifRevision) {
+        change.baseRevision = *options_.ifRevision;
+    } else {
+        const Answer status = call(options_, { .target = "/admin/v1/status" });
+        if (status.code != ExitCode::Ok)
+            return report(status);
+        change.baseRevision = status.body.at("revision").to_number<std::uint64_t>();
+    }
+    change.writeId = options_.writeId.value_or(newWriteId());
+    const net::Request request{ .method = "POST",
+                                .target = std::string("/admin/v1/apply?dryRun=")
+                                          + (dryRun ? "true" : "false"),
+                                .headers = { { "Content-Type", "application/json" } },
+                                .body = toJson(change) };
+    Answer answer = call(options_, request);
+    const bool mayHaveTakenEffect = !dryRun && answer.code == ExitCode::Undecided;
+    for (int i = 1; i < kApplyAttempts && answer.code == ExitCode::Undecided; ++i)
+        answer = call(options_, request);
+    // A later attempt that reaches nobody does not tell about the first.
+    if (mayHaveTakenEffect && answer.code == ExitCode::Unavailable)
+        answer.code = ExitCode::Undecided;
+    else if (dryRun && answer.code == ExitCode::Undecided)
+        answer.code = ExitCode::Unavailable;
+    const ExitCode code = report(answer);
+    if (code == ExitCode::Undecided) {
+        fail(code, "repeat with --if-revision " + std::to_string(change.baseRevision)
+                           + " --write-id " + change.writeId);
+    }
+    if (code == ExitCode::Ok && !options_.json) {
+        printRows(answer.body, "differences", { "difference", "resource", "name" });
+        out_ << (dryRun ? "would be revision " : "revision ")
+             << answer.body.at("revision").to_number<std::uint64_t>() << '\n';
+    }
+    return code;
+}
+
+ExitCode Runner::deleteResources()
+{
+    using configuration::ResourceKind;
+    constexpr ResourceKind kKinds[] = { ResourceKind::Pool, ResourceKind::Target,
+                                        ResourceKind::Customer, ResourceKind::Intent };
+    const std::string &name = options_.arguments.front();
+    const auto *kind = std::ranges::find_if(kKinds, [&](ResourceKind candidate) {
+        return configuration::toString(candidate) == name;
+    });
+    if (kind == std::end(kKinds)) {
+        return fail(ExitCode::Usage,
+                    "delete: expected pool, target, customer or intent, found '" + name + "'");
+    }
+    configuration::ResourceChanges changes;
+    for (std::size_t i = 1; i < options_.arguments.size(); ++i)
+        changes.deletes.push_back({ *kind, options_.arguments[i] });
+    return applyChanges(std::move(changes), options_.dryRun);
+}
+
+ExitCode Runner::get()
+{
+    const auto &arguments = options_.arguments;
+    std::string target = "/admin/v1/" + (arguments.empty() ? "resources" : arguments[0]);
+    if (arguments.size() > 1)
+        target += "?name=" + net::percentEncode(arguments[1]);
+    const Answer answer = call(options_, { .target = target });
+    const ExitCode code = report(answer);
+    if (code == ExitCode::Ok && !options_.json) {
+        for (const json::value &resource : answer.body.at("resources").as_array())
+            out_ << serialize(resource) << '\n';
+    }
+    return code;
+}
+
+/// Returns whether every instance of a status response has the latest revision.
+bool isInForceEverywhere(const json::value &status)
+{
+    const auto &instances = status.at("instances").as_array();
+    const auto revisionOf = [](const json::value &instance) {
+        return instance.at("revision").to_number<std::uint64_t>();
+    };
+    std::uint64_t latest = status.at("highestKnown").to_number<std::uint64_t>();
+    for (const json::value &instance : instances)
+        latest = std::max(latest, revisionOf(instance));
+    return std::ranges::all_of(
+            instances, [&](const json::value &instance) { return revisionOf(instance) == latest; });
+}
+
+ExitCode Runner::status()
+{
+    const auto deadline = steady_clock::now() + options_.timeout;
+    Answer answer = call(options_, { .target = "/admin/v1/status" });
+    while (options_.wait && answer.code == ExitCode::Ok && !isInForceEverywhere(answer.body)) {
+        if (steady_clock::now() >= deadline) {
+            answer.code = ExitCode::TimedOut;
+            break;
+        }
+        std::this_thread::sleep_for(kWaitPoll);
+        answer = call(options_, { .target = "/admin/v1/status" });
+    }
+    if (answer.body.is_null() || answer.body.as_object().contains("error") || options_.json)
+        return report(answer);
+    printRows(answer.body, "instances", { "instance", "dataCentre", "revision" });
+    if (answer.code == ExitCode::TimedOut)
+        return fail(answer.code, "the latest revision is not in force everywhere");
+    return answer.code;
+}
+
+ExitCode Runner::explain()
+{
+    std::string target = "/admin/v1/explain";
+    for (const std::string &argument : options_.arguments) {
+        const std::size_t equals = argument.find('=');
+        if (equals == std::string::npos)
+            return fail(ExitCode::Usage, "explain: expected KEY=VALUE, found '" + argument + "'");
+        target += (target.find('?') == std::string::npos ? "?" : "&")
+                  + net::percentEncode(argument.substr(0, equals)) + "="
+                  + net::percentEncode(argument.substr(equals + 1));
+    }
+    const Answer answer = call(options_, { .target = target });
+    const ExitCode code = report(answer);
+    if (code == ExitCode::Ok && !options_.json)
+        out_ << answer.text << '\n';
+    return code;
+}
+
+ExitCode Runner::timeline()
+{
+    std::string target = "/admin/v1/timeline";
+    if (!options_.arguments.empty())
+        target += "?after=" + net::percentEncode(options_.arguments.front());
+    const Answer answer = call(options_, { .target = target });
+    const ExitCode code = report(answer);
+    if (code == ExitCode::Ok && !options_.json) {
+        printRows(answer.body, "events",
+                  { "wallMs", "counter", "instance", "part", "kind", "subject", "detail" });
+    }
+    return code;
+}
+
+ExitCode Runner::drain()
+{
+    const Answer answer = call(options_, { .method = "POST", .target = "/admin/v1/drain" });
+    const ExitCode code = report(answer);
+    if (code == ExitCode::Ok && !options_.json)
+        out_ << "draining\n";
+    return code;
+}
+
+ExitCode Runner::run()
+{
+    switch (options_.command) {
+    case Command::Help:
+        out_ << helpText();
+        return ExitCode::Ok;
+    case Command::Version:
+        out_ << "chervilfieldctl " CHERVILFIELD_VERSION "\n";
+        return ExitCode::Ok;
+    case Command::Apply:
+        return applyFile(options_.dryRun);
+    case Command::Diff:
+        return applyFile(true);
+    case Command::Delete:
+        return deleteResources();
+    case Command::Get:
+        return get();
+    case Command::Status:
+        return status();
+    case Command::Explain:
+        return explain();
+    case Command::Timeline:
+        return timeline();
+    case Command::Drain:
+        break;
+    }
+    return drain();
+}
+
+} // namespace
+
+ExitCode run(const Options &options, std::ostream &out, std::ostream &err)
+{
+    try {
+        return Runner(options, out, err).run();
+    } catch (const std::exception &error) {
+        // Boost.JSON reports a response of another form by exceptions.
+        err << "chervilfieldctl: expected a response of the administration API: " << error.what()
+            << '\n';
+        return ExitCode::Failed;
+    }
+}
+
+} // namespace chervilfield::ctl
