--- a/packages/membership/include/membership/followers.h
+++ b/packages/membership/include/membership/followers.h
@@ -23,7 +23,8 @@
     double boundFactor = 1.25;
 };
 
-/// Followers of one target, the first choice first.
+/// Followers of one target. The first is its meeting point: it collects the load that other daemons
+/// report for the target.
 struct FollowerAssignment
 {
     std::string target;
@@ -32,7 +33,7 @@
 
 /// Assigns daemons to targets by rendezvous hashing with bounded load, a pure function of the
 /// member table: daemons with the same table agree without messages. A follower reads the target's
-/// cache events and collects the load that other daemons report for it. Members of the target's
+/// cache events. Members of the target's
 /// data centre are preferred, because links between data centres are slow and expensive. Returns
 /// one assignment per target, sorted by target name; fewer followers than asked for if there are
 /// fewer members that take work.
--- a/packages/membership/include/membership/load_digest.h
+++ b/packages/membership/include/membership/load_digest.h
@@ -51,8 +51,9 @@
 /// The defaults are those measured in docs/decisions/0020-load-exchange.md.
 struct LoadOptions
 {
-    Duration interval = std::chrono::milliseconds(250);
-    std::uint32_t materialPrefillTokens = 4096; ///< One block of the prompt.
+    /// Least time between two datagrams to the same daemon.
+    Duration spacing = std::chrono::milliseconds(100);
+    std::uint32_t materialPrefillTokens = 8192; ///< Two blocks of the prompt.
     std::uint32_t materialRequests = 4;
     /// A change is also immaterial below this share of the value sent last.
     double materialShare = 0.1;
@@ -69,11 +70,13 @@
         TimePoint at;
     };
     std::map<TargetKey, Sent> targets;
+    TimePoint last{ -std::chrono::hours(1) }; ///< When anything was sent.
 };
 
 /// Returns the entries of `current` that differ materially from what was sent, or are due to be
-/// repeated, and records them as sent. A target that is no longer in `current` counts as idle; it
-/// is sent once as idle and forgotten.
+/// repeated, and records them as sent; nothing if the last ones were sent less than the spacing
+/// ago. A target that is no longer in `current` counts as idle; it is sent once as idle and
+/// forgotten. Call it often, so that a material change is sent at once.
 std::vector<LoadEntry> takeChanges(SentLoads &sent, std::span<const LoadEntry> current,
                                    TimePoint now, const LoadOptions &options);
 
--- a/packages/membership/src/followers.cpp
+++ b/packages/membership/src/followers.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <cstdint>
 #include <map>
+#include <utility>
 
 namespace chervilfield::membership {
 
@@ -16,6 +17,7 @@
     const Member *member;
     std::uint64_t nameHash;
     std::size_t assigned = 0;
+    std::size_t meetings = 0; ///< Targets of which it is the first follower.
 };
 
 struct Group
@@ -32,6 +34,21 @@
     return static_cast<std::size_t>(std::ceil(even * options.boundFactor));
 }
 
+// Moves the follower to the front that should collect the load: one that is not suspect, then the
+// one that collects for the fewest targets. Collecting costs more than following, and the scores
+// alone would give some members three times the mean.
+void chooseMeetingPoint(FollowerAssignment &assignment, std::span<Candidate *> followers)
+{
+    const auto best = std::ranges::min_element(followers, {}, [](const Candidate *candidate) {
+        return std::pair(candidate->member->state, candidate->meetings);
+    });
+    if (best == followers.end())
+        return;
+    ++(*best)->meetings;
+    std::swap(assignment.members.front(),
+              assignment.members[static_cast<std::size_t>(best - followers.begin())]);
+}
+
 // Gives the target to the members with the highest scores that are below the bound.
 void assign(FollowerAssignment &assignment, const Group &group, const FollowerOptions &options)
 {
@@ -41,6 +58,7 @@
     for (Candidate *candidate : group.candidates)
         ranked.emplace_back(base::combineHash(targetHash, candidate->nameHash), candidate);
     std::ranges::sort(ranked, [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::vector<Candidate *> followers;
     const auto take = [&](bool respectBound) {
         for (const auto &[score, candidate] : ranked) {
             const std::string &name = candidate->member->name;
@@ -50,12 +68,14 @@
                 || std::ranges::find(assignment.members, name) != assignment.members.end())
                 continue;
             ++candidate->assigned;
+            followers.push_back(candidate);
             assignment.members.push_back(name);
         }
     };
     take(true);
     // Near the end of the list too few members may be below the bound.
     take(false);
+    chooseMeetingPoint(assignment, followers);
 }
 
 } // namespace
--- a/packages/membership/src/load_digest.cpp
+++ b/packages/membership/src/load_digest.cpp
@@ -46,6 +46,8 @@
                                    TimePoint now, const LoadOptions &options)
 {
     std::vector<LoadEntry> changes;
+    if (now - sent.last < options.spacing)
+        return changes;
     std::map<TargetKey, TargetLoad> loads;
     for (const LoadEntry &entry : current) {
         if (entry.load != TargetLoad())
@@ -70,6 +72,8 @@
             changes.push_back({ item.first, {} });
         return ended;
     });
+    if (!changes.empty())
+        sent.last = now;
     return changes;
 }
 
--- a/packages/membership/test/followers_test.cpp
+++ b/packages/membership/test/followers_test.cpp
@@ -67,13 +67,18 @@
         CPPUNIT_ASSERT(holds);
 
         std::map<std::string, std::size_t> followed;
+        std::map<std::string, std::size_t> meetings;
         for (const auto &assignment : assignFollowers(makeMembers(360, 10), makeTargets(860, 10))) {
             for (const std::string &name : assignment.members)
                 ++followed[name];
+            ++meetings[assignment.members.front()];
         }
         // 86 targets and 36 members per data centre: 4.8 on average, at most ceil(1.25 * 4.8) = 6.
         for (const auto &[name, count] : followed)
             CPPUNIT_ASSERT_MESSAGE(name + " " + std::to_string(count), count <= 7);
+        // 2.4 on average.
+        for (const auto &[name, count] : meetings)
+            CPPUNIT_ASSERT_MESSAGE(name + " " + std::to_string(count), count <= 4);
     }
 
     // Guards against a restart that moves the following of most engines.
--- a/packages/peers/include/peers/datagram.h
+++ b/packages/peers/include/peers/datagram.h
@@ -33,7 +33,6 @@
 /// In-flight work of all daemons but the receiver, from a meeting point.
 struct LoadSums
 {
-    std::string sender;
     std::vector<membership::LoadEntry> loads;
     bool operator==(const LoadSums &) const = default;
 };
--- a/packages/peers/src/datagram.cpp
+++ b/packages/peers/src/datagram.cpp
@@ -147,9 +147,9 @@
 std::optional<Datagram> fromWire(const wire::LoadSums &message)
 {
     auto loads = fromWire(message.loads);
-    if (!loads || !isPermitted(message.sender))
+    if (!loads)
         return std::nullopt;
-    return LoadSums{ message.sender, *std::move(loads) };
+    return LoadSums{ *std::move(loads) };
 }
 
 std::optional<Datagram> fromWire(const wire::HotPrefixes &message)
@@ -185,7 +185,6 @@
     void operator()(const LoadSums &sums) const
     {
         wire::LoadSums body;
-        body.sender = sums.sender;
         body.loads = toWire(sums.loads);
         message.__set_loadSums(body);
     }
--- a/packages/peers/thrift/peers.thrift
+++ b/packages/peers/thrift/peers.thrift
@@ -58,8 +58,7 @@
 
 // In-flight work of all daemons but the receiver, sent by a meeting point.
 struct LoadSums {
-  1: string sender
-  2: Loads loads
+  1: Loads loads
 }
 
 struct HotPrefixes {
