--- a/packages/platform/test/platform_client_test.cpp
+++ b/packages/platform/test/platform_client_test.cpp
@@ -2,7 +2,7 @@
 
 #include "base/result.h"
 #include "net/http_server.h"
-#include "platform_standin/platform_service.h"
+#include "platform/platform_service.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
