Use the relay, event ids and watchdog of package streams; serve the administration API

Cause: the traffic path had its own event ids and order checks beside the property-tested ones, and the daemon had a minimal administration handler beside package admin. Change: ResilientStream feeds streams::Relay and takes its deadlines from the watchdog; event ids name the engine by the hash of its name, because names may contain a slash, which an id part may not; the control plane serves admin::AdminApi; number parsing is shared in base/numbers.h.

--- a/packages/daemon/include/daemon/control_plane.h
+++ b/packages/daemon/include/daemon/control_plane.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admin/admin_api.h"
 #include "base/time_line.h"
 #include "control/configuration_control.h"
 #include "control/configuration_follower.h"
@@ -24,13 +25,21 @@
 
 namespace chervilfield::daemon {
 
+/// What the administration API asks of other parts of the daemon, on the control I/O thread.
+struct ControlHooks
+{
+    std::function<net::Response(const net::Request &)> explain;
+    std::function<void()> drain;
+};
+
 /// Control part of a daemon: the actors that own control state, and the control I/O thread that
 /// moves bytes for them and serves the administration and the peer address.
 class ControlPlane
 {
 public:
     /// `timeLine` and `services` outlive the control plane.
-    ControlPlane(const Settings &settings, std::string life, base::TimeLine &timeLine);
+    ControlPlane(const Settings &settings, std::string life, base::TimeLine &timeLine,
+                 ControlHooks hooks);
     ~ControlPlane();
     ControlPlane(const ControlPlane &) = delete;
     ControlPlane &operator=(const ControlPlane &) = delete;
@@ -73,9 +82,11 @@
     net::HttpClient client_;
     platform::PlatformClient platform_;
     control::ConfigurationLog log_;
+    ControlHooks hooks_;
     control::ControlSystem system_;
     std::unique_ptr<control::ConfigurationFollower> follower_;
     std::unique_ptr<control::ConfigurationControl> configuration_;
+    std::unique_ptr<admin::AdminApi> adminApi_;
     std::unique_ptr<net::HttpServer> adminServer_;
     std::unique_ptr<net::HttpServer> peerServer_;
     std::thread runner_;
--- a/packages/daemon/src/app.cpp
+++ b/packages/daemon/src/app.cpp
@@ -41,7 +41,7 @@
     : settings_(settings), life_(makeLife(settings.instanceName)),
       timeLine_(settings.instanceName, kTimeLineEvents, clock_), router_(routerOptions(settings)),
       orderDesk_(life_, [](const std::string &) { return false; }),
-      control_(settings, life_, timeLine_),
+      control_(settings, life_, timeLine_, { .drain = [] { std::raise(SIGTERM); } }),
       services_{ .router = router_,
                  .metrics = metrics_,
                  .timeLine = timeLine_,
--- a/packages/daemon/src/control_plane.cpp
+++ b/packages/daemon/src/control_plane.cpp
@@ -1,6 +1,5 @@
 #include "daemon/control_plane.h"
 
-#include "daemon/admin_handler.h"
 #include "peers/exchange.h"
 
 #include <boost/json/array.hpp>
@@ -27,13 +26,15 @@
 
 } // namespace
 
-ControlPlane::ControlPlane(const Settings &settings, std::string life, base::TimeLine &timeLine)
+ControlPlane::ControlPlane(const Settings &settings, std::string life, base::TimeLine &timeLine,
+                           ControlHooks hooks)
     : settings_(settings), life_(std::move(life)), timeLine_(timeLine),
       table_(std::make_shared<const traffic::TargetTable>(
               std::make_shared<const configuration::Configuration>())),
       work_(context_.get_executor()),
       client_(context_.get_executor(), { .connectTimeout = kPeerTimeout }),
-      platform_(context_.get_executor(), platformOptions(settings)), log_(platform_, {})
+      platform_(context_.get_executor(), platformOptions(settings)), log_(platform_, {}),
+      hooks_(std::move(hooks))
 {
     configuration_ = std::make_unique<control::ConfigurationControl>(
             system_, control::ConfigurationControlOptions{
@@ -70,12 +71,15 @@
 
 void ControlPlane::start(std::error_code &error)
 {
-    const AdminContext admin{ .configuration = *configuration_,
-                              .log = log_,
-                              .timeLine = timeLine_,
-                              .instance = settings_.instanceName };
+    adminApi_ = std::make_unique<admin::AdminApi>(
+            context_, *configuration_, log_,
+            admin::AdminHooks{ .self = { .instance = settings_.instanceName,
+                                         .dataCentre = settings_.dataCentre },
+                               .explain = hooks_.explain,
+                               .drain = hooks_.drain,
+                               .timeLine = &timeLine_ });
     adminServer_ = std::make_unique<net::HttpServer>(
-            std::vector<net::ServerWorker>{ { &context_, makeAdminHandler(admin) } },
+            std::vector<net::ServerWorker>{ { &context_, adminApi_->handler() } },
             net::ServerOptions{});
     adminServer_->listen(settings_.admin, error);
     if (error)
--- a/packages/traffic/include/traffic/resilient_stream.h
+++ b/packages/traffic/include/traffic/resilient_stream.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "routing/types.h"
+#include "streams/relay.h"
+#include "streams/watchdog.h"
 #include "targets/engine_client.h"
 #include "traffic/services.h"
 
@@ -19,7 +21,7 @@
 /// Engine and life that a caller received the last event from.
 struct ResumePoint
 {
-    std::string engine;
+    routing::TargetId engine = 0;
     std::uint64_t life = 0;
     std::uint64_t offset = 0; ///< First token that the caller does not have.
 };
@@ -40,7 +42,7 @@
     void resumeFrom(const ResumePoint &point, const boost::asio::yield_context &yield);
 
     /// Returns the next token, or no value at the true end or with `error` set.
-    std::optional<targets::Token> next(const boost::asio::yield_context &yield,
+    std::optional<streams::Token> next(const boost::asio::yield_context &yield,
                                        std::error_code &error);
 
     /// Returns true if and only if `next()` will return without waiting.
@@ -50,7 +52,7 @@
     const std::optional<targets::Usage> &usage() const { return usage_; }
 
     /// Returns the engine and life that the last token came from.
-    const std::string &engine() const { return placement_->target.name; }
+    routing::TargetId engine() const { return placement_->target.id; }
     std::uint64_t life() const { return placement_->life; }
 
     /// Tells the engine to stop, without waiting for its answer. Use it when the caller has gone.
@@ -60,9 +62,12 @@
     bool ensureStream(const boost::asio::yield_context &yield, std::error_code &error);
     void reattach(const boost::asio::yield_context &yield);
     void abandon(const std::string &reason);
+    bool readToken(const boost::asio::yield_context &yield);
     void finish(std::optional<std::uint32_t> cachedTokens);
+    streams::ProgressExpectation expectation() const;
     std::chrono::milliseconds waitLimit() const;
     void adopt(std::unique_ptr<targets::TokenStream> stream);
+    void beginAttempt(std::unique_ptr<targets::TokenStream> stream);
 
     const TrafficThread &thread_;
     const RouteTargets &targets_;
@@ -73,8 +78,9 @@
     bool placementOpen_ = false;
     std::unique_ptr<targets::TokenStream> stream_;
     std::optional<targets::Usage> usage_;
-    std::uint64_t next_ = 0;
-    bool attemptHasToken_ = false;
+    streams::Relay relay_;
+    std::size_t attempt_ = 0; ///< Number of the current attempt in the relay.
+    streams::Progress progress_;
     bool reattached_ = false;
     int attempts_ = 0;
 };
--- a/packages/traffic/src/completions.cpp
+++ b/packages/traffic/src/completions.cpp
@@ -1,12 +1,13 @@
 #include "traffic/completions.h"
 
 #include "base/hash.h"
+#include "base/numbers.h"
 #include "base/result.h"
 #include "http/completion_answer.h"
 #include "http/error_response.h"
 #include "net/event_stream.h"
 #include "prefix/chain.h"
-#include "traffic/event_id.h"
+#include "streams/event_id.h"
 #include "traffic/request_scope.h"
 #include "traffic/resilient_stream.h"
 
@@ -36,7 +37,7 @@
     const RouteTargets *targets = nullptr;
     std::vector<std::uint64_t> chain;
     std::uint64_t seed = 0;
-    std::optional<EventId> lastEvent;
+    std::optional<ResumePoint> resumePoint;
     steady_clock::time_point start = steady_clock::now();
 };
 
@@ -64,6 +65,25 @@
     job.chain = prefix::blockChain(job.request.prompt, job.seed);
 }
 
+// Reads where a caller wants to continue. The event belongs to the request id that it names.
+bool readResumePoint(Job &job, std::error_code &error)
+{
+    const auto id = streams::parseEventId(job.scope.context.lastEventId, error);
+    if (!id.has_value())
+        return false;
+    ResumePoint point{ .offset = id->offset + 1 };
+    const bool valid = base::parseHex(id->engine, point.engine)
+                       && base::parseDecimal(id->life, point.life)
+                       && id->offset < job.request.maxTokens && http::isRequestId(id->requestId);
+    if (!valid) {
+        error = Result::InvalidField;
+        return false;
+    }
+    job.scope.requestId = id->requestId;
+    job.resumePoint = point;
+    return true;
+}
+
 std::optional<Job> prepare(const Services &services, http::CompletionKind kind,
                            const net::Request &request, std::string &requestId, std::string &detail,
                            std::error_code &error)
@@ -78,17 +98,11 @@
     job.request = std::move(*parsed);
     if (!findRoute(job, error))
         return std::nullopt;
-    if (!job.scope.context.lastEventId.empty()) {
-        job.lastEvent = parseEventId(job.scope.context.lastEventId);
-        if (!job.lastEvent.has_value() || job.lastEvent->offset >= job.request.maxTokens) {
-            detail = "Last-Event-ID: expected <requestId>/<engine>/<life>/<offset> with an offset "
-                     "below max_tokens";
-            error = Result::InvalidField;
-            return std::nullopt;
-        }
-        job.scope.requestId = job.lastEvent->requestId;
-        requestId = job.scope.requestId;
+    if (!job.scope.context.lastEventId.empty() && !readResumePoint(job, error)) {
+        detail = "Last-Event-ID: expected the id of an event of this request";
+        return std::nullopt;
     }
+    requestId = job.scope.requestId;
     hashPrompt(job);
     return job;
 }
@@ -114,18 +128,11 @@
     return request;
 }
 
-// The id under which engines know the request. It separates customers, and requests of one
-// customer that reuse an id for another prompt.
-std::string engineRequestId(const Job &job)
-{
-    const std::uint64_t content =
-            base::hash64(job.request.prompt, base::combineHash(job.seed, job.request.maxTokens));
-    return job.scope.requestId + '.' + base::toHex(content);
-}
-
 targets::CompletionCall engineCall(const Job &job, routing::Priority priority)
 {
-    return { .requestId = engineRequestId(job),
+    const std::string content = job.request.prompt + std::to_string(job.request.maxTokens);
+    return { .requestId = streams::engineRequestId(job.scope.customer->name, job.scope.requestId,
+                                                   content),
              .prompt = job.request.prompt,
              .maxTokens = job.request.maxTokens,
              .priority = static_cast<int>(priority),
@@ -173,14 +180,13 @@
 
     bool started() const { return started_; }
 
-    void add(const targets::Token &token, const ResilientStream &stream)
+    void add(const streams::Token &token, const ResilientStream &stream)
     {
-        const EventId id{ .requestId = job_.scope.requestId,
-                          .engine = stream.engine(),
-                          .life = stream.life(),
-                          .offset = token.index };
-        net::appendEvent({ .id = toString(id), .data = http::answerChunk(head_, token.text) },
-                         pending_);
+        const std::string id = streams::formatEventId({ .requestId = job_.scope.requestId,
+                                                        .engine = base::toHex(stream.engine()),
+                                                        .life = std::to_string(stream.life()),
+                                                        .offset = token.offset });
+        net::appendEvent({ .id = id, .data = http::answerChunk(head_, token.text) }, pending_);
     }
 
     void flush(const yield_context &yield, std::error_code &error)
@@ -292,12 +298,8 @@
     }
     const routing::Request request = routingRequest(*job);
     ResilientStream stream(thread, *job->targets, engineCall(*job, request.priority), request);
-    if (job->lastEvent.has_value()) {
-        stream.resumeFrom({ .engine = job->lastEvent->engine,
-                            .life = job->lastEvent->life,
-                            .offset = job->lastEvent->offset + 1 },
-                          yield);
-    }
+    if (job->resumePoint.has_value())
+        stream.resumeFrom(*job->resumePoint, yield);
     thread.services.metrics.streamOpened();
     if (job->request.stream)
         sendEvents(thread, *job, request.workClass, stream, exchange, yield);
--- a/packages/traffic/src/resilient_stream.cpp
+++ b/packages/traffic/src/resilient_stream.cpp
@@ -6,6 +6,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace chervilfield::traffic {
@@ -19,13 +20,15 @@
 // A refused connection or a dead engine says so at once; only a silent one waits this long.
 constexpr milliseconds kAttachTimeout{ 500 };
 constexpr milliseconds kCancelTimeout{ 1000 };
+// 47 ms between tokens are promised for 95% of cases.
+constexpr milliseconds kExpectedInterToken{ 47 };
 
 } // namespace
 
 ResilientStream::ResilientStream(const TrafficThread &thread, const RouteTargets &targets,
                                  targets::CompletionCall call, routing::Request request)
     : thread_(thread), targets_(targets), call_(std::move(call)), request_(request),
-      next_(call_.resumeFrom)
+      relay_(call_.resumeFrom)
 {
 }
 
@@ -36,47 +39,61 @@
 
 void ResilientStream::resumeFrom(const ResumePoint &point, const yield_context &yield)
 {
-    next_ = point.offset;
-    const auto info = std::ranges::find(targets_.targets, point.engine, &TargetInfo::name);
+    relay_ = streams::Relay(point.offset);
+    const auto info = std::ranges::find(targets_.targets, point.engine, &TargetInfo::id);
     if (info == targets_.targets.end())
         return;
     std::error_code error;
-    auto stream = targets::attachCompletion(thread_.client, info->address, call_.requestId, next_,
-                                            kAttachTimeout, yield, error);
+    auto stream = targets::attachCompletion(thread_.client, info->address, call_.requestId,
+                                            point.offset, kAttachTimeout, yield, error);
     if (stream == nullptr || stream->life() != point.life)
         return;
-    placement_ = Placement{ .target = *info, .sent = {}, .life = point.life };
-    stream_ = std::move(stream);
-    attemptHasToken_ = false;
+    placement_ = Placement{ .target = *info, .life = point.life };
+    beginAttempt(std::move(stream));
 }
 
-std::optional<targets::Token> ResilientStream::next(const yield_context &yield,
+std::optional<streams::Token> ResilientStream::next(const yield_context &yield,
                                                     std::error_code &error)
 {
-    while (next_ < call_.maxTokens || !usage_.has_value()) {
+    while (true) {
+        auto ready = relay_.take(1);
+        if (!ready.empty())
+            return std::move(ready.front());
+        if (relay_.claimTerminator())
+            return std::nullopt;
         if (!ensureStream(yield, error))
             return std::nullopt;
-        std::error_code failure;
-        auto token = stream_->next(waitLimit(), yield, failure);
-        if (token.has_value() && token->index == next_) {
-            if (!std::exchange(attemptHasToken_, true) && placementOpen_)
-                thread_.services.router.firstToken(*placement_);
-            ++next_;
-            return token;
-        }
-        if (token.has_value() && token->index < next_)
+        if (!readToken(yield))
             continue;
-        if (!token.has_value() && !failure && next_ >= call_.maxTokens) {
-            usage_ = stream_->usage();
-            finish(static_cast<std::uint32_t>(usage_->cachedTokens));
-            return std::nullopt;
-        }
-        if (failure == Result::ProgressTimeout && !reattached_)
-            reattach(yield);
-        else
-            abandon(failure ? failure.message() : "gap in the token numbers");
     }
-    return std::nullopt;
+}
+
+// Reads one token of the current attempt into the relay, or ends the attempt. Returns true if and
+// only if the relay has something new.
+bool ResilientStream::readToken(const yield_context &yield)
+{
+    std::error_code failure;
+    auto token = stream_->next(waitLimit(), yield, failure);
+    if (token.has_value()) {
+        if (!progress_.hasToken && placementOpen_)
+            thread_.services.router.firstToken(*placement_);
+        streams::recordToken(progress_, std::chrono::steady_clock::now());
+        const auto result = relay_.accept(attempt_, token->index, std::move(token->text));
+        if (result == streams::AcceptResult::Diverged)
+            abandon("tokens contradict the length of the answer");
+        return result == streams::AcceptResult::Accepted;
+    }
+    if (!failure && relay_.resumeFrom() == call_.maxTokens) {
+        usage_ = stream_->usage();
+        relay_.finish(attempt_, call_.maxTokens);
+        finish(static_cast<std::uint32_t>(usage_->cachedTokens));
+        return true;
+    }
+    if (failure == Result::ProgressTimeout && !reattached_)
+        reattach(yield);
+    else
+        abandon(failure ? failure.message() : "end before the last token");
+    return false;
 }
 
 bool ResilientStream::ensureStream(const yield_context &yield, std::error_code &error)
@@ -98,7 +115,7 @@
         if (!placement_.has_value())
             return false;
         placementOpen_ = true;
-        call_.resumeFrom = next_;
+        call_.resumeFrom = relay_.resumeFrom();
         std::error_code failure;
         auto stream =
                 targets::startCompletion(thread_.client, placement_->target.address, call_,
@@ -116,11 +133,18 @@
 
 void ResilientStream::adopt(std::unique_ptr<targets::TokenStream> stream)
 {
-    stream_ = std::move(stream);
-    attemptHasToken_ = false;
-    reattached_ = false;
-    placement_->life = stream_->life();
+    placement_->life = stream->life();
     thread_.services.router.sawLife(placement_->target.id, placement_->life);
+    reattached_ = false;
+    beginAttempt(std::move(stream));
+}
+
+void ResilientStream::beginAttempt(std::unique_ptr<targets::TokenStream> stream)
+{
+    stream_ = std::move(stream);
+    attempt_ = relay_.startAttempt(placement_->target.name, std::to_string(placement_->life));
+    relay_.endOthers(attempt_);
+    progress_ = streams::startProgress(std::chrono::steady_clock::now());
 }
 
 // Replaces a connection that has gone silent; the engine may be well.
@@ -128,23 +152,25 @@
 {
     reattached_ = true;
     std::error_code failure;
-    auto stream = targets::attachCompletion(thread_.client, placement_->target.address,
-                                            call_.requestId, next_, kAttachTimeout, yield, failure);
+    auto stream =
+            targets::attachCompletion(thread_.client, placement_->target.address, call_.requestId,
+                                      relay_.resumeFrom(), kAttachTimeout, yield, failure);
     if (stream == nullptr || stream->life() != placement_->life) {
         abandon("silent connection");
         return;
     }
     LOG(INFO) << "[traffic] Request " << call_.requestId << " attached again to "
-              << placement_->target.name << " at token " << next_ << '.';
+              << placement_->target.name << " at token " << relay_.resumeFrom() << '.';
     thread_.services.metrics.countResume("silent-connection");
-    stream_ = std::move(stream);
+    beginAttempt(std::move(stream));
 }
 
 // Ends the current attempt; the next call of `ensureStream` starts another one elsewhere.
 void ResilientStream::abandon(const std::string &reason)
 {
     LOG(WARNING) << "[traffic] Request " << call_.requestId << " leaves " << placement_->target.name
-                 << " at token " << next_ << ": " << reason;
+                 << " at token " << relay_.resumeFrom() << ": " << reason;
+    relay_.end(attempt_);
     if (stream_ != nullptr) {
         thread_.services.metrics.countResume("engine");
         cancel();
@@ -160,13 +186,22 @@
         thread_.services.router.finished(*placement_, cachedTokens);
 }
 
+streams::ProgressExpectation ResilientStream::expectation() const
+{
+    using std::chrono::microseconds;
+    const auto predicted = placement_->sent.predictedFirstToken;
+    return { .firstToken = std::chrono::duration_cast<microseconds>(predicted),
+             .interToken = kExpectedInterToken };
+}
+
 milliseconds ResilientStream::waitLimit() const
 {
     const TrafficOptions &options = thread_.services.options;
-    if (attemptHasToken_ || reattached_)
-        return options.progressTimeout;
-    const auto predicted = placement_->sent.predictedFirstToken * 2;
-    return options.firstTokenTimeout + std::chrono::duration_cast<milliseconds>(predicted);
+    const auto now = std::chrono::steady_clock::now();
+    const auto deadline = streams::progressDeadline(progress_, expectation(),
+                                                    { .minFirstToken = options.firstTokenTimeout,
+                                                      .minInterToken = options.progressTimeout });
+    return std::max(std::chrono::ceil<milliseconds>(deadline.value_or(now) - now), milliseconds(1));
 }
 
 void ResilientStream::cancel()
