Judge targets by observed first tokens; explain decisions

Cause: the router did not feed routing::TargetHealth, so a slowed engine was seen only by its queue; explain answered 404. Change: PoolHealth keeps the health of each pool's targets and scales their predicted times; explain returns the candidates with their cost terms.

--- a/packages/daemon/src/app.cpp
+++ b/packages/daemon/src/app.cpp
@@ -1,6 +1,7 @@
 #include "daemon/app.h"
 
 #include "base/hash.h"
+#include "traffic/explain.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -41,7 +42,12 @@
     : settings_(settings), life_(makeLife(settings.instanceName)),
       timeLine_(settings.instanceName, kTimeLineEvents, clock_), router_(routerOptions(settings)),
       orderDesk_(life_, [](const std::string &) { return false; }),
-      control_(settings, life_, timeLine_, { .drain = [] { std::raise(SIGTERM); } }),
+      control_(settings, life_, timeLine_,
+               { .explain =
+                         [this](const auto &request) {
+                             return traffic::explainRequest(services_, request);
+                         },
+                 .drain = [] { std::raise(SIGTERM); } }),
       services_{ .router = router_,
                  .metrics = metrics_,
                  .timeLine = timeLine_,
--- /dev/null
+++ b/packages/traffic/include/traffic/pool_health.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "routing/target_health.h"
+#include "traffic/target_table.h"
+
+#include <chrono>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace chervilfield::traffic {
+
+/// Health of the targets of each pool, from the times that this daemon observes. A pool's entries
+/// are kept in one array, because targets are judged against each other. Not safe for concurrent
+/// use; `Router` guards it.
+class PoolHealth
+{
+public:
+    /// Returns the slowness of each target of `targets`, in the same order. 1 is normal.
+    std::vector<double> slowness(const RouteTargets &targets);
+
+    /// Records the time to the first token of a job and judges the pool again.
+    void recordFirstToken(const std::string &pool, routing::TargetId target,
+                          const routing::JobTimes &times, routing::TimePoint now);
+
+private:
+    struct Pool
+    {
+        std::vector<routing::TargetId> ids;
+        std::vector<routing::TargetHealth> health;
+    };
+
+    Pool &follow(const RouteTargets &targets);
+
+    routing::HealthOptions options_;
+    std::unordered_map<std::string, Pool> pools_;
+};
+
+} // namespace chervilfield::traffic
--- a/packages/traffic/include/traffic/router.h
+++ b/packages/traffic/include/traffic/router.h
@@ -2,6 +2,7 @@
 
 #include "base/result.h"
 #include "routing/decision.h"
+#include "traffic/pool_health.h"
 #include "traffic/target_table.h"
 
 #include <chrono>
@@ -32,6 +33,9 @@
     TargetInfo target;
     routing::Sent sent;
     std::uint64_t life = 0; ///< Life of the engine as last seen; 0 if not seen yet.
+    std::string pool;
+    std::uint64_t job = 0; ///< Unique within this daemon.
+    routing::Time start;
 };
 
 /// Shared entry to the routing decision for all traffic threads: adds what only the daemon knows
@@ -74,7 +78,7 @@
         routing::Time unusableUntil;
     };
 
-    std::vector<routing::Target> describe(const RouteTargets &targets, routing::Time now) const;
+    std::vector<routing::Target> describe(const RouteTargets &targets, routing::Time now);
 
     const RouterOptions options_;
     mutable std::mutex mutex_;
@@ -82,6 +86,8 @@
     routing::Random random_;
     std::unordered_map<routing::TargetId, TargetState> targets_;
     std::unordered_set<routing::TargetId> leaving_;
+    PoolHealth health_;
+    std::uint64_t nextJob_ = 1;
 };
 
 } // namespace chervilfield::traffic
--- a/packages/traffic/src/router.cpp
+++ b/packages/traffic/src/router.cpp
@@ -8,12 +8,13 @@
 
 Router::Router(RouterOptions options) : options_(std::move(options)), random_(options_.seed) {}
 
-std::vector<routing::Target> Router::describe(const RouteTargets &targets, Time now) const
+std::vector<routing::Target> Router::describe(const RouteTargets &targets, Time now)
 {
     std::vector<routing::Target> result;
     result.reserve(targets.targets.size());
+    const std::vector<double> slowness = health_.slowness(targets);
     for (const TargetInfo &info : targets.targets) {
-        routing::Target target{ .id = info.id };
+        routing::Target target{ .id = info.id, .slowness = slowness[result.size()] };
         if (info.dataCentre != options_.dataCentre)
             target.path = options_.otherDataCentrePath;
         target.accepting = !leaving_.contains(info.id);
@@ -42,7 +43,10 @@
     return Placement{ .target = targets.targets[index],
                       .sent = routing::startRequest(state_, request, described, decision,
                                                     options_.decision, now),
-                      .life = described[index].life };
+                      .life = described[index].life,
+                      .pool = targets.pool->name,
+                      .job = nextJob_++,
+                      .start = now };
 }
 
 routing::Decision Router::explain(const routing::Request &request, const RouteTargets &targets)
@@ -55,8 +59,19 @@
 
 void Router::firstToken(Placement &placement)
 {
+    using std::chrono::duration_cast;
+    using std::chrono::microseconds;
+    // A prediction below this is dominated by what the cost model leaves out.
+    constexpr microseconds kLeastPrediction{ 5000 };
+    const Time now = std::chrono::steady_clock::now();
+    const auto predicted = duration_cast<microseconds>(placement.sent.predictedFirstToken);
     const std::lock_guard lock(mutex_);
     routing::firstToken(state_, placement.sent);
+    health_.recordFirstToken(placement.pool, placement.target.id,
+                             { .job = placement.job,
+                               .observed = duration_cast<microseconds>(now - placement.start),
+                               .predicted = std::max(predicted, kLeastPrediction) },
+                             now);
 }
 
 void Router::finished(const Placement &placement, std::optional<std::uint32_t> cachedTokens)
