--- a/bench/chaos/include/chaos/history.h
+++ b/bench/chaos/include/chaos/history.h
@@ -38,7 +38,9 @@
     double start = 0;
     double end = 0;
     std::string order; ///< Identifies the order in the records of the service.
-    std::string work;  ///< What the caller was told; "lost" if there was no response.
+    /// What the caller was told: "ran", "not-run", "unknown", "lost" without a response, or
+    /// "declined" if the service answered with an error of its own.
+    std::string work;
 };
 
 /// One execution by a service. `kind`: "execution".
--- a/bench/driver/callers.py
+++ b/bench/driver/callers.py
@@ -33,6 +33,11 @@
                 return address
         return known[0]
 
+    def expiry(self, address):
+        """Returns until when the address may be used, or 0 if it is only a seed."""
+        with self.lock:
+            return self.expires if address in self.entries else 0.0
+
     def _refresh(self, avoid):
         known = self.entries + self.seeds
         for address in sorted(known, key=lambda one: one in avoid):
@@ -47,6 +52,29 @@
                 return
 
 
+class Connection:
+    """One connection of a caller to an instance; times are those of time.monotonic()."""
+
+    def __init__(self, address, address_expires):
+        self.address = address
+        self.address_expires = address_expires
+        self.start = time.monotonic()
+        self.end = None
+        self.connected = False
+        self.first_token = None
+        self.outcome = None
+
+    def close(self, complete, refused):
+        """Records how the connection ended: whole, refused, cut or unreachable."""
+        self.end = time.monotonic()
+        if complete:
+            self.outcome = "whole"
+        elif refused:
+            self.outcome = "refused"
+        else:
+            self.outcome = "cut" if self.connected else "unreachable"
+
+
 class StreamResult:
     """What a caller received for one streamed completion."""
 
@@ -60,6 +88,7 @@
         self.refusal = None
         self.faults = []
         self.attempts = 0
+        self.connections = []
         self.first_token_s = None
         self.longest_gap_s = 0.0
 
@@ -86,6 +115,8 @@
         result.faults.append(f"offset {offset} instead of {expected}")
     result.text += json.loads(data)["choices"][0]["text"]
     result.last_event_id = event_id
+    if result.connections[-1].first_token is None:
+        result.connections[-1].first_token = time.monotonic()
     if result.first_token_s is None:
         result.first_token_s = time.monotonic() - started
 
@@ -95,6 +126,7 @@
     connection = http.client.HTTPConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
     try:
         connection.connect()
+        result.connections[-1].connected = True
         connection.sock.settimeout(READ_TIMEOUT_S)
         headers = {"Authorization": f"Bearer {api_key}", "X-Request-Id": result.request_id}
         if result.last_event_id:
@@ -130,10 +162,12 @@
         result.attempts += 1
         result.refusal = None
         address = addresses.pick(avoid)
+        result.connections.append(Connection(address, addresses.expiry(address)))
         try:
             _attempt(result, address, api_key, model, started)
         except (OSError, http.client.HTTPException):
             pass
+        result.connections[-1].close(result.complete, result.refusal is not None)
         if result.complete:
             break
         if result.refusal is None:
@@ -174,9 +208,11 @@
             continue
         error = (body or {}).get("error") if isinstance(body, dict) else None
         result.status = status
-        result.work = error["work"] if isinstance(error, dict) else "ran"
+        # Any other answer is the service's own; it is final, but may say that nothing was done.
+        answered = "ran" if status < 300 else "declined"
+        result.work = error["work"] if isinstance(error, dict) else answered
         result.attempts.append((address, result.work))
-        if result.work == "ran":
+        if result.work in ("ran", "declined"):
             break
         time.sleep(0.1)
     return result
--- a/standins/engine/engine.cpp
+++ b/standins/engine/engine.cpp
@@ -139,6 +139,7 @@
     generation->priority = static_cast<int>(number(body, "priority", 0));
     if (generation->requestId.empty() || generations_.contains(generation->requestId))
         return respond(exchange, 409, json::object{ { "error", "request id in use" } }, yield);
+    generation->historyEntry = history_.size();
     if (history_.size() < kMaxHistory) {
         history_.push_back(json::object{ { "request_id", generation->requestId },
                                          { "life", life_ },
@@ -192,6 +193,7 @@
     if (!generation->cancelled) {
         const std::uint64_t life = life_;
         generation->cachedTokens = cache_.lookUp(chain) * kBlockTokens;
+        recordLookUp(*generation);
         const double missing =
                 static_cast<double>(generation->promptTokens - generation->cachedTokens);
         const double seconds = missing / options_.prefillTokensPerSecond * faults_.slowFactor;
@@ -203,6 +205,17 @@
     queuedPrefillTokens_ -= std::min(queuedPrefillTokens_, generation->promptTokens);
 }
 
+// Adds to the history what the cache held. Look-ups are serialized, so the times order them.
+void Engine::recordLookUp(const Generation &generation)
+{
+    if (generation.historyEntry >= history_.size())
+        return;
+    const auto now = steady_clock::now().time_since_epoch();
+    json::object &entry = history_[generation.historyEntry].as_object();
+    entry["cached_tokens"] = generation.cachedTokens;
+    entry["looked_up_ms"] = std::chrono::duration<double, std::milli>(now).count();
+}
+
 void Engine::streamTokens(Exchange &exchange, const GenerationPtr &generation, std::uint64_t from,
                           const Yield &yield)
 {
--- a/standins/engine/engine.h
+++ b/standins/engine/engine.h
@@ -48,6 +48,7 @@
     std::uint64_t promptTokens = 0;
     std::uint64_t cachedTokens = 0;
     int priority = 0;
+    std::size_t historyEntry = 0; ///< Index of its entry, if the history has room for it.
     bool decoding = false;
     bool cancelled = false;
     std::chrono::steady_clock::time_point decodeStart;
@@ -76,6 +77,7 @@
     void streamTokens(net::Exchange &exchange, const GenerationPtr &generation, std::uint64_t from,
                       const Yield &yield);
     void answerWhole(net::Exchange &exchange, const GenerationPtr &generation, const Yield &yield);
+    void recordLookUp(const Generation &generation);
     void generate(const GenerationPtr &generation, const Yield &yield);
     void prefill(const GenerationPtr &generation, const Yield &yield);
     void crash();
--- a/standins/service/order_service.cpp
+++ b/standins/service/order_service.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr std::string_view kStatusPath = "/status/";
+constexpr std::chrono::milliseconds kWaitStep{ 10 };
+/// Longest time for which an answer is held back; routers give up earlier.
+constexpr std::chrono::minutes kLongestHold{ 10 };
 
 json::object parseBody(const net::Exchange &exchange)
 {
@@ -38,6 +41,8 @@
 void OrderService::handle(net::Exchange &exchange, const yield_context &yield)
 {
     const std::string_view path = net::pathOf(exchange.request().target);
+    if (!path.starts_with("/control"))
+        waitWhilePaused(yield);
     if (path == "/orders")
         return order(exchange, yield);
     if (path.starts_with(kStatusPath))
@@ -59,6 +64,7 @@
     const json::value *id = body.if_contains("id");
     if (id == nullptr || !id->is_string())
         return respond(exchange, 400, json::object{ { "message", "id missing" } }, yield);
+    sleepFor(faults_.slow, yield);
     const std::uint64_t count = ++executions_[std::string(id->as_string())];
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     history_.push_back(json::object{
@@ -66,19 +72,23 @@
             { "request_id",
               net::findHeader(exchange.request().headers, "X-Request-Id").value_or("") },
             { "at_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now).count() } });
-    pause(yield);
+    sleepFor(faults_.delay, yield);
     if (faults_.dropAnswers > 0) {
         --faults_.dropAnswers;
         std::error_code ignored;
         // An unfinished stream makes the server close the connection.
         return exchange.startStream(200, {}, yield, ignored);
     }
+    if (faults_.holdAnswers > 0) {
+        --faults_.holdAnswers;
+        return holdUntilClosed(exchange, yield);
+    }
     respond(exchange, 201, json::object{ { "id", *id }, { "execution", count } }, yield);
 }
 
 void OrderService::status(net::Exchange &exchange, std::string_view id, const yield_context &yield)
 {
-    pause(yield);
+    sleepFor(faults_.delay, yield);
     const auto found = executions_.find(id);
     if (found == executions_.end())
         return respond(exchange, 404, json::object{ { "message", "unknown order" } }, yield);
@@ -90,16 +100,36 @@
     const json::object body = parseBody(exchange);
     if (const auto *delay = body.if_contains("delayMs"))
         faults_.delay = std::chrono::milliseconds(delay->to_number<std::int64_t>());
+    if (const auto *slow = body.if_contains("slowMs"))
+        faults_.slow = std::chrono::milliseconds(slow->to_number<std::int64_t>());
+    if (const auto *pause = body.if_contains("pause"))
+        faults_.pause = pause->as_bool();
     readCount(body, "dropAnswers", faults_.dropAnswers);
+    readCount(body, "holdAnswers", faults_.holdAnswers);
     readCount(body, "refuse", faults_.refuse);
     respond(exchange, 200, json::object(), yield);
 }
 
-void OrderService::pause(const yield_context &yield)
+void OrderService::waitWhilePaused(const yield_context &yield)
+{
+    while (faults_.pause)
+        sleepFor(kWaitStep, yield);
+}
+
+void OrderService::holdUntilClosed(net::Exchange &exchange, const yield_context &yield)
+{
+    const auto deadline = std::chrono::steady_clock::now() + kLongestHold;
+    while (!exchange.peerHasClosed() && std::chrono::steady_clock::now() < deadline)
+        sleepFor(kWaitStep, yield);
+    std::error_code ignored;
+    exchange.startStream(200, {}, yield, ignored);
+}
+
+void OrderService::sleepFor(std::chrono::milliseconds time, const yield_context &yield)
 {
-    if (faults_.delay.count() == 0)
+    if (time.count() == 0)
         return;
-    boost::asio::steady_timer timer(context_, faults_.delay);
+    boost::asio::steady_timer timer(context_, time);
     boost::system::error_code ignored;
     timer.async_wait(yield[ignored]);
 }
--- a/standins/service/order_service.h
+++ b/standins/service/order_service.h
@@ -18,7 +18,10 @@
 {
     std::chrono::milliseconds delay{ 0 }; ///< Before each response.
     std::uint64_t dropAnswers = 0;        ///< Orders that run and whose connection is then closed.
+    std::uint64_t holdAnswers = 0;        ///< Orders that run and get no answer at all.
     std::uint64_t refuse = 0;             ///< Orders that are refused with 503 and do not run.
+    std::chrono::milliseconds slow{ 0 };  ///< `slowMs`: before each execution.
+    bool pause = false;                   ///< Calls wait until it is set to false.
 };
 
 /// Plain service that records each execution of an order. It does not detect repeated orders, so
@@ -35,7 +38,9 @@
     void status(net::Exchange &exchange, std::string_view id,
                 const boost::asio::yield_context &yield);
     void control(net::Exchange &exchange, const boost::asio::yield_context &yield);
-    void pause(const boost::asio::yield_context &yield);
+    void waitWhilePaused(const boost::asio::yield_context &yield);
+    void holdUntilClosed(net::Exchange &exchange, const boost::asio::yield_context &yield);
+    void sleepFor(std::chrono::milliseconds time, const boost::asio::yield_context &yield);
 
     boost::asio::io_context &context_;
     ServiceFaults faults_;
