Limit retries of idempotent calls by the budgets of customer and target

Cause: sendRepeatable retried up to five times per call, which multiplies load during an overload. Change: RetryBudgets shares admission's token buckets between the traffic threads; a refused connection costs no budget, because nothing was sent.

--- a/packages/daemon/include/daemon/app.h
+++ b/packages/daemon/include/daemon/app.h
@@ -39,6 +39,7 @@
     traffic::Metrics metrics_;
     traffic::Router router_;
     traffic::OrderDesk orderDesk_;
+    traffic::RetryBudgets retryBudgets_;
     ControlPlane control_;
     traffic::Services services_;
     traffic::InstanceView view_;
--- a/packages/daemon/src/app.cpp
+++ b/packages/daemon/src/app.cpp
@@ -54,6 +54,7 @@
                  .metrics = metrics_,
                  .timeLine = timeLine_,
                  .orderDesk = orderDesk_,
+                 .retryBudgets = retryBudgets_,
                  .targetTable = [this] { return control_.targetTable(); },
                  .options = { .firstTokenTimeout = settings.firstTokenTimeout,
                               .progressTimeout = settings.progressTimeout,
--- a/packages/traffic/include/traffic/dispatch.h
+++ b/packages/traffic/include/traffic/dispatch.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/spawn.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <system_error>
 
@@ -15,10 +16,12 @@
 {
     net::Request request;
     const RouteTargets *targets = nullptr;
+    std::uint64_t customer = 0; ///< Hash of the customer's name, for its retry budget.
 };
 
-/// Sends an idempotent call, at another target after a failure, within the attempt limit. Returns
-/// the first complete response, or sets `error` to the last failure.
+/// Sends an idempotent call, at another target after a failure or a server error, within the
+/// attempt limit and the retry budgets; a refused connection costs no budget. Returns the last
+/// complete response, or sets `error` to the last failure.
 std::optional<net::Response> sendRepeatable(const TrafficThread &thread, const ServiceCall &call,
                                             const boost::asio::yield_context &yield,
                                             std::error_code &error);
--- /dev/null
+++ b/packages/traffic/include/traffic/retry_budgets.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "admission/extra_budget.h"
+#include "routing/types.h"
+
+#include <cstdint>
+#include <mutex>
+
+namespace chervilfield::traffic {
+
+/// Retry budgets of all customers and targets, shared by the traffic threads. During an overload
+/// retries are at most a tenth of the first attempts, so they cannot keep the overload up. Safe to
+/// use from several threads.
+class RetryBudgets
+{
+public:
+    /// Credits a first attempt of the customer at the target.
+    void countFirstAttempt(std::uint64_t customer, routing::TargetId target);
+
+    /// Takes one retry from both budgets. Returns true if and only if it is allowed.
+    bool takeRetry(std::uint64_t customer, routing::TargetId target);
+
+private:
+    std::mutex mutex_;
+    admission::ExtraBudgets customers_;
+    admission::ExtraBudgets targets_;
+};
+
+} // namespace chervilfield::traffic
--- a/packages/traffic/include/traffic/services.h
+++ b/packages/traffic/include/traffic/services.h
@@ -5,6 +5,7 @@
 #include "platform/platform_client.h"
 #include "traffic/metrics.h"
 #include "traffic/order_desk.h"
+#include "traffic/retry_budgets.h"
 #include "traffic/router.h"
 #include "traffic/target_table.h"
 
@@ -31,6 +32,7 @@
     Metrics &metrics;
     base::TimeLine &timeLine;
     OrderDesk &orderDesk;
+    RetryBudgets &retryBudgets;
     std::function<TargetTablePtr()> targetTable; ///< Of the configuration in force.
     TrafficOptions options;
 };
--- a/packages/traffic/src/calls.cpp
+++ b/packages/traffic/src/calls.cpp
@@ -1,5 +1,6 @@
 #include "traffic/calls.h"
 
+#include "base/hash.h"
 #include "base/result.h"
 #include "orders/identity.h"
 #include "traffic/order_desk.h"
@@ -143,7 +144,8 @@
                       WorkStatus::NotRun, {}, yield);
     }
     const ServiceCall call{ .request = forwarded(request, scope.requestId),
-                            .targets = &scope.table->targetsOf(*route) };
+                            .targets = &scope.table->targetsOf(*route),
+                            .customer = base::hash64(scope.customer->name) };
     if (route->intent->idempotent)
         serveRepeatable(thread, scope, call, exchange, yield);
     else
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -9,24 +9,39 @@
 
 namespace {
 
-// Sends the call to one target that the router chooses. `placed` tells whether there was one.
-std::optional<net::Response> sendToOne(const TrafficThread &thread, const ServiceCall &call,
-                                       std::vector<routing::TargetId> &excluded, bool &placed,
-                                       const yield_context &yield, std::error_code &error)
+// One attempt at one target. `target` has no value if the router refused, with `error` as the
+// reason.
+struct Attempt
+{
+    std::optional<routing::TargetId> target;
+    std::optional<net::Response> response;
+    std::error_code error;
+};
+
+Attempt sendToOne(const TrafficThread &thread, const ServiceCall &call,
+                  std::vector<routing::TargetId> &excluded, const yield_context &yield)
 {
     Router &router = thread.services.router;
     const routing::Request request{ .promptTokens = 1, .outputTokens = 1, .excluded = excluded };
-    auto placement = router.place(request, *call.targets, error);
-    placed = placement.has_value();
-    if (!placed)
-        return std::nullopt;
-    auto response = thread.client.send(placement->target.address, call.request,
-                                       thread.services.options.callTimeout, yield, error);
-    if (error == Result::TargetUnreachable)
+    Attempt attempt;
+    const auto placement = router.place(request, *call.targets, attempt.error);
+    if (!placement.has_value())
+        return attempt;
+    attempt.target = placement->target.id;
+    attempt.response =
+            thread.client.send(placement->target.address, call.request,
+                               thread.services.options.callTimeout, yield, attempt.error);
+    if (attempt.error == Result::TargetUnreachable)
         router.refusedConnection(placement->target.id);
     router.finished(*placement, std::nullopt);
     excluded.push_back(placement->target.id);
-    return response;
+    return attempt;
+}
+
+bool isServerError(const std::optional<net::Response> &response)
+{
+    constexpr int kServerError = 500;
+    return response.has_value() && response->status >= kServerError;
 }
 
 } // namespace
@@ -34,24 +49,26 @@
 std::optional<net::Response> sendRepeatable(const TrafficThread &thread, const ServiceCall &call,
                                             const yield_context &yield, std::error_code &error)
 {
-    constexpr int kServerError = 500;
+    RetryBudgets &budgets = thread.services.retryBudgets;
     std::vector<routing::TargetId> excluded;
     std::optional<net::Response> response;
-    for (int attempt = 0; attempt < thread.services.options.maxAttempts; ++attempt) {
-        std::error_code failure;
-        bool placed = false;
-        auto next = sendToOne(thread, call, excluded, placed, yield, failure);
-        if (!placed) {
-            if (!error && !response.has_value())
-                error = failure;
+    for (int number = 0; number < thread.services.options.maxAttempts; ++number) {
+        Attempt attempt = sendToOne(thread, call, excluded, yield);
+        if (!attempt.target.has_value()) {
+            if (number == 0)
+                error = attempt.error;
             break;
         }
-        error = failure;
-        if (next.has_value()) {
-            response = std::move(next);
-            if (response->status < kServerError)
-                break;
-        }
+        if (number == 0)
+            budgets.countFirstAttempt(call.customer, *attempt.target);
+        error = attempt.error;
+        if (attempt.response.has_value())
+            response = std::move(attempt.response);
+        if (!error && !isServerError(response))
+            break;
+        const bool wasSent = error != Result::TargetUnreachable;
+        if (wasSent && !budgets.takeRetry(call.customer, *attempt.target))
+            break;
     }
     if (response.has_value())
         error.clear();
@@ -64,22 +81,16 @@
     ServiceCall single = call;
     single.request.idempotent = false;
     std::vector<routing::TargetId> excluded;
-    for (int attempt = 0; attempt < thread.services.options.maxAttempts; ++attempt) {
-        bool placed = false;
-        std::error_code failure;
-        auto response = sendToOne(thread, single, excluded, placed, yield, failure);
-        if (!placed) {
+    for (int number = 0; number < thread.services.options.maxAttempts; ++number) {
+        Attempt attempt = sendToOne(thread, single, excluded, yield);
+        if (!attempt.target.has_value()) {
             if (!error)
-                error = failure;
+                error = attempt.error;
             return std::nullopt;
         }
-        if (response.has_value()) {
-            error.clear();
-            return response;
-        }
-        error = failure;
-        if (!provesNotSent(failure))
-            return std::nullopt;
+        error = attempt.error;
+        if (attempt.response.has_value() || !provesNotSent(error))
+            return std::move(attempt.response);
     }
     return std::nullopt;
 }
--- a/packages/traffic/test/traffic_fixture.h
+++ b/packages/traffic/test/traffic_fixture.h
@@ -159,11 +159,13 @@
     base::TimeLine timeLine_{ "test", 100, clock_ };
     Router router_{ RouterOptions{} };
     OrderDesk orderDesk_{ "life", [](const std::string &) { return false; } };
+    RetryBudgets retryBudgets_;
     TargetTablePtr table_;
     Services services_{ .router = router_,
                         .metrics = metrics,
                         .timeLine = timeLine_,
                         .orderDesk = orderDesk_,
+                        .retryBudgets = retryBudgets_,
                         .targetTable = [this] { return table_; },
                         .options = { .progressTimeout = std::chrono::milliseconds(200) } };
     TrafficThread thread_{ services_, context, client, platform_ };
