Bound the start by a peer and end the control actor before its owner

A start now asks a peer once the platform has been silent for 100 ms and ends after 500 ms with what is in force. The destructor waits until the actor has ended. A daemon that is behind while the table is down also reads the object service, because a peer's answer has a size limit.

--- a/packages/control/include/control/configuration_control.h
+++ b/packages/control/include/control/configuration_control.h
@@ -39,7 +39,8 @@
 {
 public:
     ConfigurationControl(ControlSystem &system, ConfigurationControlOptions options);
-    /// Stops the actor. Messages that it has not handled are dropped.
+    /// Stops the actor and waits until it has ended; the functions of the options are not called
+    /// afterwards. Messages that it has not handled are dropped.
     ~ConfigurationControl();
     ConfigurationControl(const ConfigurationControl &) = delete;
     ConfigurationControl &operator=(const ConfigurationControl &) = delete;
@@ -68,7 +69,7 @@
     struct Published;
     struct State;
 
-    std::shared_ptr<State> state_;
+    std::unique_ptr<State> state_;
 };
 
 } // namespace chervilfield::control
--- a/packages/control/include/control/configuration_follower.h
+++ b/packages/control/include/control/configuration_follower.h
@@ -21,6 +21,11 @@
     /// nothing. It must limit its own time.
     std::function<std::vector<LogEntry>(RevisionNumber after, boost::asio::yield_context yield)>
             fetchFromPeers;
+    /// A start asks a peer as well if the platform has not answered for this long.
+    std::chrono::milliseconds peerDelay{ 100 };
+    /// A start ends after this time with what is in force, if anything is. The limit for readiness
+    /// with the store down is 1 s, and a request to a store that hangs takes nearly as long.
+    std::chrono::milliseconds startLimit{ 500 };
 };
 
 /// Where a daemon got its first configuration from.
@@ -28,16 +33,16 @@
 
 /// Brings log entries from the table, the object service and peers to the owner of the
 /// configuration in force. Runs on the control I/O thread and owns no state of the configuration.
+/// Destroy it only after `context` has stopped.
 class ConfigurationFollower
 {
 public:
     ConfigurationFollower(boost::asio::io_context &context, ConfigurationControl &control,
                           ConfigurationFollowerOptions options);
 
-    /// Offers the first configuration: from the table, else from the object service, else from a
-    /// peer. A peer is asked in any case, because it may know more than the object service. Returns
-    /// once the configuration is in force; its revision may be 0 if the log is empty. Takes at most
-    /// three timeouts of the platform client of `log` and one of the peers.
+    /// Offers the first configuration: from the table, else from the object service and a peer.
+    /// Returns once the configuration is in force; its revision may be 0 only if the log is empty
+    /// or no source has answered. Requests that are open at `startLimit` go on.
     StartSource start(ConfigurationLog &log, boost::asio::yield_context yield);
 
     /// Polls the table at each interval and after `kick()`, until `stop()`.
@@ -52,8 +57,9 @@
 private:
     void poll(ConfigurationLog &log, boost::asio::yield_context yield);
     void askPeers(boost::asio::yield_context yield);
+    void askObjects(ConfigurationLog &log, boost::asio::yield_context yield);
     void waitInForce(RevisionNumber revision, boost::asio::yield_context yield);
-    StartSource startFromTable(ConfigurationLog &log, boost::asio::yield_context yield);
+    StartSource startFromPlatform(ConfigurationLog &log, boost::asio::yield_context yield);
 
     boost::asio::io_context &context_;
     ConfigurationControl &control_;
--- a/packages/control/src/configuration_control.cpp
+++ b/packages/control/src/configuration_control.cpp
@@ -6,6 +6,7 @@
 
 #include <caf/event_based_actor.hpp>
 #include <caf/exit_reason.hpp>
+#include <caf/scoped_actor.hpp>
 #include <caf/send.hpp>
 
 #include <glog/logging.h>
@@ -62,7 +63,10 @@
 /// Shared by the actor, which alone changes it, and the readers.
 struct ConfigurationControl::State
 {
-    explicit State(ConfigurationControlOptions given) : options(std::move(given)) {}
+    State(caf::actor_system &owner, ConfigurationControlOptions given)
+        : system(owner), options(std::move(given))
+    {
+    }
 
     void note(RevisionNumber revision);
     void offer(const OfferRevisions &message);
@@ -71,6 +75,7 @@
     void keepRecent(const std::vector<Revision> &entries, RevisionNumber before);
     void requestMissing();
 
+    caf::actor_system &system;
     ConfigurationControlOptions options;
     configuration::InForce inForce;
     RecentEntries recent;
@@ -152,11 +157,10 @@
 
 ConfigurationControl::ConfigurationControl(ControlSystem &system,
                                            ConfigurationControlOptions options)
-    : state_(std::make_shared<State>(std::move(options)))
+    : state_(std::make_unique<State>(system.implementation().system, std::move(options)))
 {
-    // The actor keeps the state alive, because it may still run while this object is destroyed.
-    state_->actor = system.implementation().system.spawn(
-            [state = state_](caf::event_based_actor *) -> caf::behavior {
+    state_->actor =
+            state_->system.spawn([state = state_.get()](caf::event_based_actor *) -> caf::behavior {
                 return { [state](const NoteRevision &message) { state->note(message.revision); },
                          [state](const OfferRevisions &message) { state->offer(message); },
                          [state](const OfferConfiguration &message) { state->offer(message); } };
@@ -165,8 +169,9 @@
 
 ConfigurationControl::~ConfigurationControl()
 {
-    caf::anon_send_exit(state_->actor, caf::exit_reason::user_shutdown);
-    state_->actor = nullptr;
+    const caf::scoped_actor self(state_->system);
+    self->send_exit(state_->actor, caf::exit_reason::user_shutdown);
+    self->wait_for(state_->actor);
 }
 
 ConfigurationPtr ConfigurationControl::current() const
--- a/packages/control/src/configuration_follower.cpp
+++ b/packages/control/src/configuration_follower.cpp
@@ -1,10 +1,13 @@
 #include "control/configuration_follower.h"
 
+#include "net/http_server.h"
+
 #include <boost/asio/post.hpp>
 
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <memory>
 #include <random>
 #include <utility>
 
@@ -62,37 +65,89 @@
         waitInForce(entries.back().revision, yield);
 }
 
-StartSource ConfigurationFollower::startFromTable(ConfigurationLog &log, asio::yield_context yield)
+void ConfigurationFollower::askObjects(ConfigurationLog &log, asio::yield_context yield)
+{
+    std::error_code error;
+    RevisionNumber revision = control_.current()->revision();
+    if (ConfigurationPtr snapshot = log.readSnapshot(yield, error)) {
+        revision = std::max(revision, snapshot->revision());
+        control_.offerConfiguration(std::move(snapshot), "snapshot");
+    }
+    auto entries = log.readObjectsAfter(revision, yield, error);
+    if (!entries.empty())
+        revision = entries.back().number;
+    control_.offerRevisions(std::move(entries), "objects");
+    waitInForce(revision, yield);
+}
+
+StartSource ConfigurationFollower::startFromPlatform(ConfigurationLog &log,
+                                                     asio::yield_context yield)
 {
     std::error_code error;
+    // The snapshot spares most of the rows; without it, all of them are read.
     ConfigurationPtr snapshot = log.readSnapshot(yield, error);
     RevisionNumber revision = snapshot == nullptr ? 0 : snapshot->revision();
-    const StartSource fallback = snapshot == nullptr ? StartSource::Nothing : StartSource::Objects;
     control_.offerConfiguration(std::move(snapshot), "snapshot");
     auto entries = log.readLatestAfter(revision, yield, error);
-    const bool fromTable = !error;
-    if (!fromTable && entries.empty())
-        entries = log.readObjectsAfter(revision, yield, error);
-    const bool any = !entries.empty();
-    if (any)
+    const bool tableAnswers = !error;
+    const bool any = revision > 0 || !entries.empty();
+    if (!entries.empty())
         revision = entries.back().number;
-    control_.offerRevisions(std::move(entries), fromTable ? "table" : "objects");
+    control_.offerRevisions(std::move(entries), "table");
     waitInForce(revision, yield);
-    if (fromTable)
+    if (tableAnswers)
         return StartSource::Table;
-    return any ? StartSource::Objects : fallback;
+    const RevisionNumber before = control_.current()->revision();
+    askObjects(log, yield);
+    const bool advanced = control_.current()->revision() > before;
+    return any || advanced ? StartSource::Objects : StartSource::Nothing;
 }
 
 StartSource ConfigurationFollower::start(ConfigurationLog &log, asio::yield_context yield)
 {
-    StartSource source = startFromTable(log, yield);
-    const RevisionNumber before = control_.current()->revision();
-    askPeers(yield);
-    if (source == StartSource::Nothing && control_.current()->revision() > before)
-        source = StartSource::Peers;
+    struct Progress
+    {
+        bool platformDone = false;
+        bool peersAsked = false;
+        bool peersDone = false;
+        StartSource source = StartSource::Nothing;
+    };
+    // Shared, because the coroutines may outlast this call.
+    const auto progress = std::make_shared<Progress>();
+    net::spawnCoroutine(context_, "[control]", [this, &log, progress](asio::yield_context inner) {
+        const StartSource source = startFromPlatform(log, inner);
+        if (source != StartSource::Nothing)
+            progress->source = source;
+        progress->platformDone = true;
+    });
+    net::spawnCoroutine(context_, "[control]", [this, progress](asio::yield_context inner) {
+        const auto tableAnswered = [&] { return progress->source == StartSource::Table; };
+        const auto deadline = steady_clock::now() + options_.peerDelay;
+        while (!progress->platformDone && steady_clock::now() < deadline)
+            pause(context_, kInForcePoll, inner);
+        progress->peersAsked = true;
+        const RevisionNumber before = control_.current()->revision();
+        if (!tableAnswered())
+            askPeers(inner);
+        const bool advanced = control_.current()->revision() > before;
+        if (advanced && progress->source == StartSource::Nothing)
+            progress->source = StartSource::Peers;
+        progress->peersDone = true;
+    });
+    const auto limit = steady_clock::now() + options_.startLimit;
+    const auto isDone = [&] {
+        if (progress->source == StartSource::Table)
+            return progress->peersAsked;
+        const bool late = steady_clock::now() >= limit && control_.current()->revision() > 0;
+        return late || (progress->platformDone && progress->peersDone);
+    };
+    while (!isDone())
+        pause(context_, kInForcePoll, yield);
+    if (progress->source == StartSource::Nothing && control_.current()->revision() > 0)
+        progress->source = StartSource::Objects;
     LOG(INFO) << "[control] Started with revision " << control_.current()->revision() << " from "
-              << toString(source) << '.';
-    return source;
+              << toString(progress->source) << '.';
+    return progress->source;
 }
 
 void ConfigurationFollower::poll(ConfigurationLog &log, asio::yield_context yield)
@@ -101,16 +156,23 @@
     auto entries = log.readAfter(control_.current()->revision(), yield, error);
     const bool answers = !error;
     if (answers != std::exchange(tableAnswers_, answers)) {
-        LOG(WARNING) << (answers ? "[control] The table service answers again."
-                                 : "[control] The table service does not answer; revision ")
-                     << (answers ? "" : std::to_string(control_.current()->revision()))
-                     << (answers ? "" : " stays in force.");
+        if (answers)
+            LOG(INFO) << "[control] The table service answers again.";
+        else
+            LOG(WARNING) << "[control] The table service does not answer; revision "
+                         << control_.current()->revision() << " stays in force.";
     }
     const RevisionNumber last = entries.empty() ? 0 : entries.back().number;
     control_.offerRevisions(std::move(entries), "table");
     waitInForce(last, yield);
-    if (control_.highestKnown() > control_.current()->revision())
+    const auto isBehind = [this] {
+        return control_.highestKnown() > control_.current()->revision();
+    };
+    if (isBehind())
         askPeers(yield);
+    // A peer's answer can be too large for one message; the object service has no such limit.
+    if (!answers && isBehind())
+        askObjects(log, yield);
 }
 
 void ConfigurationFollower::run(ConfigurationLog &log, asio::yield_context yield)
--- a/packages/control/test/configuration_log_test.cpp
+++ b/packages/control/test/configuration_log_test.cpp
@@ -127,7 +127,9 @@
     {
         const RevisionNumber before = control_->current()->revision();
         newLife();
-        ConfigurationFollower follower(fixture_.context, *control_, {});
+        // The limit must not end a start before its requests: the follower is destroyed then.
+        ConfigurationFollower follower(fixture_.context, *control_,
+                                       { .startLimit = std::chrono::minutes(1) });
         const StartSource source = follower.start(log_, yield);
         // Without the table, a restarted daemon knows only what the object service has.
         if (source == StartSource::Table)
@@ -152,6 +154,7 @@
     CPPUNIT_TEST(applyReportsEveryOutcome);
     CPPUNIT_TEST(idlePollCostsOneRead);
     CPPUNIT_TEST(startUsesTheFirstSourceThatAnswers);
+    CPPUNIT_TEST(notedRevisionsAreFetched);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -285,16 +288,18 @@
             const char *name;
             bool tableDown;
             bool objectsDown;
+            bool hangs;
             bool peerKnows;
             std::string_view source;
             RevisionNumber revision;
         };
         const Row rows[] = {
-            { "all up", false, false, true, "table", 6 },
-            { "objects down", false, true, false, "table", 6 },
-            { "table down", true, false, false, "objects", 6 },
-            { "both down", true, true, true, "peers", 6 },
-            { "all down", true, true, false, "nothing", 0 },
+            { "all up", false, false, false, true, "table", 6 },
+            { "objects down", false, true, false, false, "table", 6 },
+            { "table down", true, false, false, false, "objects", 6 },
+            { "both down", true, true, false, true, "peers", 6 },
+            { "both hang", false, false, true, true, "peers", 6 },
+            { "all down", true, true, false, false, "nothing", 0 },
         };
         for (const Row &row : rows) {
             withLog([&](ConfigurationLog &log, PlatformFixture &fixture,
@@ -314,6 +319,7 @@
                 fixture.service.faults().tableDown = row.tableDown;
                 fixture.service.faults().objectsDown = row.objectsDown;
                 fixture.service.faults().staleReads = -1;
+                fixture.service.faults().delay = milliseconds(row.hangs ? 5000 : 0);
                 ConfigurationControl control(system, {});
                 ConfigurationFollower follower(
                         fixture.context, control,
@@ -321,13 +327,60 @@
                             return row.peerKnows ? peer.entriesAfter(after)
                                                  : std::vector<LogEntry>();
                         } });
+                const auto begin = steady_clock::now();
                 const StartSource source = follower.start(log, yield);
+                CPPUNIT_ASSERT_MESSAGE(row.name, steady_clock::now() - begin < milliseconds(1000));
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.source, toString(source));
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.revision, control.current()->revision());
             });
         }
     }
 
+    // Guards against a change that waits for the poll interval, and against a daemon that stays
+    // behind its peers while the table is down.
+    void notedRevisionsAreFetched()
+    {
+        withLog([](ConfigurationLog &log, PlatformFixture &fixture, asio::yield_context yield) {
+            ControlSystem system;
+            ConfigurationControl peer(system, {});
+            std::unique_ptr<ConfigurationFollower> follower;
+            ConfigurationControl control(system,
+                                         { .fetchNeeded = [&](auto) { follower->kick(); } });
+            follower = std::make_unique<ConfigurationFollower>(
+                    fixture.context, control,
+                    ConfigurationFollowerOptions{
+                            .pollInterval = std::chrono::minutes(1),
+                            .fetchFromPeers = [&](RevisionNumber after, asio::yield_context) {
+                                return peer.entriesAfter(after);
+                            } });
+            bool ended = false;
+            net::spawnCoroutine(fixture.context, "[test]", [&](asio::yield_context inner) {
+                follower->run(log, inner);
+                ended = true;
+            });
+            std::error_code error;
+            const auto reach = [&](ConfigurationControl &which, RevisionNumber revision) {
+                const auto holds = [&] { return which.current()->revision() == revision; };
+                CPPUNIT_ASSERT(fixture.waitUntil(holds, yield));
+            };
+            const auto applyAtPeer = [&](RevisionNumber base) {
+                const auto change = addPool(base, "w" + std::to_string(base));
+                peer.offerRevisions(log.apply(peer.current(), { change }, yield, error).entries,
+                                    "apply");
+                reach(peer, base + 1);
+            };
+            applyAtPeer(0);
+            control.noteRevision(1);
+            reach(control, 1);
+            applyAtPeer(1);
+            fixture.service.faults().tableDown = true;
+            control.noteRevision(2);
+            reach(control, 2);
+            follower->stop();
+            CPPUNIT_ASSERT(fixture.waitUntil([&] { return ended; }, yield));
+        });
+    }
+
 private:
     using Body = std::function<void(ConfigurationLog &, PlatformFixture &, asio::yield_context)>;
 
