--- a/packages/daemon/src/app.cpp
+++ b/packages/daemon/src/app.cpp
@@ -1,6 +1,7 @@
 #include "daemon/app.h"
 
 #include "base/hash.h"
+#include "traffic/explain.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,6 +11,7 @@
 #include <iostream>
 #include <memory>
 #include <random>
+#include <unordered_set>
 
 namespace chervilfield::daemon {
 
@@ -41,7 +43,13 @@
     : settings_(settings), life_(makeLife(settings.instanceName)),
       timeLine_(settings.instanceName, kTimeLineEvents, clock_), router_(routerOptions(settings)),
       orderDesk_(life_, [](const std::string &) { return false; }),
-      control_(settings, life_, timeLine_),
+      control_(settings, life_, timeLine_,
+               { .explain =
+                         [this](const auto &request) {
+                             return traffic::explainRequest(services_, request);
+                         },
+                 .drain = [] { std::raise(SIGTERM); },
+                 .leavingTargets = [this](const auto &names) { setLeaving(names); } }),
       services_{ .router = router_,
                  .metrics = metrics_,
                  .timeLine = timeLine_,
@@ -82,6 +90,14 @@
     return 0;
 }
 
+void App::setLeaving(const std::vector<std::string> &names)
+{
+    std::unordered_set<routing::TargetId> targets;
+    for (const std::string &name : names)
+        targets.insert(traffic::targetId(name));
+    router_.setLeaving(std::move(targets));
+}
+
 void App::waitForSignal(boost::asio::io_context &context)
 {
     auto signals = std::make_shared<boost::asio::signal_set>(context, SIGTERM, SIGINT);
--- a/packages/daemon/src/control_plane.cpp
+++ b/packages/daemon/src/control_plane.cpp
@@ -1,8 +1,8 @@
 #include "daemon/control_plane.h"
 
-#include "daemon/admin_handler.h"
 #include "peers/exchange.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr milliseconds kPeerTimeout{ 300 };
+// A leaving target gets no new work after 3 s; the list itself lags.
+constexpr milliseconds kInstancePoll{ 1000 };
 
 platform::PlatformOptions platformOptions(const Settings &settings)
 {
@@ -27,13 +29,15 @@
 
 } // namespace
 
-ControlPlane::ControlPlane(const Settings &settings, std::string life, base::TimeLine &timeLine)
+ControlPlane::ControlPlane(const Settings &settings, std::string life, base::TimeLine &timeLine,
+                           ControlHooks hooks)
     : settings_(settings), life_(std::move(life)), timeLine_(timeLine),
       table_(std::make_shared<const traffic::TargetTable>(
               std::make_shared<const configuration::Configuration>())),
       work_(context_.get_executor()),
       client_(context_.get_executor(), { .connectTimeout = kPeerTimeout }),
-      platform_(context_.get_executor(), platformOptions(settings)), log_(platform_, {})
+      platform_(context_.get_executor(), platformOptions(settings)), log_(platform_, {}),
+      hooks_(std::move(hooks))
 {
     configuration_ = std::make_unique<control::ConfigurationControl>(
             system_, control::ConfigurationControlOptions{
@@ -70,12 +74,15 @@
 
 void ControlPlane::start(std::error_code &error)
 {
-    const AdminContext admin{ .configuration = *configuration_,
-                              .log = log_,
-                              .timeLine = timeLine_,
-                              .instance = settings_.instanceName };
+    adminApi_ = std::make_unique<admin::AdminApi>(
+            context_, *configuration_, log_,
+            admin::AdminHooks{ .self = { .instance = settings_.instanceName,
+                                         .dataCentre = settings_.dataCentre },
+                               .explain = hooks_.explain,
+                               .drain = hooks_.drain,
+                               .timeLine = &timeLine_ });
     adminServer_ = std::make_unique<net::HttpServer>(
-            std::vector<net::ServerWorker>{ { &context_, makeAdminHandler(admin) } },
+            std::vector<net::ServerWorker>{ { &context_, adminApi_->handler() } },
             net::ServerOptions{});
     adminServer_->listen(settings_.admin, error);
     if (error)
@@ -99,6 +106,8 @@
         return;
     net::spawnCoroutine(context_, "[control]",
                         [this](const yield_context &yield) { runFollower(yield); });
+    net::spawnCoroutine(context_, "[control]",
+                        [this](const yield_context &yield) { pollInstances(yield); });
     runner_ = std::thread([this] { context_.run(); });
 }
 
@@ -111,6 +120,25 @@
     follower_->run(log_, yield);
 }
 
+void ControlPlane::pollInstances(const yield_context &yield)
+{
+    while (true) {
+        std::error_code error;
+        const auto instances = platform_.instances(yield, error);
+        if (!error) {
+            std::vector<std::string> leaving;
+            for (const platform::Instance &instance : instances) {
+                if (instance.leaving)
+                    leaving.push_back(instance.name);
+            }
+            hooks_.leavingTargets(leaving);
+        }
+        boost::asio::steady_timer timer(context_, kInstancePoll);
+        boost::system::error_code ignored;
+        timer.async_wait(yield[ignored]);
+    }
+}
+
 void ControlPlane::publish(const configuration::ConfigurationPtr &configuration)
 {
     table_.store(std::make_shared<const traffic::TargetTable>(configuration));
