--- a/packages/membership/include/membership/protocol.h
+++ b/packages/membership/include/membership/protocol.h
@@ -43,9 +43,13 @@
     unsigned silentScoreLimit = 4;
     std::size_t maxMembers = 1024;
     std::size_t maxRelays = 64;
-    std::size_t maxUpdateBytes = 900; ///< Updates in one datagram, by `encodedBound`.
+    std::size_t maxPacketBytes = 1150; ///< Of an encoded packet.
 };
 
+/// Returns the options for a protocol period, with the other intervals in the default proportion.
+/// With less than 500 ms, members of distant regions answer too late and are probed indirectly.
+Options optionsFor(Duration period);
+
 struct Ping
 {
     std::uint32_t sequence = 0;
--- a/packages/membership/src/datagrams.cpp
+++ b/packages/membership/src/datagrams.cpp
@@ -36,15 +36,27 @@
     return member.state == MemberState::Suspect || member.state == MemberState::Dead;
 }
 
-// Takes the updates that have been sent least often, as many as fit into one datagram.
-std::vector<MemberUpdate> takeUpdates(State &state, std::string_view target)
+// Returns an upper bound of the encoded size of a packet without updates.
+std::size_t emptyBound(const State &state, const Body &body)
+{
+    // Version, table hash, revision, sequence number, field headers and stop bytes.
+    std::size_t size = 60 + encodedBound({ state.self, {} });
+    if (const auto *ping = std::get_if<Ping>(&body))
+        size += ping->target.size();
+    else if (const auto *indirect = std::get_if<IndirectPing>(&body))
+        size += indirect->target.size() + indirect->address.size();
+    return size;
+}
+
+// Takes the updates that have been sent least often, as many as fit into `room` bytes.
+std::vector<MemberUpdate> takeUpdates(State &state, std::string_view target, std::size_t room)
 {
     std::vector<MemberUpdate> updates;
-    std::size_t room = state.options.maxUpdateBytes;
     const auto targetRecord = updateOf(state, target);
-    if (targetRecord && isNewsToSubject(targetRecord->member)) {
+    if (targetRecord && isNewsToSubject(targetRecord->member)
+        && encodedBound(*targetRecord) <= room) {
         updates.push_back(*targetRecord);
-        room -= std::min(room, encodedBound(*targetRecord));
+        room -= encodedBound(*targetRecord);
     }
     std::ranges::stable_sort(state.pending, {}, &PendingUpdate::transmissions);
     for (PendingUpdate &pending : state.pending) {
@@ -71,9 +83,11 @@
 void sendPacket(Context &context, const std::string &address, Body body, std::string_view target)
 {
     State &state = context.state;
+    const std::size_t most = state.options.maxPacketBytes;
+    const std::size_t room = most - std::min(most, emptyBound(state, body));
     Packet packet{ .sender = state.self,
                    .body = std::move(body),
-                   .updates = takeUpdates(state, target),
+                   .updates = takeUpdates(state, target, room),
                    .tableHash = state.tableHash,
                    .configurationRevision = state.configurationRevision };
     context.outputs.emplace_back(SendPacket{ address, std::move(packet) });
--- a/packages/membership/src/protocol.cpp
+++ b/packages/membership/src/protocol.cpp
@@ -157,6 +157,23 @@
 
 } // namespace
 
+Options optionsFor(Duration period)
+{
+    Options options;
+    const auto scaled = [&](Duration standard) {
+        return std::chrono::duration_cast<Duration>(
+                standard * (std::chrono::duration<double>(period) / options.period));
+    };
+    const Options standard = options;
+    options.probeTimeout = scaled(standard.probeTimeout);
+    options.gossipInterval = scaled(standard.gossipInterval);
+    options.reconnectInterval = scaled(standard.reconnectInterval);
+    options.syncInterval = scaled(standard.syncInterval);
+    options.settleTime = scaled(standard.settleTime);
+    options.period = period;
+    return options;
+}
+
 State start(Member self, const Options &options, TimePoint now, Random &random)
 {
     State state;
@@ -207,8 +224,8 @@
 
 std::size_t encodedBound(const MemberUpdate &update)
 {
-    // Field headers, the length of each string, life (10), incarnation (5), state and stop bytes.
-    constexpr std::size_t kFixedBytes = 40;
+    // Five strings with header and length (10), life (11), incarnation (6), state (2), stop (1).
+    constexpr std::size_t kFixedBytes = 30;
     const Member &member = update.member;
     return kFixedBytes + member.name.size() + member.peerAddress.size()
            + member.callerAddress.size() + member.dataCentre.size() + update.accuser.size();
