Connect the daemons: membership, address lists, load exchange, peers' configuration

Cause: each daemon knew only itself: /v1/entries named one address, changes waited for the poll, and the decision saw only its own work. Change: PeerLink binds TCP and UDP on the peer address, runs the member actor and the load exchange through meeting points, and fetches configuration entries from a peer that reports a newer revision; /v1/entries comes from the member table; status lists all instances. A second signal no longer ends a draining daemon; readiness needs a configuration source.

--- a/packages/daemon/include/daemon/app.h
+++ b/packages/daemon/include/daemon/app.h
@@ -11,7 +11,9 @@
 #include "traffic/router.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 
+#include <csignal>
 #include <string>
 #include <vector>
 
@@ -27,9 +29,11 @@
     int run();
 
 private:
+    std::vector<NamedLoad> ownLoads() const;
+    void setOthersLoads(const std::vector<NamedLoad> &loads);
     void setLeaving(const std::vector<std::string> &names);
-    void waitForSignal(boost::asio::io_context &context);
-    void drainStep(boost::asio::io_context &context);
+    void waitForSignal();
+    void drainStep();
     void enter(DrainPhase phase);
 
     const Settings settings_;
@@ -45,6 +49,8 @@
     traffic::InstanceView view_;
     TrafficPool traffic_;
     Drain drain_;
+    boost::asio::io_context context_{ 1 };
+    boost::asio::signal_set signals_{ context_, SIGTERM, SIGINT };
 };
 
 } // namespace chervilfield::daemon
--- a/packages/daemon/include/daemon/control_plane.h
+++ b/packages/daemon/include/daemon/control_plane.h
@@ -6,8 +6,8 @@
 #include "control/configuration_follower.h"
 #include "control/configuration_log.h"
 #include "control/control_system.h"
+#include "daemon/peer_link.h"
 #include "daemon/settings.h"
-#include "net/http_client.h"
 #include "net/http_server.h"
 #include "platform/platform_client.h"
 #include "traffic/target_table.h"
@@ -32,6 +32,8 @@
     std::function<void()> drain;
     /// Told the names of the targets that the platform's instance list reports as leaving.
     std::function<void(const std::vector<std::string> &)> leavingTargets;
+    std::function<std::vector<NamedLoad>()> ownLoads;
+    std::function<void(const std::vector<NamedLoad> &)> othersLoads;
 };
 
 /// Control part of a daemon: the actors that own control state, and the control I/O thread that
@@ -46,8 +48,9 @@
     ControlPlane(const ControlPlane &) = delete;
     ControlPlane &operator=(const ControlPlane &) = delete;
 
-    /// Binds the addresses and starts the threads. Sets `error` if binding fails.
-    void start(std::error_code &error);
+    /// Binds the addresses and starts the threads. Sets `error` if binding fails. The other
+    /// instances tell callers `callerAddress`.
+    void start(const net::Address &callerAddress, std::error_code &error);
 
     /// Returns the targets of the configuration in force; never null.
     traffic::TargetTablePtr targetTable() const { return table_.load(); }
@@ -58,11 +61,9 @@
     /// Returns the body of `GET /v1/entries`.
     std::string entriesBody(const net::Address &caller) const;
 
-    /// Tells the other instances that this one is leaving.
+    /// Tells the other instances that this one is leaving, and that it is about to exit.
     void announceLeaving();
-
-    /// Address that callers are told; set it once the callers' server is bound.
-    void setCallerAddress(const net::Address &address);
+    void announceExit();
 
     net::Address adminAddress() const;
     net::Address peerAddress() const;
@@ -70,6 +71,7 @@
 private:
     void runFollower(const boost::asio::yield_context &yield);
     void pollInstances(const boost::asio::yield_context &yield);
+    std::vector<admin::InstanceStatus> instanceStatus() const;
     void publish(const configuration::ConfigurationPtr &configuration);
 
     const Settings settings_;
@@ -77,12 +79,9 @@
     base::TimeLine &timeLine_;
     std::atomic<traffic::TargetTablePtr> table_;
     std::atomic<bool> started_{ false };
-    std::atomic<bool> leaving_{ false };
-    net::Address callerAddress_;
 
     boost::asio::io_context context_{ 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
-    net::HttpClient client_;
     platform::PlatformClient platform_;
     control::ConfigurationLog log_;
     ControlHooks hooks_;
@@ -91,7 +90,7 @@
     std::unique_ptr<control::ConfigurationControl> configuration_;
     std::unique_ptr<admin::AdminApi> adminApi_;
     std::unique_ptr<net::HttpServer> adminServer_;
-    std::unique_ptr<net::HttpServer> peerServer_;
+    PeerLink peers_;
     std::thread runner_;
 };
 
--- /dev/null
+++ b/packages/daemon/include/daemon/load_exchange.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "membership/followers.h"
+#include "membership/load_digest.h"
+#include "peers/datagram.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chervilfield::daemon {
+
+/// Work in flight at one target, by the target's name.
+struct NamedLoad
+{
+    std::string target;
+    membership::TargetLoad load;
+};
+
+/// Exchange of in-flight work with the other daemons through a meeting point per target: reports
+/// what this daemon has in flight, collects reports for the targets that meet here, and keeps the
+/// sums that it is sent. All functions run on the control I/O thread.
+class LoadExchange
+{
+public:
+    using Send = std::function<void(const std::string &address, const peers::Datagram &)>;
+
+    LoadExchange(std::string self, std::uint64_t life, Send send);
+
+    /// Replaces the members and the targets; each target's meeting point follows from them.
+    void assign(const std::vector<membership::Member> &members,
+                const std::vector<membership::FollowedTarget> &targets);
+
+    void receive(const std::string &address, const peers::LoadReport &report,
+                 membership::TimePoint now);
+    void receive(const peers::LoadSums &sums, membership::TimePoint now);
+
+    /// Sends reports and sums that are due. Call it at least every 100 ms.
+    void tick(const std::vector<NamedLoad> &own, membership::TimePoint now);
+
+    /// Returns the other daemons' recent work at each assigned target.
+    std::vector<NamedLoad> others(membership::TimePoint now) const;
+
+private:
+    struct MeetingPoint
+    {
+        std::string address; ///< Empty for this daemon itself.
+        std::vector<std::string> targets;
+        membership::SentLoads sent;
+        membership::TimePoint lastReport{};
+    };
+
+    void report(MeetingPoint &point, const std::vector<NamedLoad> &own, membership::TimePoint now);
+    void sendSums(membership::TimePoint now);
+
+    std::string self_;
+    std::uint64_t life_;
+    Send send_;
+    membership::LoadOptions options_;
+    std::map<std::string, MeetingPoint> points_; ///< By member name.
+    std::vector<std::string> targets_;
+    std::map<std::string, std::string> reporterAddresses_;
+    membership::LoadBoard board_;
+    membership::LoadView view_;
+};
+
+} // namespace chervilfield::daemon
--- /dev/null
+++ b/packages/daemon/include/daemon/peer_link.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "base/time_line.h"
+#include "control/configuration_control.h"
+#include "control/member_actor.h"
+#include "daemon/load_exchange.h"
+#include "daemon/settings.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "peers/udp_transport.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace chervilfield::daemon {
+
+/// What the link needs from other parts of the daemon, on the control I/O thread.
+struct PeerHooks
+{
+    std::function<std::vector<membership::FollowedTarget>()> targets;
+    std::function<std::vector<NamedLoad>()> ownLoads;
+    std::function<void(const std::vector<NamedLoad> &)> othersLoads;
+};
+
+/// Connection of a daemon with the others: membership and load over UDP, tables and configuration
+/// entries over TCP, both on the peer address.
+class PeerLink
+{
+public:
+    /// The referenced objects outlive the link. `life` grows with each start of the process.
+    PeerLink(boost::asio::io_context &context, const Settings &settings, std::uint64_t life,
+             base::TimeLine &timeLine, PeerHooks hooks);
+    /// Destroy it after `context` has stopped.
+    ~PeerLink();
+    PeerLink(const PeerLink &) = delete;
+    PeerLink &operator=(const PeerLink &) = delete;
+
+    /// Binds TCP and UDP to the peer address and joins. Sets `error` if binding fails.
+    void start(control::ControlSystem &system, control::ConfigurationControl &configuration,
+               const net::Address &callerAddress, std::error_code &error);
+
+    net::Address address() const { return server_->localAddress(); }
+    control::MemberSnapshotPtr members() const { return actor_->snapshot(); }
+
+    /// Returns the revision that the member has reported, 0 if none.
+    std::uint64_t revisionOf(const std::string &member) const;
+
+    void setRevision(std::uint64_t revision) { actor_->setRevision(revision); }
+
+    /// Asks up to three peers, a recently updated one first, for log entries after a revision.
+    std::vector<control::LogEntry> fetchEntries(control::RevisionNumber after,
+                                                const boost::asio::yield_context &yield);
+
+    void leave() { actor_->leave(); }
+    void exit() { actor_->exit(); }
+
+private:
+    void bind(control::ConfigurationControl &configuration, std::error_code &error);
+    control::MemberActorOptions actorOptions(control::ConfigurationControl &configuration,
+                                             const net::Address &callerAddress);
+    void receive(const net::Address &from, peers::Datagram datagram);
+    void exchangeTable(const std::string &address);
+    void exchangeLoads(const boost::asio::yield_context &yield);
+
+    boost::asio::io_context &context_;
+    const Settings settings_;
+    const std::uint64_t life_;
+    base::TimeLine &timeLine_;
+    PeerHooks hooks_;
+    net::HttpClient client_;
+    std::unique_ptr<net::HttpServer> server_;
+    std::unique_ptr<peers::UdpTransport> transport_;
+    std::unique_ptr<control::MemberActor> actor_;
+    LoadExchange loads_;
+    mutable std::mutex mutex_;
+    std::map<std::string, std::uint64_t> revisions_; ///< By member name.
+    std::string newestPeer_; ///< Peer address that last reported a newer revision.
+};
+
+} // namespace chervilfield::daemon
--- a/packages/daemon/src/app.cpp
+++ b/packages/daemon/src/app.cpp
@@ -3,7 +3,6 @@
 #include "base/hash.h"
 #include "traffic/explain.h"
 
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
 
@@ -11,6 +10,7 @@
 #include <iostream>
 #include <memory>
 #include <random>
+#include <unordered_map>
 #include <unordered_set>
 
 namespace chervilfield::daemon {
@@ -37,6 +37,22 @@
     return { .dataCentre = settings.dataCentre, .seed = std::random_device{}() };
 }
 
+membership::TargetLoad toTargetLoad(const traffic::TargetWork &work)
+{
+    membership::TargetLoad load;
+    for (std::size_t i = 0; i < load.classes.size(); ++i)
+        load.classes[i] = { work.classes[i].prefillTokens, work.classes[i].requests };
+    return load;
+}
+
+traffic::TargetWork toTargetWork(const NamedLoad &load)
+{
+    traffic::TargetWork work{ .target = traffic::targetId(load.target) };
+    for (std::size_t i = 0; i < work.classes.size(); ++i)
+        work.classes[i] = { load.load.classes[i].prefillTokens, load.load.classes[i].requests };
+    return work;
+}
+
 } // namespace
 
 App::App(const Settings &settings)
@@ -49,7 +65,9 @@
                              return traffic::explainRequest(services_, request);
                          },
                  .drain = [] { std::raise(SIGTERM); },
-                 .leavingTargets = [this](const auto &names) { setLeaving(names); } }),
+                 .leavingTargets = [this](const auto &names) { setLeaving(names); },
+                 .ownLoads = [this] { return ownLoads(); },
+                 .othersLoads = [this](const auto &loads) { setOthersLoads(loads); } }),
       services_{ .router = router_,
                  .metrics = metrics_,
                  .timeLine = timeLine_,
@@ -73,10 +91,8 @@
 {
     std::error_code error;
     traffic_.start(error);
-    if (!error) {
-        control_.setCallerAddress(traffic_.localAddress());
-        control_.start(error);
-    }
+    if (!error)
+        control_.start(traffic_.localAddress(), error);
     if (error) {
         LOG(ERROR) << "[daemon] Cannot listen: " << error.message() << '.';
         return 1;
@@ -85,9 +101,8 @@
     std::cout << "listening callers " << toString(traffic_.localAddress()) << '\n'
               << "listening admin " << toString(control_.adminAddress()) << '\n'
               << "listening peers " << toString(control_.peerAddress()) << std::endl;
-    boost::asio::io_context context;
-    waitForSignal(context);
-    context.run();
+    waitForSignal();
+    context_.run();
     return 0;
 }
 
@@ -99,26 +114,51 @@
     router_.setLeaving(std::move(targets));
 }
 
-void App::waitForSignal(boost::asio::io_context &context)
+std::vector<NamedLoad> App::ownLoads() const
 {
-    auto signals = std::make_shared<boost::asio::signal_set>(context, SIGTERM, SIGINT);
-    signals->async_wait([this, signals, &context](auto error, int) {
+    std::unordered_map<routing::TargetId, traffic::TargetWork> work;
+    for (const traffic::TargetWork &entry : router_.ownWork())
+        work.emplace(entry.target, entry);
+    std::vector<NamedLoad> result;
+    for (const auto &target : control_.targetTable()->configuration().resources().targets) {
+        const auto found = work.find(traffic::targetId(target->name));
+        if (found != work.end())
+            result.push_back({ target->name, toTargetLoad(found->second) });
+    }
+    return result;
+}
+
+void App::setOthersLoads(const std::vector<NamedLoad> &loads)
+{
+    std::vector<traffic::TargetWork> work;
+    for (const NamedLoad &load : loads)
+        work.push_back(toTargetWork(load));
+    router_.setOthersWork(work);
+}
+
+void App::waitForSignal()
+{
+    signals_.async_wait([this](auto error, int) {
         if (error)
             return;
+        // Further signals must not end the process while it drains.
+        waitForSignal();
+        if (drain_.phase != DrainPhase::Serving)
+            return;
         startDrain(drain_, Clock::now());
         enter(drain_.phase);
-        drainStep(context);
+        drainStep();
     });
 }
 
-void App::drainStep(boost::asio::io_context &context)
+void App::drainStep()
 {
     if (advanceDrain(drain_, traffic_.activeRequests(), Clock::now()))
         enter(drain_.phase);
     if (drain_.phase == DrainPhase::Done)
-        return;
-    auto timer = std::make_shared<boost::asio::steady_timer>(context, kDrainCheck);
-    timer->async_wait([this, timer, &context](auto) { drainStep(context); });
+        return context_.stop();
+    auto timer = std::make_shared<boost::asio::steady_timer>(context_, kDrainCheck);
+    timer->async_wait([this, timer](auto) { drainStep(); });
 }
 
 void App::enter(DrainPhase phase)
@@ -138,6 +178,7 @@
     case DrainPhase::Done:
         LOG(INFO) << "[daemon] Shut down with " << traffic_.activeRequests()
                   << " requests in progress.";
+        control_.announceExit();
         break;
     case DrainPhase::Serving:
         break;
--- a/packages/daemon/src/control_plane.cpp
+++ b/packages/daemon/src/control_plane.cpp
@@ -1,6 +1,7 @@
 #include "daemon/control_plane.h"
 
-#include "peers/exchange.h"
+#include "base/hash.h"
+#include "membership/entries.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/array.hpp>
@@ -15,10 +16,25 @@
 
 namespace {
 
-constexpr milliseconds kPeerTimeout{ 300 };
 // A leaving target gets no new work after 3 s; the list itself lags.
 constexpr milliseconds kInstancePoll{ 1000 };
 
+// Start time of the process; it orders the lives of an instance.
+std::uint64_t startTime()
+{
+    using std::chrono::duration_cast;
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(duration_cast<milliseconds>(now).count());
+}
+
+std::vector<membership::FollowedTarget> followedTargets(const configuration::Configuration &current)
+{
+    std::vector<membership::FollowedTarget> result;
+    for (const auto &target : current.resources().targets)
+        result.push_back({ .name = target->name, .dataCentre = target->dataCentre });
+    return result;
+}
+
 platform::PlatformOptions platformOptions(const Settings &settings)
 {
     return { .table = settings.platform,
@@ -34,10 +50,12 @@
     : settings_(settings), life_(std::move(life)), timeLine_(timeLine),
       table_(std::make_shared<const traffic::TargetTable>(
               std::make_shared<const configuration::Configuration>())),
-      work_(context_.get_executor()),
-      client_(context_.get_executor(), { .connectTimeout = kPeerTimeout }),
-      platform_(context_.get_executor(), platformOptions(settings)), log_(platform_, {}),
-      hooks_(std::move(hooks))
+      work_(context_.get_executor()), platform_(context_.get_executor(), platformOptions(settings)),
+      log_(platform_, {}), hooks_(std::move(hooks)),
+      peers_(context_, settings, startTime(), timeLine,
+             { .targets = [this] { return followedTargets(*configuration_->current()); },
+               .ownLoads = hooks_.ownLoads,
+               .othersLoads = hooks_.othersLoads })
 {
     configuration_ = std::make_unique<control::ConfigurationControl>(
             system_, control::ConfigurationControlOptions{
@@ -45,18 +63,7 @@
                              .fetchNeeded = [this](auto) { follower_->kick(); },
                              .published = [this](const auto &current) { publish(current); } });
     const auto fetch = [this](control::RevisionNumber after, const yield_context &yield) {
-        std::vector<control::LogEntry> result;
-        for (const net::Address &peer : settings_.seeds) {
-            std::error_code error;
-            const auto entries =
-                    peers::fetchEntries(client_, peer, after, kPeerTimeout, yield, error);
-            if (!entries.has_value() || entries->entries.empty())
-                continue;
-            for (const auto &entry : entries->entries)
-                result.push_back({ .revision = entry.revision, .value = entry.value });
-            break;
-        }
-        return result;
+        return peers_.fetchEntries(after, yield);
     };
     follower_ = std::make_unique<control::ConfigurationFollower>(
             context_, *configuration_,
@@ -72,12 +79,13 @@
         runner_.join();
 }
 
-void ControlPlane::start(std::error_code &error)
+void ControlPlane::start(const net::Address &callerAddress, std::error_code &error)
 {
     adminApi_ = std::make_unique<admin::AdminApi>(
             context_, *configuration_, log_,
             admin::AdminHooks{ .self = { .instance = settings_.instanceName,
                                          .dataCentre = settings_.dataCentre },
+                               .peers = [this] { return instanceStatus(); },
                                .explain = hooks_.explain,
                                .drain = hooks_.drain,
                                .timeLine = &timeLine_ });
@@ -87,21 +95,7 @@
     adminServer_->listen(settings_.admin, error);
     if (error)
         return;
-    const peers::ExchangeSource source{
-        .exchangeTable = [](const auto &table) { return table; },
-        .entriesAfter =
-                [this](std::uint64_t after) {
-                    peers::ConfigurationEntries entries;
-                    entries.revisionInForce = configuration_->current()->revision();
-                    for (const auto &entry : configuration_->entriesAfter(after))
-                        entries.entries.push_back({ entry.revision, entry.value });
-                    return entries;
-                }
-    };
-    peerServer_ = std::make_unique<net::HttpServer>(
-            std::vector<net::ServerWorker>{ { &context_, peers::makeExchangeHandler(source) } },
-            net::ServerOptions{});
-    peerServer_->listen(settings_.peers, error);
+    peers_.start(system_, *configuration_, callerAddress, error);
     if (error)
         return;
     net::spawnCoroutine(context_, "[control]",
@@ -116,7 +110,8 @@
     const control::StartSource source = follower_->start(log_, yield);
     LOG(INFO) << "[control] Configuration revision " << configuration_->current()->revision()
               << " is in force, from " << control::toString(source) << '.';
-    started_ = true;
+    // Without any source this instance would refuse what it should serve.
+    started_ = source != control::StartSource::Nothing;
     follower_->run(log_, yield);
 }
 
@@ -142,14 +137,31 @@
 void ControlPlane::publish(const configuration::ConfigurationPtr &configuration)
 {
     table_.store(std::make_shared<const traffic::TargetTable>(configuration));
+    peers_.setRevision(configuration->revision());
+    if (configuration->revision() > 0)
+        started_ = true;
+}
+
+std::vector<admin::InstanceStatus> ControlPlane::instanceStatus() const
+{
+    std::vector<admin::InstanceStatus> result;
+    for (const membership::Member &member : peers_.members()->members) {
+        const bool isOther = member.name != settings_.instanceName;
+        if (isOther && member.state != membership::MemberState::Dead)
+            result.push_back({ member.name, member.dataCentre, peers_.revisionOf(member.name) });
+    }
+    return result;
 }
 
-std::string ControlPlane::entriesBody(const net::Address & /*caller*/) const
+std::string ControlPlane::entriesBody(const net::Address &caller) const
 {
+    const auto snapshot = peers_.members();
+    const auto addresses = membership::entryAddresses(snapshot->members, settings_.dataCentre,
+                                                      base::hash64(caller.host));
     boost::json::array entries;
-    if (!leaving_) {
-        entries.push_back(boost::json::object{ { "address", toString(callerAddress_) },
-                                               { "dataCentre", settings_.dataCentre } });
+    for (const membership::EntryAddress &entry : addresses) {
+        entries.push_back(boost::json::object{ { "address", entry.address },
+                                               { "dataCentre", entry.dataCentre } });
     }
     return boost::json::serialize(boost::json::object{ { "entries", std::move(entries) },
                                                        { "ttlMs", settings_.entriesTtl.count() } });
@@ -157,12 +169,12 @@
 
 void ControlPlane::announceLeaving()
 {
-    leaving_ = true;
+    peers_.leave();
 }
 
-void ControlPlane::setCallerAddress(const net::Address &address)
+void ControlPlane::announceExit()
 {
-    callerAddress_ = address;
+    peers_.exit();
 }
 
 net::Address ControlPlane::adminAddress() const
@@ -172,7 +184,7 @@
 
 net::Address ControlPlane::peerAddress() const
 {
-    return peerServer_->localAddress();
+    return peers_.address();
 }
 
 } // namespace chervilfield::daemon
--- /dev/null
+++ b/packages/daemon/src/peer_link.cpp
@@ -0,0 +1,211 @@
+#include "daemon/peer_link.h"
+
+#include "peers/exchange.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <glog/logging.h>
+
+#include <random>
+#include <utility>
+
+namespace chervilfield::daemon {
+
+using boost::asio::yield_context;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr milliseconds kPeerTimeout{ 300 };
+constexpr milliseconds kLoadTick{ 100 };
+constexpr std::size_t kPeersAsked = 3;
+// TCP and UDP share a port number; the kernel's choice for TCP may be taken for UDP.
+constexpr int kBindAttempts = 8;
+
+} // namespace
+
+PeerLink::PeerLink(boost::asio::io_context &context, const Settings &settings, std::uint64_t life,
+                   base::TimeLine &timeLine, PeerHooks hooks)
+    : context_(context), settings_(settings), life_(life), timeLine_(timeLine),
+      hooks_(std::move(hooks)), client_(context.get_executor(), { .connectTimeout = kPeerTimeout }),
+      loads_(settings.instanceName, life,
+             [this](const std::string &address, const peers::Datagram &datagram) {
+                 if (const auto to = net::parseAddress(address))
+                     transport_->send(*to, datagram);
+             })
+{
+}
+
+PeerLink::~PeerLink() = default;
+
+void PeerLink::start(control::ControlSystem &system, control::ConfigurationControl &configuration,
+                     const net::Address &callerAddress, std::error_code &error)
+{
+    for (int attempt = 0; attempt < kBindAttempts; ++attempt) {
+        error.clear();
+        bind(configuration, error);
+        if (!error || settings_.peers.port != 0)
+            break;
+    }
+    if (error)
+        return;
+    actor_ = std::make_unique<control::MemberActor>(system,
+                                                    actorOptions(configuration, callerAddress));
+    std::vector<std::string> seeds;
+    for (const net::Address &seed : settings_.seeds)
+        seeds.push_back(toString(seed));
+    actor_->setSeeds(std::move(seeds));
+    net::spawnCoroutine(context_, "[peers]",
+                        [this](const yield_context &yield) { exchangeLoads(yield); });
+}
+
+void PeerLink::bind(control::ConfigurationControl &configuration, std::error_code &error)
+{
+    const peers::ExchangeSource source{
+        .exchangeTable =
+                [this](std::vector<membership::Member> table) {
+                    actor_->receiveTable(std::move(table));
+                    return actor_->snapshot()->members;
+                },
+        .entriesAfter =
+                [&configuration](std::uint64_t after) {
+                    peers::ConfigurationEntries entries{
+                        .revisionInForce = configuration.current()->revision()
+                    };
+                    for (auto &entry : configuration.entriesAfter(after))
+                        entries.entries.push_back({ entry.revision, std::move(entry.value) });
+                    return entries;
+                }
+    };
+    server_ = std::make_unique<net::HttpServer>(
+            std::vector<net::ServerWorker>{ { &context_, peers::makeExchangeHandler(source) } },
+            net::ServerOptions{});
+    server_->listen(settings_.peers, error);
+    if (error)
+        return;
+    transport_ = std::make_unique<peers::UdpTransport>(
+            context_, [this](const net::Address &from, peers::Datagram datagram) {
+                receive(from, std::move(datagram));
+            });
+    transport_->open(server_->localAddress(), error);
+}
+
+control::MemberActorOptions PeerLink::actorOptions(control::ConfigurationControl &configuration,
+                                                   const net::Address &callerAddress)
+{
+    return { .self = { .name = settings_.instanceName,
+                       .peerAddress = toString(address()),
+                       .callerAddress = toString(callerAddress),
+                       .dataCentre = settings_.dataCentre,
+                       .life = life_ },
+             .protocol = membership::optionsFor(settings_.protocolPeriod),
+             .randomSeed = std::random_device{}(),
+             .timeLine = &timeLine_,
+             .send =
+                     [this](const std::string &to, const membership::Packet &packet) {
+                         if (const auto address = net::parseAddress(to))
+                             transport_->send(*address, packet);
+                     },
+             .exchangeTable = [this](const std::string &to) { exchangeTable(to); },
+             .published = [](const auto &) {},
+             .revisionSeen =
+                     [this, &configuration](std::uint64_t revision, const std::string &from) {
+                         {
+                             const std::lock_guard lock(mutex_);
+                             newestPeer_ = from;
+                         }
+                         configuration.noteRevision(revision);
+                     } };
+}
+
+void PeerLink::receive(const net::Address &from, peers::Datagram datagram)
+{
+    const auto now = steady_clock::now();
+    if (auto *packet = std::get_if<membership::Packet>(&datagram)) {
+        {
+            const std::lock_guard lock(mutex_);
+            revisions_[packet->sender.name] = packet->configurationRevision;
+        }
+        if (actor_ != nullptr)
+            actor_->receive(toString(from), std::move(*packet));
+    } else if (const auto *report = std::get_if<peers::LoadReport>(&datagram)) {
+        loads_.receive(toString(from), *report, now);
+    } else if (const auto *sums = std::get_if<peers::LoadSums>(&datagram)) {
+        loads_.receive(*sums, now);
+    }
+}
+
+std::uint64_t PeerLink::revisionOf(const std::string &member) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = revisions_.find(member);
+    return found == revisions_.end() ? 0 : found->second;
+}
+
+void PeerLink::exchangeTable(const std::string &address)
+{
+    const auto peer = net::parseAddress(address);
+    if (!peer.has_value())
+        return;
+    net::spawnCoroutine(context_, "[peers]", [this, peer = *peer](const yield_context &yield) {
+        std::error_code error;
+        auto table = peers::exchangeTable(client_, peer, actor_->snapshot()->members, kPeerTimeout,
+                                          yield, error);
+        if (table.has_value())
+            actor_->receiveTable(std::move(*table));
+    });
+}
+
+std::vector<control::LogEntry> PeerLink::fetchEntries(control::RevisionNumber after,
+                                                      const yield_context &yield)
+{
+    std::vector<std::string> candidates;
+    {
+        const std::lock_guard lock(mutex_);
+        if (!newestPeer_.empty())
+            candidates.push_back(newestPeer_);
+    }
+    for (const net::Address &seed : settings_.seeds)
+        candidates.push_back(toString(seed));
+    for (const membership::Member &member : members()->members) {
+        if (member.name != settings_.instanceName && membership::takesWork(member))
+            candidates.push_back(member.peerAddress);
+    }
+    std::vector<control::LogEntry> result;
+    for (std::size_t i = 0; i < candidates.size() && i < kPeersAsked; ++i) {
+        const auto peer = net::parseAddress(candidates[i]);
+        std::error_code error;
+        if (!peer.has_value())
+            continue;
+        const auto entries = peers::fetchEntries(client_, *peer, after, kPeerTimeout, yield, error);
+        if (!entries.has_value() || entries->entries.empty())
+            continue;
+        for (const auto &entry : entries->entries)
+            result.push_back({ .revision = entry.revision, .value = entry.value });
+        break;
+    }
+    return result;
+}
+
+void PeerLink::exchangeLoads(const yield_context &yield)
+{
+    boost::asio::steady_timer timer(context_);
+    control::MemberSnapshotPtr assigned;
+    std::size_t assignedTargets = 0;
+    while (true) {
+        const auto members = actor_->snapshot();
+        const auto targets = hooks_.targets();
+        if (members != assigned || targets.size() != assignedTargets) {
+            loads_.assign(members->members, targets);
+            assigned = members;
+            assignedTargets = targets.size();
+        }
+        loads_.tick(hooks_.ownLoads(), steady_clock::now());
+        hooks_.othersLoads(loads_.others(steady_clock::now()));
+        timer.expires_after(kLoadTick);
+        boost::system::error_code ignored;
+        timer.async_wait(yield[ignored]);
+    }
+}
+
+} // namespace chervilfield::daemon
--- a/packages/traffic/include/traffic/router.h
+++ b/packages/traffic/include/traffic/router.h
@@ -2,6 +2,7 @@
 
 #include "base/result.h"
 #include "routing/decision.h"
+#include "traffic/load_view.h"
 #include "traffic/pool_health.h"
 #include "traffic/target_table.h"
 
@@ -70,6 +71,12 @@
     /// Replaces the set of targets that are leaving; they get no new work.
     void setLeaving(std::unordered_set<routing::TargetId> leaving);
 
+    /// Returns this daemon's own work in flight at each target that has any.
+    std::vector<TargetWork> ownWork() const;
+
+    /// Replaces what is known of the other daemons' work in flight.
+    void setOthersWork(const std::vector<TargetWork> &work);
+
 private:
     struct TargetState
     {
--- a/packages/traffic/src/router.cpp
+++ b/packages/traffic/src/router.cpp
@@ -110,4 +110,25 @@
     leaving_ = std::move(leaving);
 }
 
+std::vector<TargetWork> Router::ownWork() const
+{
+    std::vector<TargetWork> result;
+    const std::lock_guard lock(mutex_);
+    for (const routing::DigestEntry &entry : routing::ownDigest(state_.load))
+        result.push_back(toTargetWork(entry));
+    return result;
+}
+
+void Router::setOthersWork(const std::vector<TargetWork> &work)
+{
+    // The exchange has already summed the other daemons, so they count as one.
+    constexpr std::uint64_t kOthers = 1;
+    std::vector<routing::DigestEntry> digest;
+    digest.reserve(work.size());
+    for (const TargetWork &entry : work)
+        digest.push_back(toDigestEntry(entry));
+    const std::lock_guard lock(mutex_);
+    routing::mergeDigest(state_.load, kOthers, digest, std::chrono::steady_clock::now());
+}
+
 } // namespace chervilfield::traffic
