Count peer bytes and platform requests; add the fleet bench

Change: control metrics (UDP bytes, platform requests, revision, members) and bench/fleet, which runs 10 to 60 daemons with stand-ins and fits lines.

--- /dev/null
+++ b/bench/fleet/fleet.py
@@ -0,0 +1,140 @@
+"""Control work of real daemons against their number: processor time, memory, bytes, store requests."""
+
+import argparse
+import os
+import pathlib
+import re
+import sys
+import time
+import urllib.request
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+
+from driver import report, scenario  # noqa: E402
+from driver.processes import (  # noqa: E402
+    Deployment, new_directory, request_json, wait_until)
+
+SIZES = (10, 20, 40, 60)
+DATA_CENTRES = ["leon", "silao", "irapuato"]
+ENGINES = 6
+CHANGES = 10
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+JOIN_TIMEOUT_S = 60.0
+
+
+def processor_s(pid):
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def resident_mb(pid):
+    text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+)", text).group(1)) / 1024
+
+
+def metrics(address):
+    """Returns the samples of a daemon by name and labels."""
+    with urllib.request.urlopen(f"http://{address}/metrics", timeout=5) as response:
+        lines = response.read().decode().splitlines()
+    return {name: float(value) for name, value in
+            (line.rsplit(" ", 1) for line in lines if not line.startswith("#"))}
+
+
+def snapshot(daemons):
+    """Returns the totals over all daemons."""
+    total = {"cpu": 0.0, "sent": 0.0, "received": 0.0, "platform": 0.0}
+    for daemon in daemons:
+        values = metrics(daemon.address)
+        total["cpu"] += processor_s(daemon.child.pid)
+        total["sent"] += values['chervilfield_peer_udp_bytes_total{direction="sent"}']
+        total["received"] += values['chervilfield_peer_udp_bytes_total{direction="received"}']
+        total["platform"] += values["chervilfield_platform_requests_total"]
+    return total
+
+
+def start_fleet(size):
+    deployment = Deployment(new_directory(f"fleet-{size}"))
+    deployment.start_platform()
+    for i in range(ENGINES):
+        deployment.start_engine(f"engine-{i}")
+    extra = "[traffic]\nthreads = 1\n"
+    for i in range(size):
+        deployment.start_daemon(f"entry-{i}", DATA_CENTRES[i % 3], extra=extra)
+    return deployment
+
+
+def all_joined(daemons):
+    return all(metrics(one.address)["chervilfield_members"] == len(daemons) for one in daemons)
+
+
+def measure(size, seconds):
+    """Returns the figures of a fleet of this size, per daemon and second."""
+    deployment = start_fleet(size)
+    try:
+        daemons = list(deployment.daemons.values())
+        started = time.monotonic()
+        wait_until(lambda: all_joined(daemons), JOIN_TIMEOUT_S, "all daemons to know each other")
+        joined_s = time.monotonic() - started
+        admin = daemons[0].listeners[1]
+        revision = scenario.apply(admin, scenario.resources(deployment, DATA_CENTRES), 0)
+        in_force = [scenario.wait_in_force(daemons, revision)]
+        time.sleep(2)
+        before, begin = snapshot(daemons), time.monotonic()
+        time.sleep(seconds)
+        after, elapsed = snapshot(daemons), time.monotonic() - begin
+        for i in range(CHANGES):
+            customer = {"resource": "customer", "name": f"new-{i}", "apiKeyHash": f"{i:064x}"}
+            revision = scenario.apply(admin, [customer], revision)
+            in_force.append(scenario.wait_in_force(daemons, revision))
+        memory = [resident_mb(one.child.pid) for one in daemons]
+        per = {key: (after[key] - before[key]) / elapsed / size for key in before}
+        _, counters = request_json(deployment.platform.address, "GET", "/control/counters")
+    finally:
+        deployment.stop()
+    return {"size": size, "cpu_percent": per["cpu"] * 100, "sent_bytes_s": per["sent"],
+            "received_bytes_s": per["received"], "platform_requests_s": per["platform"],
+            "rss_mb": max(memory), "in_force_max_s": max(in_force), "joined_s": joined_s,
+            "platform": counters}
+
+
+def line(points):
+    """Returns slope, intercept and r2 of the least-squares line."""
+    n = len(points)
+    mean_x = sum(x for x, _ in points) / n
+    mean_y = sum(y for _, y in points) / n
+    sxx = sum((x - mean_x) ** 2 for x, _ in points)
+    sxy = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    syy = sum((y - mean_y) ** 2 for _, y in points)
+    slope = sxy / sxx
+    return slope, mean_y - slope * mean_x, (sxy * sxy / (sxx * syy)) if syy else 1.0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10.0, help="length of each measurement")
+    parser.add_argument("--out")
+    options = parser.parse_args()
+    started = time.monotonic()
+    results = [measure(size, options.seconds) for size in SIZES]
+    rows = []
+    for key, unit in (("cpu_percent", "% of a core"), ("sent_bytes_s", "B/s"),
+                      ("received_bytes_s", "B/s"), ("platform_requests_s", "1/s"),
+                      ("rss_mb", "MB")):
+        slope, base, fit = line([(one["size"], one[key]) for one in results])
+        one = report.row(f"{key}_per_daemon_slope", f"{unit} per daemon", slope)
+        one.update({"intercept": base, "r2": fit,
+                    "sizes": {str(point["size"]): point[key] for point in results}})
+        rows.append(one)
+    largest = results[-1]
+    rows.append(report.at_most("cpu_percent_60", "% of a core", largest["cpu_percent"], 3.1))
+    rows.append(report.at_most("rss_mb_60", "MB", largest["rss_mb"], 32))
+    rows.append(report.at_most("bytes_s_60", "B/s",
+                               largest["sent_bytes_s"] + largest["received_bytes_s"], 18000))
+    rows.append(report.at_most("in_force_max_s_60", "s", largest["in_force_max_s"], 5))
+    rows.append(report.row("joined_s_60", "s", largest["joined_s"]))
+    report.write("fleet", options.seed, started, rows, options.out)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/daemon/include/daemon/control_plane.h
+++ b/packages/daemon/include/daemon/control_plane.h
@@ -6,6 +6,7 @@
 #include "control/configuration_follower.h"
 #include "control/configuration_log.h"
 #include "control/control_system.h"
+#include "daemon/control_metrics.h"
 #include "daemon/peer_link.h"
 #include "daemon/settings.h"
 #include "net/http_server.h"
@@ -41,8 +42,8 @@
 class ControlPlane
 {
 public:
-    /// `timeLine` and `services` outlive the control plane.
-    ControlPlane(const Settings &settings, std::string life, base::TimeLine &timeLine,
+    /// `timeLine` and `registry` outlive the control plane.
+    ControlPlane(const Settings &settings, base::TimeLine &timeLine, prometheus::Registry &registry,
                  ControlHooks hooks);
     ~ControlPlane();
     ControlPlane(const ControlPlane &) = delete;
@@ -70,12 +71,12 @@
 
 private:
     void runFollower(const boost::asio::yield_context &yield);
+    void updateMetrics();
     void pollInstances(const boost::asio::yield_context &yield);
     std::vector<admin::InstanceStatus> instanceStatus() const;
     void publish(const configuration::ConfigurationPtr &configuration);
 
     const Settings settings_;
-    const std::string life_;
     base::TimeLine &timeLine_;
     std::atomic<traffic::TargetTablePtr> table_;
     std::atomic<bool> started_{ false };
@@ -91,6 +92,7 @@
     std::unique_ptr<admin::AdminApi> adminApi_;
     std::unique_ptr<net::HttpServer> adminServer_;
     PeerLink peers_;
+    ControlMetrics metrics_;
     std::thread runner_;
 };
 
--- a/packages/daemon/include/daemon/peer_link.h
+++ b/packages/daemon/include/daemon/peer_link.h
@@ -54,6 +54,8 @@
     /// Returns the revision that the member has reported, 0 if none.
     std::uint64_t revisionOf(const std::string &member) const;
 
+    peers::TransportCounters counters() const { return transport_->counters(); }
+
     void setRevision(std::uint64_t revision) { actor_->setRevision(revision); }
 
     /// Asks up to three peers, a recently updated one first, for log entries after a revision.
--- a/packages/daemon/src/app.cpp
+++ b/packages/daemon/src/app.cpp
@@ -59,7 +59,7 @@
     : settings_(settings), life_(makeLife(settings.instanceName)),
       timeLine_(settings.instanceName, kTimeLineEvents, clock_), router_(routerOptions(settings)),
       orderDesk_(life_, [](const std::string &) { return false; }),
-      control_(settings, life_, timeLine_,
+      control_(settings, timeLine_, metrics_.registry(),
                { .explain =
                          [this](const auto &request) {
                              return traffic::explainRequest(services_, request);
--- a/packages/daemon/src/control_plane.cpp
+++ b/packages/daemon/src/control_plane.cpp
@@ -45,9 +45,9 @@
 
 } // namespace
 
-ControlPlane::ControlPlane(const Settings &settings, std::string life, base::TimeLine &timeLine,
-                           ControlHooks hooks)
-    : settings_(settings), life_(std::move(life)), timeLine_(timeLine),
+ControlPlane::ControlPlane(const Settings &settings, base::TimeLine &timeLine,
+                           prometheus::Registry &registry, ControlHooks hooks)
+    : settings_(settings), timeLine_(timeLine),
       table_(std::make_shared<const traffic::TargetTable>(
               std::make_shared<const configuration::Configuration>())),
       work_(context_.get_executor()), platform_(context_.get_executor(), platformOptions(settings)),
@@ -55,7 +55,8 @@
       peers_(context_, settings, startTime(), timeLine,
              { .targets = [this] { return followedTargets(*configuration_->current()); },
                .ownLoads = hooks_.ownLoads,
-               .othersLoads = hooks_.othersLoads })
+               .othersLoads = hooks_.othersLoads }),
+      metrics_(registry)
 {
     configuration_ = std::make_unique<control::ConfigurationControl>(
             system_, control::ConfigurationControlOptions{
@@ -128,12 +129,21 @@
             }
             hooks_.leavingTargets(leaving);
         }
+        updateMetrics();
         boost::asio::steady_timer timer(context_, kInstancePoll);
         boost::system::error_code ignored;
         timer.async_wait(yield[ignored]);
     }
 }
 
+void ControlPlane::updateMetrics()
+{
+    metrics_.update({ .peers = peers_.counters(),
+                      .platformRequests = platform_.requestCount(),
+                      .revision = configuration_->current()->revision(),
+                      .members = peers_.members()->members.size() });
+}
+
 void ControlPlane::publish(const configuration::ConfigurationPtr &configuration)
 {
     table_.store(std::make_shared<const traffic::TargetTable>(configuration));
