Fix the customers of the fleet bench

Cause: an all-zero key hash is refused by validation, rightly. Change: the bench uses hashes from one on.

--- a/bench/fleet/fleet.py
+++ b/bench/fleet/fleet.py
@@ -83,7 +83,7 @@
         time.sleep(seconds)
         after, elapsed = snapshot(daemons), time.monotonic() - begin
         for i in range(CHANGES):
-            customer = {"resource": "customer", "name": f"new-{i}", "apiKeyHash": f"{i:064x}"}
+            customer = {"resource": "customer", "name": f"new-{i}", "apiKeyHash": f"{i + 1:064x}"}
             revision = scenario.apply(admin, [customer], revision)
             in_force.append(scenario.wait_in_force(daemons, revision))
         memory = [resident_mb(one.child.pid) for one in daemons]
