--- /dev/null
+++ b/packages/daemon/test/load_exchange_test.cpp
@@ -0,0 +1,125 @@
+#include "daemon/load_exchange.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+
+namespace chervilfield::daemon {
+
+using membership::TimePoint;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Daemons whose datagrams arrive at once and, unless lost, always.
+class Network
+{
+public:
+    explicit Network(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            const std::string name = "entry-" + std::to_string(i);
+            members_.push_back({ .name = name, .peerAddress = name, .dataCentre = "leon" });
+            exchanges_[name] = std::make_unique<LoadExchange>(
+                    name, 1, [this, name](const std::string &to, const peers::Datagram &datagram) {
+                        if (!losing)
+                            queue_.push_back({ name, to, datagram });
+                    });
+        }
+        for (auto &exchange : exchanges_)
+            exchange.second->assign(members_, { { .name = "engine", .dataCentre = "leon" } });
+    }
+
+    /// Lets every daemon report the same work, five times with 200 ms in between.
+    void run(const std::map<std::string, std::uint32_t> &requests)
+    {
+        for (int round = 0; round < 5; ++round) {
+            now_ += milliseconds(200);
+            for (auto &[name, exchange] : exchanges_) {
+                membership::TargetLoad load;
+                load.classes[0].requests = requests.at(name);
+                exchange->tick({ { "engine", load } }, now_);
+            }
+            deliver();
+        }
+    }
+
+    std::uint32_t othersAt(const std::string &name) const
+    {
+        const auto others = exchanges_.at(name)->others(now_);
+        return others.empty() ? 0 : others.front().load.classes[0].requests;
+    }
+
+    void pass(milliseconds time) { now_ += time; }
+
+    bool losing = false;
+
+private:
+    struct Sent
+    {
+        std::string from;
+        std::string to;
+        peers::Datagram datagram;
+    };
+
+    void deliver()
+    {
+        while (!queue_.empty()) {
+            const Sent sent = queue_.front();
+            queue_.pop_front();
+            if (const auto *report = std::get_if<peers::LoadReport>(&sent.datagram))
+                exchanges_[sent.to]->receive(sent.from, *report, now_);
+            else if (const auto *sums = std::get_if<peers::LoadSums>(&sent.datagram))
+                exchanges_[sent.to]->receive(*sums, now_);
+        }
+    }
+
+    std::vector<membership::Member> members_;
+    std::map<std::string, std::unique_ptr<LoadExchange>> exchanges_;
+    std::deque<Sent> queue_;
+    TimePoint now_{ std::chrono::hours(1) };
+};
+
+} // namespace
+
+class LoadExchangeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LoadExchangeTest);
+    CPPUNIT_TEST(eachLearnsTheSumOfTheOthers);
+    CPPUNIT_TEST(oldSumsAreForgotten);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a daemon that counts its own work twice or misses that of another.
+    void eachLearnsTheSumOfTheOthers()
+    {
+        Network network(3);
+        network.run({ { "entry-0", 10 }, { "entry-1", 20 }, { "entry-2", 40 } });
+        struct Row
+        {
+            std::string name;
+            std::uint32_t expected;
+        };
+        const Row rows[] = { { "entry-0", 60 }, { "entry-1", 50 }, { "entry-2", 30 } };
+        for (const Row &row : rows)
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.expected, network.othersAt(row.name));
+    }
+
+    // Guards against decisions that trust the work of daemons that were cut off long ago.
+    void oldSumsAreForgotten()
+    {
+        Network network(3);
+        network.run({ { "entry-0", 10 }, { "entry-1", 20 }, { "entry-2", 40 } });
+        network.losing = true;
+        network.pass(std::chrono::seconds(60));
+        network.run({ { "entry-0", 10 }, { "entry-1", 20 }, { "entry-2", 40 } });
+        for (const std::string name : { "entry-0", "entry-1", "entry-2" })
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 0U, network.othersAt(name));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LoadExchangeTest);
+
+} // namespace chervilfield::daemon
--- a/packages/targets/include/targets/engine_client.h
+++ b/packages/targets/include/targets/engine_client.h
@@ -81,6 +81,7 @@
     std::optional<Usage> usage_;
     std::uint64_t life_ = 0;
     bool finished_ = false;
+    bool malformed_ = false; ///< An event was not understood; tokens before it are still valid.
 };
 
 /// Starts a completion, or attaches to it if the engine already holds a request with this id, so
--- a/packages/targets/src/engine_client.cpp
+++ b/packages/targets/src/engine_client.cpp
@@ -87,7 +87,7 @@
 {
     const auto deadline = std::chrono::steady_clock::now() + timeout;
     std::string bytes;
-    while (tokens_.empty() && !finished_) {
+    while (tokens_.empty() && !finished_ && !malformed_) {
         const auto left = std::chrono::duration_cast<milliseconds>(
                 deadline - std::chrono::steady_clock::now());
         if (left <= milliseconds::zero()) {
@@ -101,12 +101,15 @@
             return std::nullopt;
         }
         for (const net::ServerSentEvent &event : parser_.feed(bytes)) {
-            if (!consume(event)) {
-                error = Result::TargetFailed;
-                return std::nullopt;
-            }
+            malformed_ = !consume(event);
+            if (malformed_)
+                break;
         }
     }
+    if (tokens_.empty() && malformed_) {
+        error = Result::TargetFailed;
+        return std::nullopt;
+    }
     if (tokens_.empty()) {
         // Reads the terminating chunk, so that the connection can be used again.
         std::error_code ignored;
