--- a/bench/decision/main.cpp
+++ b/bench/decision/main.cpp
@@ -104,6 +104,27 @@
     return blocks > 0 ? percentile(times, 0.5) : 0;
 }
 
+/// Returns the longest time of one insertion while the index grows to the daemon's share; the
+/// control thread does nothing else meanwhile.
+double longestInsertionMs(const SceneSize &size, std::uint64_t seed)
+{
+    using chervilfield::prefix::CacheEventKind;
+    chervilfield::routing::Random random(seed);
+    chervilfield::prefix::BlockIndex index;
+    const auto slot = index.beginLife({ 1, 1 }, true);
+    const std::chrono::steady_clock::time_point now{ std::chrono::hours(1) };
+    double longest = 0;
+    for (std::uint64_t number = 1; number <= size.blocks; ++number) {
+        const std::uint64_t block = random();
+        const auto start = std::chrono::steady_clock::now();
+        index.applyEvent(slot, { number, CacheEventKind::Stored, { &block, 1 } }, now);
+        const std::chrono::duration<double, std::milli> passed =
+                std::chrono::steady_clock::now() - start;
+        longest = std::max(longest, passed.count());
+    }
+    return longest;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -137,6 +158,9 @@
         { .name = "targets", .unit = "1", .value = static_cast<double>(size.targets) },
         { .name = "indexed_blocks", .unit = "1", .value = static_cast<double>(scene.index.size()) },
         { .name = "index_copy_ms", .unit = "ms", .value = copyMilliseconds(scene.index) },
+        { .name = "index_longest_insertion_ms",
+          .unit = "ms",
+          .value = longestInsertionMs(size, arguments.seed) },
     };
     std::ranges::move(compareLimits(arguments.seed), std::back_inserter(rows));
     const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - start;
