Spread the arrivals of the overhead bench; check that the footprint's streams are open

Cause: 200 streams of equal length started together, so the bench measured how long 200 simultaneous requests queue (14.5 ms added at the median) instead of the latency that the daemon adds. Change: a random pause before each request, in the direct run as well; the footprint bench waits until the daemon counts all streams as open; the line fit is shared.

--- a/bench/driver/report.py
+++ b/bench/driver/report.py
@@ -57,3 +57,15 @@
     """Returns the smallest value that is not below `share` of all values."""
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else float("nan")
+
+
+def line(points):
+    """Returns slope, intercept and r2 of the least-squares line through (x, y) pairs."""
+    n = len(points)
+    mean_x = sum(x for x, _ in points) / n
+    mean_y = sum(y for _, y in points) / n
+    sxx = sum((x - mean_x) ** 2 for x, _ in points)
+    sxy = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    syy = sum((y - mean_y) ** 2 for _, y in points)
+    slope = sxy / sxx
+    return slope, mean_y - slope * mean_x, (sxy * sxy / (sxx * syy)) if syy else 1.0
--- a/bench/fleet/fleet.py
+++ b/bench/fleet/fleet.py
@@ -97,18 +97,6 @@
             "platform": counters}
 
 
-def line(points):
-    """Returns slope, intercept and r2 of the least-squares line."""
-    n = len(points)
-    mean_x = sum(x for x, _ in points) / n
-    mean_y = sum(y for _, y in points) / n
-    sxx = sum((x - mean_x) ** 2 for x, _ in points)
-    sxy = sum((x - mean_x) * (y - mean_y) for x, y in points)
-    syy = sum((y - mean_y) ** 2 for _, y in points)
-    slope = sxy / sxx
-    return slope, mean_y - slope * mean_x, (sxy * sxy / (sxx * syy)) if syy else 1.0
-
-
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
@@ -121,7 +109,7 @@
     for key, unit in (("cpu_percent", "% of a core"), ("sent_bytes_s", "B/s"),
                       ("received_bytes_s", "B/s"), ("platform_requests_s", "1/s"),
                       ("rss_mb", "MB")):
-        slope, base, fit = line([(one["size"], one[key]) for one in results])
+        slope, base, fit = report.line([(one["size"], one[key]) for one in results])
         one = report.row(f"{key}_per_daemon_slope", f"{unit} per daemon", slope)
         one.update({"intercept": base, "r2": fit,
                     "sizes": {str(point["size"]): point[key] for point in results}})
--- a/bench/footprint/footprint.py
+++ b/bench/footprint/footprint.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import time
+import urllib.request
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
@@ -23,6 +24,14 @@
     raise RuntimeError("no resident size")
 
 
+def open_streams(daemon):
+    with urllib.request.urlopen(f"http://{daemon.address}/metrics", timeout=5) as response:
+        for line in response.read().decode().splitlines():
+            if line.startswith("chervilfield_open_streams "):
+                return float(line.split()[1])
+    return 0
+
+
 def start_daemon(name):
     deployment = Deployment(new_directory(name), ENGINE)
     deployment.start_platform()
@@ -45,6 +54,8 @@
                        "--api-key", scenario.api_key(scenario.CUSTOMERS[0])]
             client = subprocess.Popen([str(part) for part in command],
                                       stdout=subprocess.DEVNULL)
+            wait_until(lambda: open_streams(daemon) >= streams, 4 * LEVEL_S,
+                       f"{streams} open streams")
             peak = [0]
 
             def settled():
@@ -63,17 +74,6 @@
         deployment.stop()
 
 
-def slope(points):
-    """Returns the least-squares slope and the coefficient of determination."""
-    n = len(points)
-    mean_x = sum(x for x, _ in points) / n
-    mean_y = sum(y for _, y in points) / n
-    sxx = sum((x - mean_x) ** 2 for x, _ in points)
-    sxy = sum((x - mean_x) * (y - mean_y) for x, y in points)
-    syy = sum((y - mean_y) ** 2 for _, y in points)
-    return sxy / sxx, (sxy * sxy / (sxx * syy)) if syy else 1.0
-
-
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
@@ -81,7 +81,7 @@
     options = parser.parse_args()
     started = time.monotonic()
     points = [(streams, measure(streams, options.seed)) for streams in SIZES]
-    per_stream, fit = slope(points)
+    per_stream, _, fit = report.line(points)
     rows = [
         report.at_most("idle_rss_mb", "MB", points[0][1] / 1024, 32),
         report.at_most("rss_per_stream_kb", "KB", per_stream, 64),
--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -7,6 +7,7 @@
 #include "net/http_server.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -35,6 +36,9 @@
     std::size_t tokens = 1;
     std::size_t promptBytes = 200;
     std::chrono::milliseconds duration{ 1000 };
+    /// Mean of the random pause before each request. Without it all streams would start together
+    /// and wait for each other.
+    std::chrono::microseconds pause{ 0 };
     std::uint64_t seed = 1;
 };
 
@@ -90,6 +94,18 @@
     return whole && !error;
 }
 
+void pauseRandomly(boost::asio::io_context &context, std::chrono::microseconds mean,
+                   std::mt19937_64 &random, const yield_context &yield)
+{
+    if (mean.count() == 0)
+        return;
+    std::exponential_distribution<double> draw(1.0 / static_cast<double>(mean.count()));
+    boost::asio::steady_timer timer(
+            context, std::chrono::microseconds(static_cast<std::int64_t>(draw(random))));
+    boost::system::error_code ignored;
+    timer.async_wait(yield[ignored]);
+}
+
 Measurement runThread(const LoadOptions &options, std::size_t streams, std::uint64_t seed)
 {
     boost::asio::io_context context;
@@ -101,6 +117,7 @@
             std::mt19937_64 random(seed * 1000003 + i);
             const net::Address &target = options.targets[i % options.targets.size()];
             while (steady_clock::now() < end) {
+                pauseRandomly(context, options.pause, random, yield);
                 if (runOne(options, target, client, random, measurement, yield))
                     ++measurement.finished;
                 else
@@ -128,6 +145,8 @@
     options.promptBytes = static_cast<std::size_t>(arguments.number("prompt-bytes", 200));
     options.duration =
             milliseconds(static_cast<std::int64_t>(arguments.number("seconds", 1) * 1000));
+    options.pause = std::chrono::microseconds(
+            static_cast<std::int64_t>(arguments.number("pause-ms", 0) * 1000));
     options.seed = static_cast<std::uint64_t>(arguments.number("seed", 1));
     return options;
 }
--- a/bench/overhead/overhead.py
+++ b/bench/overhead/overhead.py
@@ -14,6 +14,8 @@
 
 STREAMS = 200
 TOKENS = 20
+# An eighth of a stream's length on average: arrivals are spread, 200 streams stay nearly all open.
+PAUSE_MS = 50
 # 20 ms between tokens, and a prompt that takes no time: what remains is the path.
 LATENCY_ENGINE = ["--token-interval-us", 20000, "--slots", 512,
                   "--prefill-tokens-per-second", 1e9]
@@ -22,11 +24,12 @@
 RATE_STREAMS = 128
 
 
-def load(targets, seconds, seed, direct=False, streams=STREAMS, tokens=TOKENS, threads=1):
+def load(targets, seconds, seed, direct=False, streams=STREAMS, tokens=TOKENS, threads=1,
+         pause_ms=PAUSE_MS):
     """Runs the load client and returns its measurement."""
     command = [BINARIES / "load_client", "--targets", ",".join(targets), "--seconds", seconds,
                "--streams", streams, "--tokens", tokens, "--seed", seed, "--threads", threads,
-               "--api-key", scenario.api_key(scenario.CUSTOMERS[0])]
+               "--pause-ms", pause_ms, "--api-key", scenario.api_key(scenario.CUSTOMERS[0])]
     if direct:
         command.append("--direct")
     run = subprocess.run([str(part) for part in command], capture_output=True, text=True,
@@ -68,7 +71,7 @@
     deployment = deploy(RATE_ENGINE, RATE_ENGINES, threads, f"rate-{threads}")
     try:
         result = load([deployment.daemons["entry-0"].address], seconds, seed,
-                      streams=RATE_STREAMS, tokens=1, threads=2)
+                      streams=RATE_STREAMS, tokens=1, threads=2, pause_ms=0)
     finally:
         deployment.stop()
     return result["finished"] / result["seconds"]
