Report membership traffic through the shared bench support; two gossip targets

Change: bench_membership uses bench_support; bench_slopes has rows for bytes and CPU per peer; updates go to two members per gossip interval instead of three.

--- a/bench/membership/main.cpp
+++ b/bench/membership/main.cpp
@@ -1,76 +1,57 @@
 #include "load_exchange.h"
 #include "member_traffic.h"
 
-#include <boost/json.hpp>
-#include <getopt.h>
-#include <sys/utsname.h>
+#include "support/report.h"
 
 #include <chrono>
-#include <cstdlib>
-#include <fstream>
-#include <iostream>
 #include <string>
+#include <vector>
 
 namespace chervilfield::bench {
 
 namespace {
 
 using namespace std::chrono_literals;
-namespace json = boost::json;
 
 // The budget of a daemon's control work.
 constexpr double kBytesTarget = 18'000;
 constexpr double kCpuTarget = 0.031;
 
-class Report
-{
-public:
-    void add(const std::string &name, const char *unit, double value)
-    {
-        std::cout << name << " " << value << " " << unit << std::endl;
-        rows_.push_back(json::object{ { "name", name },
-                                      { "unit", unit },
-                                      { "value", value },
-                                      { "target", nullptr },
-                                      { "met", nullptr },
-                                      { "baselines", json::object() } });
-    }
+using Rows = std::vector<Row>;
 
-    void add(const std::string &name, const char *unit, double value, double target)
-    {
-        add(name, unit, value);
-        rows_.back().as_object()["target"] = target;
-        rows_.back().as_object()["met"] = value <= target;
-    }
-
-    json::array rows() const { return rows_; }
+void add(Rows &rows, const std::string &name, const char *unit, double value)
+{
+    rows.push_back({ .name = name, .unit = unit, .value = value });
+}
 
-private:
-    json::array rows_;
-};
+void add(Rows &rows, const std::string &name, const char *unit, double value, double target)
+{
+    rows.push_back(
+            { .name = name, .unit = unit, .value = value, .goal = Goal::AtMost, .target = target });
+}
 
-void measureMembers(Report &report, std::uint64_t seed)
+void measureMembers(Rows &rows, std::uint64_t seed)
 {
     for (const std::size_t members : { 10U, 60U, 180U, 360U }) {
         const TrafficResult result = measureTraffic(members, seed);
         const std::string at = "@" + std::to_string(members);
-        report.add("members_steady_bytes" + at, "B/s", result.steadyBytes, kBytesTarget);
-        report.add("members_churn_bytes" + at, "B/s", result.churnBytes, kBytesTarget);
-        report.add("members_herd_bytes" + at, "B/s", result.herdBytes);
-        report.add("members_herd_converged" + at, "s", result.herdSeconds);
-        report.add("members_cpu" + at, "core", result.cpuShare, kCpuTarget);
+        add(rows, "members_steady_bytes" + at, "B/s", result.steadyBytes, kBytesTarget);
+        add(rows, "members_churn_bytes" + at, "B/s", result.churnBytes, kBytesTarget);
+        add(rows, "members_herd_bytes" + at, "B/s", result.herdBytes);
+        add(rows, "members_herd_converged" + at, "s", result.herdSeconds);
+        add(rows, "members_cpu" + at, "core", result.cpuShare, kCpuTarget);
     }
 }
 
-void measureExchange(Report &report, std::uint64_t seed)
+void measureExchange(Rows &rows, std::uint64_t seed)
 {
-    struct Row
+    struct Method
     {
         const char *name;
         ExchangeMethod method;
         std::chrono::milliseconds spacing;
     };
-    const Row rows[] = {
+    const Method methods[] = {
         { "own_only", ExchangeMethod::OwnOnly, 1000ms },
         { "all_to_all_250ms", ExchangeMethod::AllToAll, 250ms },
         { "all_to_all_1000ms", ExchangeMethod::AllToAll, 1000ms },
@@ -83,59 +64,30 @@
         { "grants_1000ms", ExchangeMethod::Grants, 1000ms },
         { "perfect", ExchangeMethod::Perfect, 1000ms },
     };
-    for (const Row &row : rows) {
-        const ExchangeResult result = simulateExchange(row.method, row.spacing, seed);
-        const std::string prefix = std::string("load_") + row.name;
-        report.add(prefix + "_short_ttft_p99", "ms", result.shortP99Ms);
-        report.add(prefix + "_ttft_p99", "ms", result.allP99Ms);
-        report.add(prefix + "_sent_mean", "B/s", result.sentMean);
-        report.add(prefix + "_sent_and_received_max", "B/s", result.bothMax, kBytesTarget);
-        report.add(prefix + "_bytes_per_entry", "B", result.bytesPerEntry);
+    for (const auto &[name, method, spacing] : methods) {
+        const ExchangeResult result = simulateExchange(method, spacing, seed);
+        const std::string prefix = std::string("load_") + name;
+        add(rows, prefix + "_short_ttft_p99", "ms", result.shortP99Ms);
+        add(rows, prefix + "_ttft_p99", "ms", result.allP99Ms);
+        add(rows, prefix + "_sent_mean", "B/s", result.sentMean);
+        add(rows, prefix + "_sent_and_received_max", "B/s", result.bothMax, kBytesTarget);
+        add(rows, prefix + "_bytes_per_entry", "B", result.bytesPerEntry);
     }
 }
 
-int run(std::uint64_t seed, const std::string &out)
-{
-    const auto begin = std::chrono::steady_clock::now();
-    Report report;
-    measureMembers(report, seed);
-    measureExchange(report, seed);
-    const auto seconds =
-            std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
-    utsname system{};
-    uname(&system);
-    const char *commit = std::getenv("CHERVILFIELD_COMMIT");
-    const json::object document{ { "bench", "membership" },
-                                 { "seed", seed },
-                                 { "commit", commit == nullptr ? "" : commit },
-                                 { "machine", std::string(system.machine) },
-                                 { "seconds", seconds },
-                                 { "rows", report.rows() } };
-    if (!out.empty())
-        std::ofstream(out) << json::serialize(document) << "\n";
-    return 0;
-}
-
 } // namespace
 
 } // namespace chervilfield::bench
 
 int main(int argc, char **argv)
 {
-    const option options[] = { { "seed", required_argument, nullptr, 's' },
-                               { "out", required_argument, nullptr, 'o' },
-                               { nullptr, 0, nullptr, 0 } };
-    std::uint64_t seed = 1;
-    std::string out;
-    for (int code = 0; (code = getopt_long(argc, argv, "", options, nullptr)) != -1;) {
-        if (code == 's') {
-            seed = std::strtoull(optarg, nullptr, 10);
-        } else if (code == 'o') {
-            out = optarg;
-        } else {
-            std::cerr << "usage: bench_membership [--seed N] [--out FILE]\n";
-            return 2;
-        }
-    }
-    return chervilfield::bench::run(seed, out);
+    using namespace chervilfield::bench;
+    const BenchArguments arguments = parseArguments(
+            argc, argv, "Measures membership traffic and compares methods of load exchange.");
+    const auto start = std::chrono::steady_clock::now();
+    Rows rows;
+    measureMembers(rows, arguments.seed);
+    measureExchange(rows, arguments.seed);
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - start;
+    return writeReport("membership", arguments, elapsed.count(), rows);
 }
--- a/bench/slopes/main.cpp
+++ b/bench/slopes/main.cpp
@@ -1,3 +1,4 @@
+#include "membership/member_traffic.h"
 #include "support/decision_scene.h"
 #include "support/measure.h"
 
@@ -6,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <map>
 #include <vector>
 
 namespace {
@@ -134,6 +136,16 @@
     });
 }
 
+/// Returns the measured traffic of the membership protocol; each size is measured once.
+const TrafficResult &memberTraffic(std::uint64_t seed, double members)
+{
+    static std::map<double, TrafficResult> results;
+    const auto found = results.find(members);
+    if (found != results.end())
+        return found->second;
+    return results.emplace(members, measureTraffic(count(members), seed)).first->second;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -167,6 +179,14 @@
                .unit = "bytes",
                .sizes = { 2'625, 5'250, 10'500, 21'000, 42'000 },
                .cost = customerBytes },
+        Slope{ .name = "membership_bytes_per_peer",
+               .unit = "B/s",
+               .sizes = { 10, 60, 180, 360 },
+               .cost = [seed](double size) { return memberTraffic(seed, size).steadyBytes; } },
+        Slope{ .name = "membership_cpu_per_peer",
+               .unit = "ns/s",
+               .sizes = { 10, 60, 180, 360 },
+               .cost = [seed](double size) { return memberTraffic(seed, size).cpuShare * 1e9; } },
     };
     std::vector<Row> rows;
     std::ranges::transform(slopes, std::back_inserter(rows), measureSlope);
--- a/packages/membership/include/membership/protocol.h
+++ b/packages/membership/include/membership/protocol.h
@@ -32,7 +32,7 @@
     /// A timer that fires later than this shows that this process was stopped or starved.
     Duration freezeTolerance = std::chrono::milliseconds(250);
     std::size_t indirectProbes = 3;
-    std::size_t gossipFanout = 3;
+    std::size_t gossipFanout = 2;
     std::size_t joinFanout = 3;
     unsigned retransmitFactor = 4; ///< Transmissions of an update per decimal digit of members.
     unsigned suspicionFactor = 3;  ///< Least suspicion, in periods per decimal digit of members.
