State batch slots and prefill rate per pool; make the benches fail on failed requests

Cause: the router assumed 32 slots and 40,000 tokens/s for every engine; the overhead bench did not look at failed requests, and the footprint bench counted streams that were not open. Change: pools have batchSlots and prefillRate; a failed request ends the bench; the engine stand-in wakes waiting streams instead of polling; the load client finds a terminator that is split over reads.

--- a/bench/driver/scenario.py
+++ b/bench/driver/scenario.py
@@ -14,7 +14,7 @@
     return f"key-of-{customer}"
 
 
-def resources(deployment, data_centres):
+def resources(deployment, data_centres, batch_slots=64, prefill_rate=200000):
     """Returns the resources that route completions, orders and lookups."""
     result = [
         {"resource": "customer", "name": name,
@@ -23,7 +23,8 @@
     ]
     result += [
         {"resource": "pool", "name": "crest", "kind": "engine", "model": MODEL, "weights": "v1",
-         "selector": "tier=chat", "labels": {"use": "chat"}},
+         "selector": "tier=chat", "labels": {"use": "chat"}, "batchSlots": batch_slots,
+         "prefillRate": prefill_rate},
         {"resource": "pool", "name": "orders", "kind": "service", "selector": "tier=orders",
          "labels": {"use": "orders"}},
         {"resource": "intent", "name": "chat", "model": MODEL, "pools": "use=chat"},
--- a/bench/footprint/footprint.py
+++ b/bench/footprint/footprint.py
@@ -39,7 +39,7 @@
     deployment.start_daemon("entry-0", "leon")
     daemon = deployment.daemons["entry-0"]
     scenario.wait_in_force([daemon], scenario.apply(
-        daemon.listeners[1], scenario.resources(deployment, ["leon"]), 0))
+        daemon.listeners[1], scenario.resources(deployment, ["leon"], 4096, 10**9), 0))
     return deployment, daemon
 
 
@@ -50,7 +50,7 @@
     try:
         if streams:
             command = [BINARIES / "load_client", "--targets", daemon.address, "--streams", streams,
-                       "--tokens", 30, "--seconds", 0.1, "--seed", seed,
+                       "--tokens", 60, "--seconds", 3, "--seed", seed,
                        "--api-key", scenario.api_key(scenario.CUSTOMERS[0])]
             client = subprocess.Popen([str(part) for part in command],
                                       stdout=subprocess.DEVNULL)
--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -12,6 +12,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <iostream>
 #include <random>
@@ -77,8 +78,12 @@
     std::error_code error;
     auto stream = client.open(target, request, kTimeout, yield, error);
     constexpr int kHttpOk = 200;
-    if (stream == nullptr || stream->status() != kHttpOk)
+    if (stream == nullptr || stream->status() != kHttpOk) {
+        std::cerr << "load_client: "
+                  << (stream == nullptr ? error.message() : std::to_string(stream->status()))
+                  << std::endl;
         return false;
+    }
     std::string bytes;
     bool first = true;
     bool whole = false;
@@ -89,8 +94,12 @@
             first = false;
         }
         whole = whole || bytes.find("[DONE]") != std::string::npos;
-        bytes.clear();
+        // The terminator may be split over two reads.
+        constexpr std::size_t kTail = 8;
+        bytes.erase(0, bytes.size() - std::min(bytes.size(), kTail));
     }
+    if (!whole || error)
+        std::cerr << "load_client: incomplete answer: " << error.message() << std::endl;
     return whole && !error;
 }
 
--- a/bench/overhead/overhead.py
+++ b/bench/overhead/overhead.py
@@ -17,7 +17,7 @@
 # An eighth of a stream's length on average: arrivals are spread, 200 streams stay nearly all open.
 PAUSE_MS = 50
 # 20 ms between tokens, and a prompt that takes no time: what remains is the path.
-LATENCY_ENGINE = ["--token-interval-us", 20000, "--slots", 512,
+LATENCY_ENGINE = ["--token-interval-us", 20000, "--slots", 4096,
                   "--prefill-tokens-per-second", 1e9]
 RATE_ENGINE = ["--token-interval-us", 1, "--slots", 4096, "--prefill-tokens-per-second", 1e9]
 RATE_ENGINES = 4
@@ -36,7 +36,11 @@
                          check=False)
     if not run.stdout:
         raise RuntimeError(f"load client failed: {run.stderr}")
-    return json.loads(run.stdout)
+    result = json.loads(run.stdout)
+    if result["failed"]:
+        raise RuntimeError(f"{result['failed']} requests failed, {result['finished']} finished: "
+                           + run.stderr[:200])
+    return result
 
 
 def deploy(engine_options, engines, threads, name):
@@ -47,7 +51,7 @@
     deployment.start_daemon("entry-0", "leon", extra=f"[traffic]\nthreads = {threads}\n")
     daemon = deployment.daemons["entry-0"]
     scenario.wait_in_force([daemon], scenario.apply(
-        daemon.listeners[1], scenario.resources(deployment, ["leon"]), 0))
+        daemon.listeners[1], scenario.resources(deployment, ["leon"], 4096, 10**9), 0))
     return deployment
 
 
--- a/packages/configuration/include/configuration/resources.h
+++ b/packages/configuration/include/configuration/resources.h
@@ -44,6 +44,10 @@
     std::string model{};   ///< Engine pools only.
     std::string weights{}; ///< Version of the weights to load; engine pools only.
     std::string adapter{}; ///< Empty if none; engine pools only.
+    /// Requests that one engine decodes at the same time; engine pools only.
+    std::uint32_t batchSlots = 32;
+    /// Prompt tokens that one engine computes per second without a cache hit; engine pools only.
+    std::uint32_t prefillRate = 40'000;
     TargetSource source = TargetSource::Resources;
 
     bool operator==(const Pool &) const = default;
--- a/packages/configuration/src/json.cpp
+++ b/packages/configuration/src/json.cpp
@@ -41,6 +41,8 @@
              { "model", pool.model },
              { "weights", pool.weights },
              { "adapter", pool.adapter },
+             { "batchSlots", pool.batchSlots },
+             { "prefillRate", pool.prefillRate },
              { "source", toString(pool.source) } };
 }
 
@@ -117,6 +119,8 @@
     reader.read("model", pool.model);
     reader.read("weights", pool.weights);
     reader.read("adapter", pool.adapter);
+    reader.readInteger("batchSlots", pool.batchSlots);
+    reader.readInteger("prefillRate", pool.prefillRate);
     reader.readChoice("source", pool.source,
                       { TargetSource::Resources, TargetSource::InstanceList });
 }
--- a/packages/configuration/src/validation.cpp
+++ b/packages/configuration/src/validation.cpp
@@ -89,6 +89,8 @@
         checkLabels(pool.labels);
         if (pool.kind == TargetKind::Engine) {
             expect(!pool.model.empty(), "model", "expected a model in a pool of engines");
+            expect(pool.batchSlots >= 1, "batchSlots", "expected at least 1, found 0");
+            expect(pool.prefillRate >= 1, "prefillRate", "expected at least 1, found 0");
             expect(!pool.weights.empty(), "weights", "expected a version in a pool of engines");
             return;
         }
--- a/packages/configuration/test/json_test.cpp
+++ b/packages/configuration/test/json_test.cpp
@@ -44,6 +44,8 @@
                      .model = *genName(),
                      .weights = *genName(),
                      .adapter = *genName(),
+                     .batchSlots = *rc::gen::inRange(1U, 1000U),
+                     .prefillRate = *rc::gen::inRange(1U, 1000000U),
                      .source = *rc::gen::element(TargetSource::Resources,
                                                  TargetSource::InstanceList) };
     case 1:
--- a/packages/traffic/src/router.cpp
+++ b/packages/traffic/src/router.cpp
@@ -14,7 +14,10 @@
     result.reserve(targets.targets.size());
     const std::vector<double> slowness = health_.slowness(targets);
     for (const TargetInfo &info : targets.targets) {
-        routing::Target target{ .id = info.id, .slowness = slowness[result.size()] };
+        routing::Target target{ .id = info.id,
+                                .prefillRate = static_cast<double>(targets.pool->prefillRate),
+                                .slots = targets.pool->batchSlots,
+                                .slowness = slowness[result.size()] };
         if (info.dataCentre != options_.dataCentre)
             target.path = options_.otherDataCentrePath;
         target.accepting = !leaving_.contains(info.id);
--- a/standins/engine/engine.cpp
+++ b/standins/engine/engine.cpp
@@ -21,7 +21,8 @@
 namespace {
 
 constexpr std::size_t kMaxHistory = 200000;
-constexpr microseconds kWaitStep{ 500 };
+// How often a silent stream looks whether its caller has gone.
+constexpr microseconds kSilenceCheck{ 5000 };
 
 std::string text(const json::object &object, const char *name, std::string fallback = {})
 {
@@ -69,8 +70,6 @@
 
 microseconds timeToNextToken(const Generation &generation)
 {
-    if (!generation.decoding)
-        return kWaitStep;
     const auto count = producedUpTo(generation) - generation.firstToken;
     const auto due = generation.decodeStart + generation.tokenInterval * count;
     const auto left = std::chrono::duration_cast<microseconds>(due - steady_clock::now());
@@ -130,7 +129,7 @@
 void Engine::complete(Exchange &exchange, const Yield &yield)
 {
     const json::object body = parseBody(exchange);
-    auto generation = std::make_shared<Generation>();
+    auto generation = std::make_shared<Generation>(context_);
     generation->requestId = text(body, "request_id");
     generation->prompt = text(body, "prompt");
     generation->salt = text(body, "cache_salt");
@@ -168,6 +167,7 @@
             std::chrono::duration_cast<microseconds>(options_.tokenInterval * faults_.slowFactor));
     generation->decodeStart = steady_clock::now();
     generation->decoding = true;
+    generation->changed.cancel();
     const std::uint64_t count = generation->maxTokens - generation->firstToken;
     const auto end = generation->decodeStart + generation->tokenInterval * count;
     while (!generation->cancelled && steady_clock::now() < end)
@@ -230,8 +230,12 @@
         if (generation->cancelled || exchange.peerHasClosed())
             return;
         const std::uint64_t produced = producedUpTo(*generation);
-        if (next >= produced || silenceEpoch != silenceEpoch_) {
-            pause(timeToNextToken(*generation), yield);
+        if (silenceEpoch != silenceEpoch_) {
+            pause(kSilenceCheck, yield);
+            continue;
+        }
+        if (next >= produced) {
+            waitForToken(*generation, yield);
             continue;
         }
         std::string events;
@@ -256,7 +260,7 @@
 void Engine::answerWhole(Exchange &exchange, const GenerationPtr &generation, const Yield &yield)
 {
     while (!generation->cancelled && producedUpTo(*generation) < generation->maxTokens)
-        pause(kWaitStep, yield);
+        waitForToken(*generation, yield);
     if (generation->cancelled)
         return respond(exchange, 499, json::object{ { "error", "cancelled" } }, yield);
     std::string answer;
@@ -284,7 +288,7 @@
     const auto found = generations_.find(text(parseBody(exchange), "request_id"));
     const bool known = found != generations_.end();
     if (known)
-        found->second->cancelled = true;
+        found->second->cancel();
     respond(exchange, 200, json::object{ { "cancelled", known } }, yield);
 }
 
@@ -334,11 +338,19 @@
 {
     ++life_;
     for (auto &entry : generations_)
-        entry.second->cancelled = true;
+        entry.second->cancel();
     generations_.clear();
     cache_.clear();
 }
 
+void Engine::waitForToken(Generation &generation, const Yield &yield)
+{
+    boost::system::error_code ignored;
+    if (generation.decoding)
+        return pause(timeToNextToken(generation), yield);
+    generation.changed.async_wait(yield[ignored]);
+}
+
 void Engine::pause(std::chrono::microseconds duration, const Yield &yield)
 {
     boost::asio::steady_timer timer(context_, duration);
--- a/standins/engine/engine.h
+++ b/standins/engine/engine.h
@@ -6,6 +6,7 @@
 #include "net/http_server.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 
 #include <chrono>
@@ -40,6 +41,17 @@
 /// so that a caller can attach again.
 struct Generation
 {
+    explicit Generation(boost::asio::io_context &context)
+        : changed(context, boost::asio::steady_timer::time_point::max())
+    {
+    }
+
+    void cancel()
+    {
+        cancelled = true;
+        changed.cancel();
+    }
+
     std::string requestId;
     std::string prompt;
     std::string salt;
@@ -53,6 +65,8 @@
     bool cancelled = false;
     std::chrono::steady_clock::time_point decodeStart;
     std::chrono::microseconds tokenInterval{ 0 };
+    /// Never expires; cancelled when decoding starts or the request is cancelled.
+    boost::asio::steady_timer changed;
 };
 
 /// Model engine that computes nothing: prefill takes time for each token that is not cached, one
@@ -81,6 +95,7 @@
     void generate(const GenerationPtr &generation, const Yield &yield);
     void prefill(const GenerationPtr &generation, const Yield &yield);
     void crash();
+    void waitForToken(Generation &generation, const Yield &yield);
     void pause(std::chrono::microseconds duration, const Yield &yield);
     std::string eventsJson(std::uint64_t from) const;
     std::string snapshotJson() const;
