--- a/bench/routing/engine_fake.cpp
+++ b/bench/routing/engine_fake.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr auto kBlockTokens = static_cast<std::uint32_t>(prefix::kBlockTokens);
+// Tokens of an answer per event; the slowness of the engine applies to whole steps.
+constexpr std::uint32_t kDecodeStepTokens = 8;
 
 } // namespace
 
@@ -147,11 +149,25 @@
     cache_.touch(job->chain);
     ++running_;
     job->onFirstToken();
-    queue_.schedule(settings_.tokenTime * (job->outputTokens * slowness_), [this, job] {
+    job->remaining = job->outputTokens;
+    decode(job);
+}
+
+void EngineFake::decode(const std::shared_ptr<Job> &job)
+{
+    if (job->remaining == 0) {
         --running_;
         --occupied_;
         job->onEnd(true);
         pump();
+        return;
+    }
+    const std::uint32_t tokens = std::min(job->remaining, kDecodeStepTokens);
+    job->remaining -= tokens;
+    const Cost perToken = settings_.tokenTime * slowness_;
+    queue_.schedule(perToken * tokens, [this, job, perToken] {
+        job->onTokens(perToken);
+        decode(job);
     });
 }
 
--- a/bench/routing/engine_fake.h
+++ b/bench/routing/engine_fake.h
@@ -41,9 +41,10 @@
     routing::WorkClass workClass = routing::WorkClass::Short;
     Time abandonAt{}; ///< The caller gives up if prefill has not started.
     std::function<void()> onFirstToken;
-    std::function<void(bool)> onEnd; ///< False if the caller gave up.
+    std::function<void(Cost)> onTokens; ///< Called for each step with the mean time per token.
+    std::function<void(bool)> onEnd;    ///< False if the caller gave up.
     std::uint32_t cachedTokens = 0;
-    std::uint32_t remaining = 0; ///< Prompt tokens still to compute.
+    std::uint32_t remaining = 0; ///< Prompt tokens still to compute, then tokens of the answer.
     bool started = false;
 };
 
@@ -81,6 +82,7 @@
 private:
     void pump();
     void endStep(std::uint32_t tokens);
+    void decode(const std::shared_ptr<Job> &job);
     void finishPrefill(const std::shared_ptr<Job> &job);
     void insertBlock(std::uint64_t block);
 
--- a/bench/routing/measures.h
+++ b/bench/routing/measures.h
@@ -27,13 +27,13 @@
 /// Returns answered requests per second, by the time of their first tokens.
 double answersPerSecond(const RunResult &run, Cost from, Cost until);
 
-/// Returns the mean over intervals of 50 ms of the largest engine's share of the short requests of
-/// all daemons, relative to an even spread; 1 is even.
+/// Returns the variance between engines of the short requests sent to them in intervals of 100 ms,
+/// relative to independent random choices; above 1, daemons follow each other.
 double herding(const RunResult &run, std::size_t engines);
 
-/// Returns how long after `crestEnd` requests still arrive into worse service than before the
-/// crest: the end of the last half second in which the mean time to first token exceeds 1.5 times
-/// the plateau's highest half second or fewer arrivals are answered.
+/// Returns how long after `crestEnd` service stays worse than before the crest: until the end of
+/// the last half second in which the 90th percentile of the time to first token exceeds 1.5 times
+/// that of the worst half second of the plateau.
 Cost recoveryTime(const RunResult &run, Cost plateauStart, Cost crestStart, Cost crestEnd);
 
 } // namespace chervilfield::bench
--- a/bench/routing/simulation.h
+++ b/bench/routing/simulation.h
@@ -2,6 +2,7 @@
 
 #include "engine_fake.h"
 #include "routing/decision.h"
+#include "routing/target_health.h"
 #include "workload.h"
 
 #include <string_view>
@@ -24,9 +25,9 @@
 struct Exchange
 {
     bool digests = true;
-    bool reports = true;
     bool demand = true;
     bool hints = true;
+    bool health = true; ///< Daemons compare observed with predicted times.
 };
 
 struct RunSettings
@@ -34,6 +35,10 @@
     Workload workload{};
     Policy policy = Policy::Chervilfield;
     routing::Options options{};
+    /// Engines slow down within milliseconds, so few samples of the last second decide.
+    routing::HealthOptions health{ .window = std::chrono::milliseconds(1000),
+                                   .updateInterval = std::chrono::milliseconds(100),
+                                   .minSamples = 2 };
     Exchange exchange{};
     bool dropPlacements = false; ///< Ablation: the daemon forgets its placements at once.
     std::size_t slowed = 0;      ///< Engines that are five times slower most of the time.
--- a/packages/routing/include/routing/decision.h
+++ b/packages/routing/include/routing/decision.h
@@ -51,22 +51,26 @@
     /// Engine seconds per second that one home takes before a prefix widens to another.
     double workPerHome = 0.5;
     std::size_t maxHomes = 10;
-    /// Candidates beyond the homes, next in rendezvous order.
-    std::size_t spares = 1;
-    /// Candidates drawn at random, so that no free target stays unseen.
-    std::size_t randomCandidates = 0;
-    /// Share of the time to compute duplicates of blocks that another candidate caches.
+    /// Candidates beyond the homes, next in rendezvous order. Random candidates would scatter
+    /// copies of a prefix; see docs/decisions/0002.
+    std::size_t spares = 3;
+    /// Share of the time to compute duplicates of blocks that another candidate caches. Above 1
+    /// because a duplicate also evicts a block, and later siblings divide between the copies.
     double displacementShare = 4;
-    /// Share of the time to compute all inserted blocks, at a target with average insertions.
-    double pressureShare = 1;
+    /// Share of the time to compute all inserted blocks, at a target with the mean load of the
+    /// candidates; proportional to the load. It sends new prefixes to targets with room.
+    double pressureShare = 8;
     /// Share of the time to compute blocks on a target that is not their home.
     double homeShare = 1;
     /// Share of a target's slots that long work may take.
-    double longSlotShare = 0.75;
+    double longSlotShare = 0.8;
     /// Candidates within this cost of the best one are drawn at random.
     Cost nearEqual{ 0.002 };
     /// Longest expected time to first token that is accepted without a deadline, by class.
     std::array<Cost, kClasses> maxWait{ Cost(1.0), Cost(3.0) };
+    /// Mean wait over the targets beyond which a request without a deadline is refused, by class. A
+    /// single hot target may have a longer queue; when all have one, it only delays later work.
+    std::array<Cost, kClasses> maxMeanWait{ Cost(0.5), Cost(1.5) };
     /// Mean time between two tokens of an answer, for the time that a request holds a slot.
     Cost tokenTime{ 0.025 };
 };
--- a/packages/routing/include/routing/load_ledger.h
+++ b/packages/routing/include/routing/load_ledger.h
@@ -14,17 +14,7 @@
     std::array<double, kPriorities> waitingTokens{}; ///< Uncached prompt tokens, by priority.
     std::array<std::uint32_t, kClasses> waiting{};   ///< Requests without a first token, by class.
     std::array<std::uint32_t, kClasses> running{};   ///< Requests that generate, by class.
-    double recentTokens = 0; ///< Decayed sum of uncached prompt tokens sent lately.
-};
-
-/// Load report of a target about all its callers.
-struct TargetReport
-{
-    TargetId target = 0;
-    std::array<double, kPriorities> waitingTokens{};
-    std::uint32_t waiting = 0;
-    std::uint32_t running = 0;
-    Time measured{}; ///< When the target measured; the report arrives later.
+    Cost recentWork{}; ///< Decayed sum of the engine time of requests sent lately.
 };
 
 /// In-flight work of one daemon at one target, as daemons exchange it.
@@ -40,22 +30,21 @@
 {
     TargetId target = 0;
     double tokens = 0; ///< Expected uncached prompt tokens.
+    Cost work{};       ///< Expected engine time.
     WorkClass workClass = WorkClass::Short;
     Priority priority = Priority::Interactive;
     bool running = false;
 };
 
 /// In-flight work per target: this daemon's own, counted at once, and the share of other daemons
-/// from their digests, corrected by the targets' reports.
+/// from their digests. Load reports of targets are not used; see docs/decisions/0001.
 struct LoadLedger
 {
     struct Entry
     {
         Work own;
-        Time recentUpdated{}; ///< When `own.recentTokens` was decayed.
+        Time recentUpdated{}; ///< When `own.recentWork` was decayed.
         Work peers;           ///< Sum over `digests`.
-        std::optional<TargetReport> report;
-        Work ownAtReport; ///< `own` when the report was measured, as far as it is known.
     };
     struct Digest
     {
@@ -63,8 +52,8 @@
         Time received{};
     };
 
-    /// Averaging time of `Work::recentTokens`.
-    std::chrono::milliseconds recentTime{ 8000 };
+    /// Averaging time of `Work::recentWork`.
+    std::chrono::milliseconds averagingTime{ 8000 };
     std::unordered_map<TargetId, Entry> targets;
     std::unordered_map<std::uint64_t, Digest> digests; ///< By sending daemon.
 };
@@ -84,11 +73,8 @@
 /// Returns this daemon's own in-flight work per target, without idle targets.
 std::vector<DigestEntry> ownDigest(const LoadLedger &ledger);
 
-/// Takes a target's load report. A report older than the last one is ignored.
-void mergeReport(LoadLedger &ledger, const TargetReport &report);
-
 /// Returns the estimated work of all daemons at `target`.
-Work estimateWork(const LoadLedger &ledger, TargetId target, Time now);
+Work estimateWork(const LoadLedger &ledger, TargetId target);
 
 /// Forgets everything about a target's current work, after its engine life has ended.
 void forgetTarget(LoadLedger &ledger, TargetId target);
--- a/packages/routing/src/candidates.cpp
+++ b/packages/routing/src/candidates.cpp
@@ -134,7 +134,6 @@
                     addById(request, targets, placement.target, placement.life, decision);
             }
         }
-        addRandom(request, targets, options.randomCandidates, random, decision);
     }
     // Random draws can miss every usable target when few are left.
     if (decision.candidateCount == 0)
--- a/packages/routing/src/decision.cpp
+++ b/packages/routing/src/decision.cpp
@@ -59,13 +59,9 @@
     }
 }
 
-void estimateCached(const Request &request, std::span<const Target> targets, const State &state,
-                    const Options &options, Time now, std::span<CandidateCost> candidates)
+void applyHolders(const Request &request, std::span<const Target> targets,
+                  std::span<CandidateCost> candidates)
 {
-    const auto cachedAtHome = homeProbabilities(request, state, options, now);
-    for (CandidateCost &candidate : candidates)
-        candidate.cachedTokens = kBlockTokens * expectedHomeBlocks(candidate, cachedAtHome);
-    applyPlacements(request, targets, state, now, candidates);
     for (const Holder &holder : request.holders) {
         const auto candidate = std::ranges::find(candidates, holder.target, &CandidateCost::target);
         if (candidate != candidates.end() && targets[candidate->index].life == holder.life)
@@ -74,40 +70,63 @@
     }
 }
 
+void estimateCached(const Request &request, std::span<const Target> targets, const State &state,
+                    const Options &options, Time now, std::span<CandidateCost> candidates)
+{
+    applyPlacements(request, targets, state, now, candidates);
+    applyHolders(request, targets, candidates);
+    // Demand says that a home should have the blocks, hints say who has them. Believing both sends
+    // prompts back to a home that they have left.
+    constexpr double kKnown = 0.5 * kBlockTokens;
+    if (std::ranges::any_of(candidates, [](const auto &c) { return c.cachedTokens >= kKnown; }))
+        return;
+    const auto cachedAtHome = homeProbabilities(request, state, options, now);
+    for (CandidateCost &candidate : candidates)
+        candidate.cachedTokens = std::max(
+                candidate.cachedTokens, kBlockTokens * expectedHomeBlocks(candidate, cachedAtHome));
+}
+
 /// Returns whether the slots that the request's class may take are taken. Long work leaves some
 /// slots to short work, which would otherwise wait for a whole long answer to end.
 bool isFull(const Work &work, const Target &target, const Request &request, const Options &options)
 {
     const double longs = work.running[1] + work.waiting[1];
-    if (request.workClass == WorkClass::Long)
-        return longs >= target.slots * options.longSlotShare;
-    return longs + work.running[0] + work.waiting[0] >= target.slots;
+    if (longs + work.running[0] + work.waiting[0] >= target.slots)
+        return true;
+    return request.workClass == WorkClass::Long && longs >= target.slots * options.longSlotShare;
 }
 
-void addCosts(const Request &request, const Target &target, const Work &work,
-              const Options &options, CandidateCost &candidate)
+/// Returns the expected time until the work ahead of the request at the target is done.
+Cost queueWait(const Request &request, const Target &target, const Work &work)
 {
-    const double rate = target.prefillRate / target.slowness;
     double ahead = work.waitingTokens[0];
     if (request.priority == Priority::Batch)
         ahead += work.waitingTokens[1];
+    return Cost(ahead * target.slowness / target.prefillRate);
+}
+
+void addCosts(const Request &request, const Target &target, const Work &work,
+              const Options &options, CandidateCost &candidate)
+{
+    const double rate = target.prefillRate / target.slowness;
     candidate.path = target.path;
-    candidate.queue = Cost(ahead / rate);
+    candidate.queue = queueWait(request, target, work);
     candidate.full = isFull(work, target, request, options);
     candidate.cachedTokens = std::min<double>(candidate.cachedTokens, request.promptTokens);
-    candidate.prefill = Cost((request.promptTokens - candidate.cachedTokens) / rate);
+    const double uncached = request.promptTokens - candidate.cachedTokens;
+    candidate.prefill = Cost(uncached / rate);
 }
 
 void addDisplacement(const Request &request, std::span<const Target> targets,
-                     std::span<const double> recentTokens, const Options &options,
+                     std::span<const Cost> recentWork, const Options &options,
                      std::span<CandidateCost> candidates)
 {
     const double blockTokens = static_cast<double>(request.chain.size()) * kBlockTokens;
     double mostCached = 0;
-    double meanRecent = 1;
+    Cost meanRecent(1e-6);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         mostCached = std::max(mostCached, candidates[i].cachedTokens);
-        meanRecent += recentTokens[i] / static_cast<double>(candidates.size());
+        meanRecent += recentWork[i] / static_cast<double>(candidates.size());
     }
     mostCached = std::min(mostCached, blockTokens);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -115,7 +134,7 @@
         const double inserted = std::max(0.0, blockTokens - candidate.cachedTokens);
         const double duplicates = std::max(0.0, mostCached - candidate.cachedTokens);
         const double strange = std::min(inserted, blockTokens - candidate.homeDepth * kBlockTokens);
-        const double tokens = options.pressureShare * inserted * recentTokens[i] / meanRecent
+        const double tokens = options.pressureShare * inserted * (recentWork[i] / meanRecent)
                               + options.displacementShare * duplicates
                               + options.homeShare * strange;
         candidate.displacement = Cost(tokens / targets[candidate.index].prefillRate);
@@ -155,10 +174,35 @@
                    : base::Result::Overloaded;
 }
 
-} // namespace
+/// Returns the share of an engine that the request takes: its prefill or its time in one of the
+/// slots, whichever is larger.
+Cost engineTime(const Request &request, const Target &target, double uncached,
+                const Options &options)
+{
+    return std::max(Cost(uncached / target.prefillRate),
+                    options.tokenTime * request.outputTokens / target.slots);
+}
 
-Decision decide(const Request &request, std::span<const Target> targets, const State &state,
-                const Options &options, Time now, Random &random)
+constexpr std::size_t kWaitSamples = 16;
+
+/// Returns the mean wait of the request over the targets, from a sample if there are many.
+Cost meanWait(const Request &request, std::span<const Target> targets, const State &state,
+              Random &random)
+{
+    const std::size_t stride = std::max<std::size_t>(1, targets.size() / kWaitSamples);
+    Cost sum{};
+    std::size_t count = 0;
+    for (std::size_t i = stride > 1 ? random() % stride : 0; i < targets.size(); i += stride) {
+        if (!targets[i].accepting)
+            continue;
+        sum += queueWait(request, targets[i], estimateWork(state.load, targets[i].id));
+        ++count;
+    }
+    return count == 0 ? Cost(0) : sum / static_cast<double>(count);
+}
+
+Decision decideAmong(const Request &request, std::span<const Target> targets, const State &state,
+                     const Options &options, Time now, Random &random)
 {
     Decision decision;
     internal::selectCandidates(request, targets, state, options, now, random, decision);
@@ -168,13 +212,13 @@
     }
     const std::span candidates = std::span(decision.candidates).first(decision.candidateCount);
     estimateCached(request, targets, state, options, now, candidates);
-    std::array<double, kMaxCandidates> recentTokens{};
+    std::array<Cost, kMaxCandidates> recentWork{};
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const Work work = estimateWork(state.load, candidates[i].target, now);
+        const Work work = estimateWork(state.load, candidates[i].target);
         addCosts(request, targets[candidates[i].index], work, options, candidates[i]);
-        recentTokens[i] = work.recentTokens;
+        recentWork[i] = work.recentWork;
     }
-    addDisplacement(request, targets, recentTokens, options, candidates);
+    addDisplacement(request, targets, recentWork, options, candidates);
     const auto chosen = drawNearBest(candidates, options.nearEqual, random);
     if (!chosen) {
         decision.code = base::Result::Overloaded;
@@ -185,36 +229,46 @@
     return decision;
 }
 
-namespace {
+} // namespace
 
-/// Returns the share of an engine that the request takes: its prefill or its time in one of the
-/// slots, whichever is larger.
-Cost engineTime(const Request &request, const Target &target, double uncached,
-                const Options &options)
+Decision decide(const Request &request, std::span<const Target> targets, const State &state,
+                const Options &options, Time now, Random &random)
 {
-    const Cost prefill(uncached / target.prefillRate);
-    const Cost slot =
-            options.tokenTime * (static_cast<double>(request.outputTokens) / target.slots);
-    return std::max(prefill, slot);
+    if (!request.deadline
+        && meanWait(request, targets, state, random)
+                   > options.maxMeanWait[static_cast<std::size_t>(request.workClass)]) {
+        Decision refusal;
+        refusal.code = base::Result::Overloaded;
+        return refusal;
+    }
+    Decision decision = decideAmong(request, targets, state, options, now, random);
+    if (decision.code == base::Result::Ok || decision.code == base::Result::NoTarget)
+        return decision;
+    // The homes and their spares are overloaded; any other target is better than a refusal.
+    Options wider = options;
+    wider.spares = kMaxCandidates;
+    wider.displacementShare = 0;
+    wider.homeShare = 0;
+    return decideAmong(request, targets, state, wider, now, random);
 }
 
-} // namespace
-
 Sent startRequest(State &state, const Request &request, std::span<const Target> targets,
                   const Decision &decision, const Options &options, Time now)
 {
     const CandidateCost &choice = decision.choice();
     const Target &target = targets[choice.index];
     const double uncached = request.promptTokens - choice.cachedTokens;
+    const Cost work = engineTime(request, target, uncached, options);
     Sent sent{ .flight = { .target = target.id,
                            .tokens = uncached,
+                           .work = work,
                            .workClass = request.workClass,
                            .priority = request.priority },
                .possibleCachedTokens = static_cast<double>(request.chain.size()) * kBlockTokens,
                .predictedCachedTokens = choice.cachedTokens,
                .predictedFirstToken = choice.firstToken() };
     startFlight(state.load, sent.flight, now);
-    countRequest(state.hot, request.chain, engineTime(request, target, uncached, options), now);
+    countRequest(state.hot, request.chain, work, now);
     recordPlacement(state.placements, request.chain, target.id, target.life, now);
     return sent;
 }
--- a/packages/routing/src/load_ledger.cpp
+++ b/packages/routing/src/load_ledger.cpp
@@ -41,8 +41,8 @@
         sum.waiting[i] += add ? change.waiting[i] : -change.waiting[i];
         sum.running[i] += add ? change.running[i] : -change.running[i];
     }
-    sum.recentTokens =
-            std::max(0.0, sum.recentTokens + (add ? change.recentTokens : -change.recentTokens));
+    const Cost work = add ? change.recentWork : -change.recentWork;
+    sum.recentWork = std::max(Cost(0), sum.recentWork + work);
 }
 
 void removeDigest(LoadLedger &ledger, const LoadLedger::Digest &digest)
@@ -61,8 +61,8 @@
     LoadLedger::Entry &entry = ledger.targets[flight.target];
     Work &own = entry.own;
     const Cost age = now - entry.recentUpdated;
-    own.recentTokens *= std::exp(-std::max(age.count(), 0.0) / Cost(ledger.recentTime).count());
-    own.recentTokens += flight.tokens;
+    own.recentWork *= std::exp(-std::max(age.count(), 0.0) / Cost(ledger.averagingTime).count());
+    own.recentWork += flight.work;
     entry.recentUpdated = now;
     own.waitingTokens[level(flight.priority)] += flight.tokens;
     ++own.waiting[level(flight.workClass)];
@@ -122,16 +122,7 @@
     return digest;
 }
 
-void mergeReport(LoadLedger &ledger, const TargetReport &report)
-{
-    LoadLedger::Entry &entry = ledger.targets[report.target];
-    if (entry.report && entry.report->measured >= report.measured)
-        return;
-    entry.report = report;
-    entry.ownAtReport = entry.own;
-}
-
-Work estimateWork(const LoadLedger &ledger, TargetId target, Time /*now*/)
+Work estimateWork(const LoadLedger &ledger, TargetId target)
 {
     const auto found = ledger.targets.find(target);
     if (found == ledger.targets.end())
--- a/packages/routing/test/decision_test.cpp
+++ b/packages/routing/test/decision_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
     CPPUNIT_TEST_SUITE(DecisionTest);
     CPPUNIT_TEST(freshDaemonsAgreeOnTheHome);
     CPPUNIT_TEST(siblingsMeetAtTheirSharedPrefix);
+    CPPUNIT_TEST(homesFollowDemand);
+    CPPUNIT_TEST(longWorkLeavesSlots);
     CPPUNIT_TEST(refusesWithANumber);
     CPPUNIT_TEST(choosesOnlyUsableTargets);
     CPPUNIT_TEST_SUITE_END();
@@ -71,6 +74,43 @@
         }
     }
 
+    // Guards against a hot prefix that stays on one target, and one that stays spread once it
+    // cools.
+    void homesFollowDemand()
+    {
+        const auto targets = makeTargets(12);
+        const std::vector<std::uint64_t> chain{ 5 };
+        State state;
+        const auto homesAt = [&](Time now) {
+            Random random(1);
+            const Decision decision = decide(longRequest(chain), targets, state, {}, now, random);
+            return std::ranges::count(decision.all(), 1U, &CandidateCost::homeDepth);
+        };
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), homesAt(kStart));
+        for (int i = 0; i < 100; ++i)
+            countRequest(state.hot, chain, Cost(0.05), kStart);
+        CPPUNIT_ASSERT(homesAt(kStart) > 2);
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), homesAt(kStart + std::chrono::seconds(30)));
+    }
+
+    // Guards against short work that waits for long answers to free a slot.
+    void longWorkLeavesSlots()
+    {
+        const auto targets = makeTargets(1);
+        const std::vector<std::uint64_t> chain{ 5 };
+        State state;
+        for (std::uint32_t i = 0; i < targets[0].slots - 2; ++i) {
+            Flight flight{ .target = targets[0].id, .workClass = WorkClass::Long };
+            startFlight(state.load, flight, kStart);
+        }
+        Random random(1);
+        const Request shortRequest{ .promptTokens = 100 };
+        CPPUNIT_ASSERT(decide(longRequest(chain), targets, state, {}, kStart, random).code
+                       == base::Result::Overloaded);
+        CPPUNIT_ASSERT(decide(shortRequest, targets, state, {}, kStart, random).code
+                       == base::Result::Ok);
+    }
+
     // Guards against refusals that callers cannot tell apart.
     void refusesWithANumber()
     {
