Claim nothing about an order before its row was looked up

A restarted daemon without its configuration answered every call with 401 unauthorized and `not-run`.

A call that carries an order's identity is now refused with `unknown` until its row was looked up. A daemon without a configuration answers 503 not-ready (2007), so that callers try again instead of taking a valid API key for a wrong one.

--- a/bench/chaos/chaos.py
+++ b/bench/chaos/chaos.py
@@ -55,7 +55,8 @@
         for name in self.deployment.engines:
             self.collect_engine(name)
         for engine, life, entry in self.engine_entries:
-            request = entry["request_id"].rsplit(".", 1)[0]
+            # The router appends a hash of customer and body.
+            request = entry["request_id"].rsplit(":", 1)[0]
             started = entry["at_ms"] - self.wall_offset_ms
             self.recorder.add("engine-run", time=started, engine=engine, request=request)
             self.recorder.add("target-work", time=started, target=engine, request=request)
--- a/packages/base/include/base/result.h
+++ b/packages/base/include/base/result.h
@@ -30,6 +30,7 @@
     NoTarget = 2004,
     ShuttingDown = 2005,
     RetryBudgetSpent = 2006,
+    NotReady = 2007,
 
     TargetUnreachable = 3001,
     TargetFailed = 3002,
--- a/packages/traffic/src/calls.cpp
+++ b/packages/traffic/src/calls.cpp
@@ -86,6 +86,15 @@
     return orders::identify(scope.customer->name, headers, error);
 }
 
+// Status of a refusal before the state of an order was looked up: an earlier attempt with the same
+// identity may have run at another instance.
+WorkStatus statusBeforeLookUp(const net::Request &request)
+{
+    const bool isOrder = net::findHeader(request.headers, "Idempotency-Key").has_value()
+                         || net::findHeader(request.headers, "Order-Ticket").has_value();
+    return isOrder ? WorkStatus::Unknown : WorkStatus::NotRun;
+}
+
 orders::Reply placeOrder(const TrafficThread &thread, const ServiceCall &call,
                          const orders::Identity &identity, const std::string &fingerprint,
                          const yield_context &yield)
@@ -140,7 +149,7 @@
     }
     if (error) {
         return refuse(exchange, thread.services, kCallKind, scope.requestId, error,
-                      WorkStatus::NotRun, {}, yield);
+                      statusBeforeLookUp(request), {}, yield);
     }
     const ServiceCall call{ .request = forwarded(request, scope.requestId),
                             .targets = &scope.table->targetsOf(*route) };
--- a/packages/traffic/src/request_scope.cpp
+++ b/packages/traffic/src/request_scope.cpp
@@ -24,6 +24,9 @@
                         .table = services.targetTable() };
     scope.requestId =
             scope.context.requestId.empty() || error ? makeRequestId() : scope.context.requestId;
+    // Without a configuration every key looks unknown, which callers take for a final answer.
+    if (!error && scope.table->configuration().revision() == 0)
+        error = Result::NotReady;
     if (error)
         return scope;
     const auto keyHash = configuration::hashApiKey(scope.context.apiKey);
--- a/packages/traffic/test/request_handler_test.cpp
+++ b/packages/traffic/test/request_handler_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST_SUITE(RequestHandlerTest);
     CPPUNIT_TEST(badRequestsAreRefusedWithTheirCode);
     CPPUNIT_TEST(orderWithoutStoreNeedsTicket);
+    CPPUNIT_TEST(refusalBeforeLookUpClaimsNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -70,6 +71,45 @@
         });
     }
 
+    // Guards against `not-run` about an order whose state was not looked up, and against a
+    // restarted instance that rejects valid keys before it has its configuration.
+    void refusalBeforeLookUpClaimsNothing()
+    {
+        struct Row
+        {
+            std::string name;
+            net::Request request;
+            bool hasConfiguration;
+            std::string code;
+            std::string work;
+        };
+        const std::string body = R"({"id":"1"})";
+        const net::Header key{ "Idempotency-Key", "k" };
+        const Row rows[] = {
+            { "wrong API key", post("/orders", body, { key, { "Authorization", "Bearer x" } }),
+              true, "1006", "unknown" },
+            { "unknown path", post("/nothing", body, { key }), true, "1008", "unknown" },
+            { "order", post("/orders", body, { key }), false, "2007", "unknown" },
+            { "ticket", post("/orders", body, { { "Order-Ticket", "t" } }), false, "2007",
+              "unknown" },
+            { "look-up", { .target = "/status/1" }, false, "2007", "not-run" },
+            { "completion", post("/v1/completions", R"({"model":"m","prompt":"p"})"), false, "2007",
+              "not-run" },
+        };
+        for (const Row &row : rows) {
+            TrafficFixture fixture(1);
+            if (!row.hasConfiguration)
+                fixture.removeConfiguration();
+            fixture.run([&](const yield_context &yield) {
+                const auto response = fixture.send(row.request, yield);
+                CPPUNIT_ASSERT_MESSAGE(row.name, response.has_value());
+                const std::string &text = response->body;
+                CPPUNIT_ASSERT_MESSAGE(text, text.find("\"code\":" + row.code) != text.npos);
+                CPPUNIT_ASSERT_MESSAGE(text, text.find("\"work\":\"" + row.work) != text.npos);
+            });
+        }
+    }
+
     // Guards against an order that runs without a record while the store is down, and against a
     // ticket that runs an order twice.
     void orderWithoutStoreNeedsTicket()
--- a/packages/traffic/test/traffic_fixture.h
+++ b/packages/traffic/test/traffic_fixture.h
@@ -78,6 +78,13 @@
         CPPUNIT_ASSERT_MESSAGE(error.message(), !error);
     }
 
+    /// Takes the configuration away, as before the start of the control plane has ended.
+    void removeConfiguration()
+    {
+        table_ = std::make_shared<const TargetTable>(
+                std::make_shared<const configuration::Configuration>());
+    }
+
     boost::asio::io_context context;
     standins::OrderService service{ context };
     net::HttpClient client{ context.get_executor(), {} };
