--- a/packages/daemon/include/daemon/app.h
+++ b/packages/daemon/include/daemon/app.h
@@ -11,8 +11,11 @@
 #include "traffic/router.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 
+#include <csignal>
 #include <string>
+#include <vector>
 
 namespace chervilfield::daemon {
 
@@ -26,8 +29,11 @@
     int run();
 
 private:
-    void waitForSignal(boost::asio::io_context &context);
-    void drainStep(boost::asio::io_context &context);
+    std::vector<NamedLoad> ownLoads() const;
+    void setOthersLoads(const std::vector<NamedLoad> &loads);
+    void setLeaving(const std::vector<std::string> &names);
+    void waitForSignal();
+    void drainStep();
     void enter(DrainPhase phase);
 
     const Settings settings_;
@@ -37,11 +43,14 @@
     traffic::Metrics metrics_;
     traffic::Router router_;
     traffic::OrderDesk orderDesk_;
+    traffic::RetryBudgets retryBudgets_;
     ControlPlane control_;
     traffic::Services services_;
     traffic::InstanceView view_;
     TrafficPool traffic_;
     Drain drain_;
+    boost::asio::io_context context_{ 1 };
+    boost::asio::signal_set signals_{ context_, SIGTERM, SIGINT };
 };
 
 } // namespace chervilfield::daemon
--- a/packages/traffic/include/traffic/router.h
+++ b/packages/traffic/include/traffic/router.h
@@ -2,6 +2,8 @@
 
 #include "base/result.h"
 #include "routing/decision.h"
+#include "traffic/load_view.h"
+#include "traffic/pool_health.h"
 #include "traffic/target_table.h"
 
 #include <chrono>
@@ -32,6 +34,9 @@
     TargetInfo target;
     routing::Sent sent;
     std::uint64_t life = 0; ///< Life of the engine as last seen; 0 if not seen yet.
+    std::string pool;
+    std::uint64_t job = 0; ///< Unique within this daemon.
+    routing::Time start;
 };
 
 /// Shared entry to the routing decision for all traffic threads: adds what only the daemon knows
@@ -66,6 +71,12 @@
     /// Replaces the set of targets that are leaving; they get no new work.
     void setLeaving(std::unordered_set<routing::TargetId> leaving);
 
+    /// Returns this daemon's own work in flight at each target that has any.
+    std::vector<TargetWork> ownWork() const;
+
+    /// Replaces what is known of the other daemons' work in flight.
+    void setOthersWork(const std::vector<TargetWork> &work);
+
 private:
     struct TargetState
     {
@@ -74,7 +85,7 @@
         routing::Time unusableUntil;
     };
 
-    std::vector<routing::Target> describe(const RouteTargets &targets, routing::Time now) const;
+    std::vector<routing::Target> describe(const RouteTargets &targets, routing::Time now);
 
     const RouterOptions options_;
     mutable std::mutex mutex_;
@@ -82,6 +93,8 @@
     routing::Random random_;
     std::unordered_map<routing::TargetId, TargetState> targets_;
     std::unordered_set<routing::TargetId> leaving_;
+    PoolHealth health_;
+    std::uint64_t nextJob_ = 1;
 };
 
 } // namespace chervilfield::traffic
