--- a/packages/daemon/include/daemon/control_plane.h
+++ b/packages/daemon/include/daemon/control_plane.h
@@ -6,8 +6,9 @@
 #include "control/configuration_follower.h"
 #include "control/configuration_log.h"
 #include "control/control_system.h"
+#include "daemon/control_metrics.h"
+#include "daemon/peer_link.h"
 #include "daemon/settings.h"
-#include "net/http_client.h"
 #include "net/http_server.h"
 #include "platform/platform_client.h"
 #include "traffic/target_table.h"
@@ -30,6 +31,10 @@
 {
     std::function<net::Response(const net::Request &)> explain;
     std::function<void()> drain;
+    /// Told the names of the targets that the platform's instance list reports as leaving.
+    std::function<void(const std::vector<std::string> &)> leavingTargets;
+    std::function<std::vector<NamedLoad>()> ownLoads;
+    std::function<void(const std::vector<NamedLoad> &)> othersLoads;
 };
 
 /// Control part of a daemon: the actors that own control state, and the control I/O thread that
@@ -37,15 +42,16 @@
 class ControlPlane
 {
 public:
-    /// `timeLine` and `services` outlive the control plane.
-    ControlPlane(const Settings &settings, std::string life, base::TimeLine &timeLine,
+    /// `timeLine` and `registry` outlive the control plane.
+    ControlPlane(const Settings &settings, base::TimeLine &timeLine, prometheus::Registry &registry,
                  ControlHooks hooks);
     ~ControlPlane();
     ControlPlane(const ControlPlane &) = delete;
     ControlPlane &operator=(const ControlPlane &) = delete;
 
-    /// Binds the addresses and starts the threads. Sets `error` if binding fails.
-    void start(std::error_code &error);
+    /// Binds the addresses and starts the threads. Sets `error` if binding fails. The other
+    /// instances tell callers `callerAddress`.
+    void start(const net::Address &callerAddress, std::error_code &error);
 
     /// Returns the targets of the configuration in force; never null.
     traffic::TargetTablePtr targetTable() const { return table_.load(); }
@@ -56,30 +62,27 @@
     /// Returns the body of `GET /v1/entries`.
     std::string entriesBody(const net::Address &caller) const;
 
-    /// Tells the other instances that this one is leaving.
+    /// Tells the other instances that this one is leaving, and that it is about to exit.
     void announceLeaving();
-
-    /// Address that callers are told; set it once the callers' server is bound.
-    void setCallerAddress(const net::Address &address);
+    void announceExit();
 
     net::Address adminAddress() const;
     net::Address peerAddress() const;
 
 private:
     void runFollower(const boost::asio::yield_context &yield);
+    void updateMetrics();
+    void pollInstances(const boost::asio::yield_context &yield);
+    std::vector<admin::InstanceStatus> instanceStatus() const;
     void publish(const configuration::ConfigurationPtr &configuration);
 
     const Settings settings_;
-    const std::string life_;
     base::TimeLine &timeLine_;
     std::atomic<traffic::TargetTablePtr> table_;
     std::atomic<bool> started_{ false };
-    std::atomic<bool> leaving_{ false };
-    net::Address callerAddress_;
 
     boost::asio::io_context context_{ 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
-    net::HttpClient client_;
     platform::PlatformClient platform_;
     control::ConfigurationLog log_;
     ControlHooks hooks_;
@@ -88,7 +91,8 @@
     std::unique_ptr<control::ConfigurationControl> configuration_;
     std::unique_ptr<admin::AdminApi> adminApi_;
     std::unique_ptr<net::HttpServer> adminServer_;
-    std::unique_ptr<net::HttpServer> peerServer_;
+    PeerLink peers_;
+    ControlMetrics metrics_;
     std::thread runner_;
 };
 
