Follow the engines' cache events and use them in the routing decision

Cause: the decision knew where a prefix is cached only from its own placements and from rendezvous homes. A prompt cached through another instance was recomputed, and the engine stand-in named blocks by hashes of its own, so its events could not be matched with a request.

--- a/packages/daemon/include/daemon/control_plane.h
+++ b/packages/daemon/include/daemon/control_plane.h
@@ -10,6 +10,9 @@
 #include "daemon/settings.h"
 #include "net/http_server.h"
 #include "platform/platform_client.h"
+#include "traffic/cache_follower.h"
+#include "traffic/metrics.h"
+#include "traffic/router.h"
 #include "traffic/target_table.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -36,14 +39,21 @@
     std::function<void(const std::vector<NamedLoad> &)> othersLoads;
 };
 
+/// What the control plane feeds for the traffic threads.
+struct TrafficState
+{
+    traffic::Router &router;
+    traffic::Metrics &metrics;
+};
+
 /// Control part of a daemon: the actors that own control state, and the control I/O thread that
 /// moves bytes for them and serves the administration and the peer address.
 class ControlPlane
 {
 public:
-    /// `timeLine` and `services` outlive the control plane.
+    /// `timeLine` and what `state` refers to outlive the control plane.
     ControlPlane(const Settings &settings, std::string life, base::TimeLine &timeLine,
-                 ControlHooks hooks);
+                 ControlHooks hooks, TrafficState state);
     ~ControlPlane();
     ControlPlane(const ControlPlane &) = delete;
     ControlPlane &operator=(const ControlPlane &) = delete;
@@ -71,6 +81,7 @@
 private:
     void runFollower(const boost::asio::yield_context &yield);
     void pollInstances(const boost::asio::yield_context &yield);
+    std::vector<traffic::TargetInfo> followedEngines();
     std::vector<admin::InstanceStatus> instanceStatus() const;
     void publish(const configuration::ConfigurationPtr &configuration);
 
@@ -91,6 +102,11 @@
     std::unique_ptr<admin::AdminApi> adminApi_;
     std::unique_ptr<net::HttpServer> adminServer_;
     PeerLink peers_;
+    traffic::CacheFollower cacheFollower_;
+    // What the followed engines were computed from, and the result.
+    control::MemberSnapshotPtr assignedMembers_;
+    traffic::TargetTablePtr assignedTable_;
+    std::vector<traffic::TargetInfo> followedEngines_;
     std::thread runner_;
 };
 
--- a/packages/daemon/src/app.cpp
+++ b/packages/daemon/src/app.cpp
@@ -67,7 +67,8 @@
                  .drain = [] { std::raise(SIGTERM); },
                  .leavingTargets = [this](const auto &names) { setLeaving(names); },
                  .ownLoads = [this] { return ownLoads(); },
-                 .othersLoads = [this](const auto &loads) { setOthersLoads(loads); } }),
+                 .othersLoads = [this](const auto &loads) { setOthersLoads(loads); } },
+               { .router = router_, .metrics = metrics_ }),
       services_{ .router = router_,
                  .metrics = metrics_,
                  .timeLine = timeLine_,
@@ -131,6 +132,7 @@
 void App::setOthersLoads(const std::vector<NamedLoad> &loads)
 {
     std::vector<traffic::TargetWork> work;
+    work.reserve(loads.size());
     for (const NamedLoad &load : loads)
         work.push_back(toTargetWork(load));
     router_.setOthersWork(work);
--- a/packages/daemon/src/control_plane.cpp
+++ b/packages/daemon/src/control_plane.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "membership/entries.h"
+#include "membership/followers.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/array.hpp>
@@ -9,6 +10,8 @@
 #include <boost/json/serialize.hpp>
 #include <glog/logging.h>
 
+#include <unordered_map>
+
 namespace chervilfield::daemon {
 
 using boost::asio::yield_context;
@@ -46,7 +49,7 @@
 } // namespace
 
 ControlPlane::ControlPlane(const Settings &settings, std::string life, base::TimeLine &timeLine,
-                           ControlHooks hooks)
+                           ControlHooks hooks, TrafficState state)
     : settings_(settings), life_(std::move(life)), timeLine_(timeLine),
       table_(std::make_shared<const traffic::TargetTable>(
               std::make_shared<const configuration::Configuration>())),
@@ -55,7 +58,8 @@
       peers_(context_, settings, startTime(), timeLine,
              { .targets = [this] { return followedTargets(*configuration_->current()); },
                .ownLoads = hooks_.ownLoads,
-               .othersLoads = hooks_.othersLoads })
+               .othersLoads = hooks_.othersLoads }),
+      cacheFollower_(context_, state.router, state.metrics, [this] { return followedEngines(); })
 {
     configuration_ = std::make_unique<control::ConfigurationControl>(
             system_, control::ConfigurationControlOptions{
@@ -102,6 +106,8 @@
                         [this](const yield_context &yield) { runFollower(yield); });
     net::spawnCoroutine(context_, "[control]",
                         [this](const yield_context &yield) { pollInstances(yield); });
+    net::spawnCoroutine(context_, "[cache]",
+                        [this](const yield_context &yield) { cacheFollower_.run(yield); });
     runner_ = std::thread([this] { context_.run(); });
 }
 
@@ -142,6 +148,34 @@
         started_ = true;
 }
 
+// The assignment hashes each pair of a member and an engine, so it is computed only after a change.
+std::vector<traffic::TargetInfo> ControlPlane::followedEngines()
+{
+    const auto members = peers_.members();
+    const auto table = table_.load();
+    if (members == assignedMembers_ && table == assignedTable_)
+        return followedEngines_;
+    assignedMembers_ = members;
+    assignedTable_ = table;
+    std::unordered_map<std::string, traffic::TargetInfo> engines;
+    std::vector<membership::FollowedTarget> targets;
+    for (const auto &target : table->configuration().resources().targets) {
+        const auto address = net::parseAddress(target->address);
+        if (target->kind != configuration::TargetKind::Engine || !address.has_value())
+            continue;
+        targets.push_back({ .name = target->name, .dataCentre = target->dataCentre });
+        engines.emplace(target->name, traffic::TargetInfo{ .id = traffic::targetId(target->name),
+                                                           .name = target->name,
+                                                           .address = *address,
+                                                           .dataCentre = target->dataCentre });
+    }
+    followedEngines_.clear();
+    const auto assignments = membership::assignFollowers(members->members, targets);
+    for (const std::string &name : membership::followedBy(assignments, settings_.instanceName))
+        followedEngines_.push_back(engines.at(name));
+    return followedEngines_;
+}
+
 std::vector<admin::InstanceStatus> ControlPlane::instanceStatus() const
 {
     std::vector<admin::InstanceStatus> result;
--- a/packages/prefix/include/prefix/block_index.h
+++ b/packages/prefix/include/prefix/block_index.h
@@ -20,8 +20,8 @@
 /// Holders that one entry can name. A block with more holders keeps the ones reported last.
 inline constexpr std::size_t kHoldersPerEntry = 3;
 
-/// One run of an engine process. Both numbers are `base::hash64` of the names that
-/// `GET /v1/identity` returns.
+/// One run of an engine process. `engine` is the hash of the target's name, `life` the number that
+/// the engine reports as its life.
 struct EngineLife
 {
     std::uint64_t engine = 0;
--- /dev/null
+++ b/packages/targets/include/targets/engine_cache.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "net/address.h"
+#include "net/http_client.h"
+
+#include <boost/asio/spawn.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <system_error>
+#include <vector>
+
+namespace chervilfield::targets {
+
+/// One block that entered or left an engine's cache.
+struct CacheChange
+{
+    std::uint64_t number = 0;
+    bool stored = true; ///< False if the block was evicted.
+    std::uint64_t block = 0;
+};
+
+/// Cache events of one engine life, in the order of their numbers. Events may be missing.
+struct CacheEvents
+{
+    std::uint64_t life = 0;
+    std::uint64_t next = 1; ///< Number that the engine's next event will have.
+    std::vector<CacheChange> events;
+};
+
+/// Blocks that an engine life holds, the state after event `next - 1`.
+struct CacheSnapshot
+{
+    std::uint64_t life = 0;
+    std::uint64_t next = 1;
+    std::vector<std::uint64_t> blocks;
+};
+
+/// Reads the cache events from number `from` on (`GET /v1/cache/events`). Sets `error` to
+/// `TargetFailed` if the response is not what the interface prescribes, or to an error of the
+/// client.
+std::optional<CacheEvents> fetchCacheEvents(net::HttpClient &client, const net::Address &engine,
+                                            std::uint64_t from, std::chrono::milliseconds timeout,
+                                            const boost::asio::yield_context &yield,
+                                            std::error_code &error);
+
+/// Reads all blocks that the engine holds (`GET /v1/cache/snapshot`). Errors are those of
+/// `fetchCacheEvents`.
+std::optional<CacheSnapshot> fetchCacheSnapshot(net::HttpClient &client, const net::Address &engine,
+                                                std::chrono::milliseconds timeout,
+                                                const boost::asio::yield_context &yield,
+                                                std::error_code &error);
+
+} // namespace chervilfield::targets
--- /dev/null
+++ b/packages/traffic/include/traffic/cache_follower.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "net/http_client.h"
+#include "traffic/metrics.h"
+#include "traffic/router.h"
+#include "traffic/target_table.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <unordered_set>
+#include <vector>
+
+namespace chervilfield::traffic {
+
+struct CacheFollowerOptions
+{
+    std::chrono::milliseconds pollInterval{ 250 };
+    std::chrono::milliseconds timeout{ 1000 }; ///< Of one request to an engine.
+};
+
+/// Keeps the router's index of cached blocks up to date with the engines that this daemon follows.
+/// A missing event or a new engine life is repaired by a snapshot. An engine that does not answer
+/// delays no other. All functions run on the thread of `context`.
+class CacheFollower
+{
+public:
+    /// Returns the engines to follow; called before each round.
+    using Engines = std::function<std::vector<TargetInfo>()>;
+
+    /// The referenced objects outlive the follower. Destroy it after `context` has stopped.
+    CacheFollower(boost::asio::io_context &context, Router &router, Metrics &metrics,
+                  Engines engines, CacheFollowerOptions options = {});
+    CacheFollower(const CacheFollower &) = delete;
+    CacheFollower &operator=(const CacheFollower &) = delete;
+
+    /// Polls until the context stops.
+    void run(const boost::asio::yield_context &yield);
+
+    /// Reads what is new of one engine.
+    void poll(const TargetInfo &engine, const boost::asio::yield_context &yield);
+
+private:
+    using Busy = std::unordered_set<routing::TargetId>;
+
+    bool pollEvents(const TargetInfo &engine, std::uint64_t from,
+                    const boost::asio::yield_context &yield);
+    void resynchronise(const TargetInfo &engine, const FollowPosition &before,
+                       const boost::asio::yield_context &yield);
+
+    boost::asio::io_context &context_;
+    Router &router_;
+    Metrics &metrics_;
+    Engines engines_;
+    const CacheFollowerOptions options_;
+    net::HttpClient client_;
+    Busy followed_; ///< Engines of the last round.
+    Busy busy_;     ///< Engines with a poll in progress.
+};
+
+} // namespace chervilfield::traffic
--- a/packages/traffic/include/traffic/metrics.h
+++ b/packages/traffic/include/traffic/metrics.h
@@ -26,6 +26,12 @@
     void countPrompt(std::uint64_t promptTokens, std::uint64_t cachedTokens);
     void countTokens(std::uint64_t tokens) { tokens_.Increment(static_cast<double>(tokens)); }
     void countResume(const std::string &reason);
+    void countCacheEvents(std::uint64_t events)
+    {
+        cacheEvents_.Increment(static_cast<double>(events));
+    }
+    void countCacheGap() { cacheGaps_.Increment(); }
+    void countCacheResynchronisation() { cacheResynchronisations_.Increment(); }
     void streamOpened() { openStreams_.Increment(); }
     void streamClosed() { openStreams_.Decrement(); }
 
@@ -42,6 +48,9 @@
     prometheus::Counter &promptTokens_;
     prometheus::Counter &cachedTokens_;
     prometheus::Counter &tokens_;
+    prometheus::Counter &cacheEvents_;
+    prometheus::Counter &cacheGaps_;
+    prometheus::Counter &cacheResynchronisations_;
     prometheus::Gauge &openStreams_;
 };
 
--- a/packages/traffic/include/traffic/router.h
+++ b/packages/traffic/include/traffic/router.h
@@ -2,6 +2,7 @@
 
 #include "base/result.h"
 #include "routing/decision.h"
+#include "traffic/cache_index.h"
 #include "traffic/load_view.h"
 #include "traffic/pool_health.h"
 #include "traffic/target_table.h"
@@ -37,10 +38,12 @@
     std::string pool;
     std::uint64_t job = 0; ///< Unique within this daemon.
     routing::Time start;
+    std::uint32_t listedBlocks = 0; ///< Prefix that the cache index listed for `life`.
 };
 
 /// Shared entry to the routing decision for all traffic threads: adds what only the daemon knows
-/// (lives of engines, targets that refuse connections, targets that leave) to the pure decision.
+/// (lives of engines, their cached blocks, targets that refuse connections, targets that leave) to
+/// the pure decision.
 /// Safe to use from several threads.
 class Router
 {
@@ -77,6 +80,9 @@
     /// Replaces what is known of the other daemons' work in flight.
     void setOthersWork(const std::vector<TargetWork> &work);
 
+    /// Blocks that engines hold; the decision looks up the holders of each request's chain here.
+    CacheIndex &cacheIndex() { return cacheIndex_; }
+
 private:
     struct TargetState
     {
@@ -88,6 +94,7 @@
     std::vector<routing::Target> describe(const RouteTargets &targets, routing::Time now);
 
     const RouterOptions options_;
+    CacheIndex cacheIndex_; ///< Has a lock of its own.
     mutable std::mutex mutex_;
     routing::State state_;
     routing::Random random_;
--- a/packages/traffic/src/metrics.cpp
+++ b/packages/traffic/src/metrics.cpp
@@ -32,6 +32,16 @@
       tokens_(counterFamily(registry_, "chervilfield_generated_tokens_total",
                             "Tokens sent to callers.")
                       .Add({})),
+      cacheEvents_(counterFamily(registry_, "chervilfield_cache_events_total",
+                                 "Cache events read from followed engines.")
+                           .Add({})),
+      cacheGaps_(counterFamily(registry_, "chervilfield_cache_event_gaps_total",
+                               "Reads of cache events in which events were missing.")
+                         .Add({})),
+      cacheResynchronisations_(
+              counterFamily(registry_, "chervilfield_cache_resynchronisations_total",
+                            "Cache snapshots applied, the first of each engine life included.")
+                      .Add({})),
       openStreams_(prometheus::BuildGauge()
                            .Name("chervilfield_open_streams")
                            .Help("Streams that are being sent.")
--- a/packages/traffic/src/resilient_stream.cpp
+++ b/packages/traffic/src/resilient_stream.cpp
@@ -133,7 +133,9 @@
 
 void ResilientStream::adopt(std::unique_ptr<targets::TokenStream> stream)
 {
-    placement_->life = stream->life();
+    // What the index listed belonged to the life that the decision knew.
+    if (std::exchange(placement_->life, stream->life()) != stream->life())
+        placement_->listedBlocks = 0;
     thread_.services.router.sawLife(placement_->target.id, placement_->life);
     reattached_ = false;
     beginAttempt(std::move(stream));
--- a/packages/traffic/src/router.cpp
+++ b/packages/traffic/src/router.cpp
@@ -1,11 +1,35 @@
 #include "traffic/router.h"
 
+#include "prefix/chain.h"
+
 #include <algorithm>
 
 namespace chervilfield::traffic {
 
 using routing::Time;
 
+namespace {
+
+std::uint32_t listedBlocks(const std::vector<routing::Holder> &holders, routing::TargetId target,
+                           std::uint64_t life)
+{
+    for (const routing::Holder &holder : holders) {
+        if (holder.target == target && holder.life == life)
+            return holder.blocks;
+    }
+    return 0;
+}
+
+// `holders` outlives the result.
+routing::Request withHolders(const routing::Request &request, const PrefixHolders &holders)
+{
+    routing::Request result = request;
+    result.holders = holders.expected;
+    return result;
+}
+
+} // namespace
+
 Router::Router(RouterOptions options) : options_(std::move(options)), random_(options_.seed) {}
 
 std::vector<routing::Target> Router::describe(const RouteTargets &targets, Time now)
@@ -31,29 +55,35 @@
                                        std::error_code &error)
 {
     const Time now = std::chrono::steady_clock::now();
+    const PrefixHolders holders = cacheIndex_.holders(request.chain);
+    const routing::Request located = withHolders(request, holders);
     const std::lock_guard lock(mutex_);
     const auto described = describe(targets, now);
     const routing::Decision decision =
-            routing::decide(request, described, state_, options_.decision, now, random_);
+            routing::decide(located, described, state_, options_.decision, now, random_);
     if (decision.code != base::Result::Ok) {
         error = decision.code;
         return std::nullopt;
     }
     const std::uint32_t index = decision.choice().index;
     return Placement{ .target = targets.targets[index],
-                      .sent = routing::startRequest(state_, request, described, decision,
+                      .sent = routing::startRequest(state_, located, described, decision,
                                                     options_.decision, now),
                       .life = described[index].life,
                       .pool = targets.pool->name,
                       .job = nextJob_++,
-                      .start = now };
+                      .start = now,
+                      .listedBlocks = listedBlocks(holders.listed, targets.targets[index].id,
+                                                   described[index].life) };
 }
 
 routing::Decision Router::explain(const routing::Request &request, const RouteTargets &targets)
 {
     const Time now = std::chrono::steady_clock::now();
+    const PrefixHolders holders = cacheIndex_.holders(request.chain);
+    const routing::Request located = withHolders(request, holders);
     const std::lock_guard lock(mutex_);
-    return routing::decide(request, describe(targets, now), state_, options_.decision, now,
+    return routing::decide(located, describe(targets, now), state_, options_.decision, now,
                            random_);
 }
 
@@ -76,6 +106,12 @@
 
 void Router::finished(const Placement &placement, std::optional<std::uint32_t> cachedTokens)
 {
+    if (cachedTokens.has_value()) {
+        cacheIndex_.recordHit({ .target = placement.target.id,
+                                .life = placement.life,
+                                .blocks = placement.listedBlocks },
+                              *cachedTokens / static_cast<std::uint32_t>(prefix::kBlockTokens));
+    }
     const std::lock_guard lock(mutex_);
     routing::endRequest(state_, placement.sent, cachedTokens);
 }
@@ -93,6 +129,7 @@
 
 void Router::sawLife(routing::TargetId target, std::uint64_t life)
 {
+    cacheIndex_.sawLife(target, life);
     const std::lock_guard lock(mutex_);
     TargetState &state = targets_[target];
     state.coolDown = std::chrono::milliseconds::zero();
--- a/packages/traffic/test/traffic_fixture.h
+++ b/packages/traffic/test/traffic_fixture.h
@@ -20,7 +20,8 @@
 
 namespace chervilfield::traffic {
 
-inline constexpr std::string_view kTestKey = "test-key";
+inline constexpr std::string_view kTestKey = "test-key";        // Of customer "c".
+inline constexpr std::string_view kOtherKey = "other-test-key"; // Of customer "d".
 inline constexpr std::chrono::milliseconds kTestTimeout{ 5000 };
 
 /// Engines, an order service and the handler of a traffic thread, all on the event loop of one test
@@ -78,10 +79,30 @@
         CPPUNIT_ASSERT_MESSAGE(error.message(), !error);
     }
 
+    /// Sends a request to an engine past the entry instance, as another instance does.
+    net::Response sendToEngine(std::size_t index, const net::Request &request,
+                               const boost::asio::yield_context &yield)
+    {
+        std::error_code error;
+        const auto response = client.send(engineServers_[index]->localAddress(), request,
+                                          kTestTimeout, yield, error);
+        CPPUNIT_ASSERT_MESSAGE(error.message(), response.has_value());
+        return *response;
+    }
+
+    TargetInfo engine(std::size_t index) const
+    {
+        const std::string name = "engine-" + std::to_string(index);
+        return { .id = targetId(name),
+                 .name = name,
+                 .address = engineServers_[index]->localAddress() };
+    }
+
     boost::asio::io_context context;
     standins::OrderService service{ context };
     net::HttpClient client{ context.get_executor(), {} };
     Metrics metrics;
+    Router router{ RouterOptions{} };
 
 private:
     std::unique_ptr<net::HttpServer> serve(net::Handler handler)
@@ -136,6 +157,8 @@
                                                          .kind = TargetKind::Service }));
         set.customers.push_back(std::make_shared<Customer>(
                 Customer{ .name = "c", .apiKeyHash = hashApiKey(kTestKey) }));
+        set.customers.push_back(std::make_shared<Customer>(
+                Customer{ .name = "d", .apiKeyHash = hashApiKey(kOtherKey) }));
         set.intents.push_back(std::make_shared<RoutingIntent>(
                 RoutingIntent{ .name = "chat", .model = "m", .pools = select("chat") }));
         set.intents.push_back(
@@ -157,11 +180,10 @@
                                           .settleTimeout = std::chrono::milliseconds(100) } };
     base::HybridClock clock_;
     base::TimeLine timeLine_{ "test", 100, clock_ };
-    Router router_{ RouterOptions{} };
     OrderDesk orderDesk_{ "life", [](const std::string &) { return false; } };
     RetryBudgets retryBudgets_;
     TargetTablePtr table_;
-    Services services_{ .router = router_,
+    Services services_{ .router = router,
                         .metrics = metrics,
                         .timeLine = timeLine_,
                         .orderDesk = orderDesk_,
--- a/standins/engine/block_cache.cpp
+++ b/standins/engine/block_cache.cpp
@@ -1,7 +1,5 @@
 #include "engine/block_cache.h"
 
-#include "base/hash.h"
-
 namespace chervilfield::standins {
 
 namespace {
@@ -10,18 +8,6 @@
 
 } // namespace
 
-std::vector<std::uint64_t> blockChain(std::string_view prompt, std::string_view salt)
-{
-    constexpr std::size_t kBlockBytes = kBlockTokens * kBytesPerToken;
-    std::vector<std::uint64_t> chain;
-    std::uint64_t previous = base::hash64(salt);
-    for (; prompt.size() >= kBlockBytes; prompt.remove_prefix(kBlockBytes)) {
-        previous = base::hash64(prompt.substr(0, kBlockBytes), previous);
-        chain.push_back(previous);
-    }
-    return chain;
-}
-
 BlockCache::BlockCache(std::size_t capacity) : capacity_(capacity) {}
 
 std::size_t BlockCache::lookUp(const std::vector<std::uint64_t> &chain)
@@ -54,6 +40,14 @@
 }
 
 void BlockCache::clear()
+{
+    for (const std::uint64_t block : order_)
+        publish(false, block);
+    order_.clear();
+    entries_.clear();
+}
+
+void BlockCache::restart()
 {
     order_.clear();
     entries_.clear();
--- a/standins/engine/block_cache.h
+++ b/standins/engine/block_cache.h
@@ -4,15 +4,11 @@
 #include <cstdint>
 #include <deque>
 #include <list>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace chervilfield::standins {
 
-constexpr std::size_t kBlockTokens = 4096;
-constexpr std::size_t kBytesPerToken = 4;
-
 /// One numbered cache event: a block was stored or evicted.
 struct CacheEvent
 {
@@ -21,9 +17,6 @@
     std::uint64_t block = 0;
 };
 
-/// Returns the cumulative hashes of the whole blocks of `prompt`, seeded by `salt`.
-std::vector<std::uint64_t> blockChain(std::string_view prompt, std::string_view salt);
-
 /// Prefix cache of an engine: least recently used blocks are evicted. Stores and evictions are
 /// published as numbered events; the last 65,536 are kept.
 class BlockCache
@@ -37,9 +30,12 @@
     /// Stores all blocks of `chain`, evicting the least recently used ones.
     void store(const std::vector<std::uint64_t> &chain);
 
-    /// Drops everything, as a restart does.
+    /// Evicts every block; the numbering of events goes on.
     void clear();
 
+    /// Drops everything, as a restart does; events are numbered from 1 again.
+    void restart();
+
     std::vector<CacheEvent> eventsFrom(std::uint64_t number) const;
     std::uint64_t nextEvent() const { return nextEvent_; }
     std::vector<std::uint64_t> blocks() const { return { order_.begin(), order_.end() }; }
--- a/standins/engine/engine.cpp
+++ b/standins/engine/engine.cpp
@@ -1,8 +1,10 @@
 #include "engine/engine.h"
 
 #include "base/hash.h"
+#include "base/numbers.h"
 #include "engine/answer.h"
 #include "net/event_stream.h"
+#include "prefix/chain.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
@@ -51,6 +53,15 @@
     exchange.respond(net::jsonResponse(status, json::serialize(body)), yield, ignored);
 }
 
+// Routers send the seed of their block hashes as the salt, so that both sides name a block alike.
+std::uint64_t seedOf(std::string_view salt)
+{
+    constexpr std::size_t kSeedDigits = 16;
+    std::uint64_t seed = 0;
+    const bool isSeed = salt.size() == kSeedDigits && base::parseHex(salt, seed);
+    return isSeed ? seed : base::hash64(salt);
+}
+
 std::int64_t wallMilliseconds()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -186,19 +197,21 @@
 
 void Engine::prefill(const GenerationPtr &generation, const Yield &yield)
 {
-    generation->promptTokens = (generation->prompt.size() + kBytesPerToken - 1) / kBytesPerToken;
-    const auto chain = blockChain(generation->prompt, generation->salt + '\n' + options_.weights);
+    generation->promptTokens = prefix::estimateTokens(generation->prompt.size());
+    const auto chain = prefix::blockChain(generation->prompt, seedOf(generation->salt));
     queuedPrefillTokens_ += generation->promptTokens;
     prefillSlot_.acquire(generation->priority, yield);
     if (!generation->cancelled) {
         const std::uint64_t life = life_;
-        generation->cachedTokens = cache_.lookUp(chain) * kBlockTokens;
+        const std::string weights = options_.weights;
+        generation->cachedTokens = cache_.lookUp(chain) * prefix::kBlockTokens;
         recordLookUp(*generation);
         const double missing =
                 static_cast<double>(generation->promptTokens - generation->cachedTokens);
         const double seconds = missing / options_.prefillTokensPerSecond * faults_.slowFactor;
         pause(microseconds(static_cast<std::int64_t>(seconds * 1e6)), yield);
-        if (life == life_)
+        // Blocks computed with older weights are not kept.
+        if (life == life_ && weights == options_.weights)
             cache_.store(chain);
     }
     prefillSlot_.release();
@@ -336,7 +349,7 @@
     for (auto &entry : generations_)
         entry.second->cancelled = true;
     generations_.clear();
-    cache_.clear();
+    cache_.restart();
 }
 
 void Engine::pause(std::chrono::microseconds duration, const Yield &yield)
