--- a/packages/daemon/include/daemon/control_plane.h
+++ b/packages/daemon/include/daemon/control_plane.h
@@ -11,6 +11,9 @@
 #include "daemon/settings.h"
 #include "net/http_server.h"
 #include "platform/platform_client.h"
+#include "traffic/cache_follower.h"
+#include "traffic/metrics.h"
+#include "traffic/router.h"
 #include "traffic/target_table.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -37,14 +40,21 @@
     std::function<void(const std::vector<NamedLoad> &)> othersLoads;
 };
 
+/// What the control plane feeds for the traffic threads.
+struct TrafficState
+{
+    traffic::Router &router;
+    traffic::Metrics &metrics;
+};
+
 /// Control part of a daemon: the actors that own control state, and the control I/O thread that
 /// moves bytes for them and serves the administration and the peer address.
 class ControlPlane
 {
 public:
-    /// `timeLine` and `registry` outlive the control plane.
-    ControlPlane(const Settings &settings, base::TimeLine &timeLine, prometheus::Registry &registry,
-                 ControlHooks hooks);
+    /// `timeLine` and what `state` refers to outlive the control plane.
+    ControlPlane(const Settings &settings, base::TimeLine &timeLine, ControlHooks hooks,
+                 TrafficState state);
     ~ControlPlane();
     ControlPlane(const ControlPlane &) = delete;
     ControlPlane &operator=(const ControlPlane &) = delete;
@@ -73,6 +83,7 @@
     void runFollower(const boost::asio::yield_context &yield);
     void updateMetrics();
     void pollInstances(const boost::asio::yield_context &yield);
+    std::vector<traffic::TargetInfo> followedEngines();
     std::vector<admin::InstanceStatus> instanceStatus() const;
     void publish(const configuration::ConfigurationPtr &configuration);
 
@@ -93,6 +104,11 @@
     std::unique_ptr<net::HttpServer> adminServer_;
     PeerLink peers_;
     ControlMetrics metrics_;
+    traffic::CacheFollower cacheFollower_;
+    // What the followed engines were computed from, and the result.
+    control::MemberSnapshotPtr assignedMembers_;
+    traffic::TargetTablePtr assignedTable_;
+    std::vector<traffic::TargetInfo> followedEngines_;
     std::thread runner_;
 };
 
--- a/packages/daemon/src/app.cpp
+++ b/packages/daemon/src/app.cpp
@@ -59,7 +59,7 @@
     : settings_(settings), life_(makeLife(settings.instanceName)),
       timeLine_(settings.instanceName, kTimeLineEvents, clock_), router_(routerOptions(settings)),
       orderDesk_(life_, [](const std::string &) { return false; }),
-      control_(settings, timeLine_, metrics_.registry(),
+      control_(settings, timeLine_,
                { .explain =
                          [this](const auto &request) {
                              return traffic::explainRequest(services_, request);
@@ -67,7 +67,8 @@
                  .drain = [] { std::raise(SIGTERM); },
                  .leavingTargets = [this](const auto &names) { setLeaving(names); },
                  .ownLoads = [this] { return ownLoads(); },
-                 .othersLoads = [this](const auto &loads) { setOthersLoads(loads); } }),
+                 .othersLoads = [this](const auto &loads) { setOthersLoads(loads); } },
+               { .router = router_, .metrics = metrics_ }),
       services_{ .router = router_,
                  .metrics = metrics_,
                  .timeLine = timeLine_,
