Bound what load datagrams can make a daemon store

Change: at most 720 reporters and 3,440 targets; expireSums drops sums that were not repeated, and the daemon's load exchange calls it; reserve in App::setOthersLoads.

--- a/packages/daemon/src/app.cpp
+++ b/packages/daemon/src/app.cpp
@@ -131,6 +131,7 @@
 void App::setOthersLoads(const std::vector<NamedLoad> &loads)
 {
     std::vector<traffic::TargetWork> work;
+    work.reserve(loads.size());
     for (const NamedLoad &load : loads)
         work.push_back(toTargetWork(load));
     router_.setOthersWork(work);
--- a/packages/daemon/src/load_exchange.cpp
+++ b/packages/daemon/src/load_exchange.cpp
@@ -71,6 +71,7 @@
     for (auto &entry : points_)
         report(entry.second, own, now);
     membership::expireReports(board_, now, options_);
+    membership::expireSums(view_, now, options_);
     std::erase_if(reporterAddresses_,
                   [this](const auto &item) { return !board_.reporters.contains(item.first); });
     sendSums(now);
--- a/packages/membership/include/membership/load_digest.h
+++ b/packages/membership/include/membership/load_digest.h
@@ -99,7 +99,8 @@
 };
 
 /// Stores a report, which may be empty: it then only asks for sums. The report of an earlier life
-/// is ignored; that of a new life replaces everything known about the old one.
+/// is ignored; that of a new life replaces everything known about the old one. A full board ignores
+/// further daemons and targets.
 void recordReport(LoadBoard &board, std::string_view reporter, std::uint64_t life,
                   std::span<const LoadEntry> entries, TimePoint now);
 
@@ -128,8 +129,12 @@
     std::map<TargetKey, Sum> targets;
 };
 
+/// Takes sums from a meeting point. A view that is full ignores further targets.
 void mergeSums(LoadView &view, std::span<const LoadEntry> sums, TimePoint now);
 
+/// Drops sums that were not repeated, for example those of ended targets.
+void expireSums(LoadView &view, TimePoint now, const LoadOptions &options);
+
 /// Returns the others' load at a target, or no value if nothing recent is known. The age tells how
 /// much to trust it: a sum is resent only when it changes or is due to be repeated.
 std::optional<OthersLoad> othersLoad(const LoadView &view, TargetKey target, TimePoint now,
--- a/packages/membership/src/load_digest.cpp
+++ b/packages/membership/src/load_digest.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+// Twice the daemons and four times the targets of the design scale. Datagrams are not
+// authenticated, so what they can make this daemon store is bounded.
+constexpr std::size_t kMaxReporters = 720;
+constexpr std::size_t kMaxTargets = 3440;
+
 bool differsMaterially(std::uint32_t value, std::uint32_t sent, std::uint32_t step, double share)
 {
     const std::uint32_t change = value > sent ? value - sent : sent - value;
@@ -81,8 +86,11 @@
                   std::span<const LoadEntry> entries, TimePoint now)
 {
     auto found = board.reporters.find(reporter);
-    if (found == board.reporters.end())
+    if (found == board.reporters.end()) {
+        if (board.reporters.size() >= kMaxReporters)
+            return;
         found = board.reporters.emplace(reporter, LoadBoard::Reporter()).first;
+    }
     LoadBoard::Reporter &state = found->second;
     if (life < state.life)
         return;
@@ -92,7 +100,7 @@
     for (const LoadEntry &entry : entries) {
         if (entry.load == TargetLoad())
             state.targets.erase(entry.target);
-        else
+        else if (state.targets.size() < kMaxTargets || state.targets.contains(entry.target))
             state.targets[entry.target] = { entry.load, now };
     }
 }
@@ -117,6 +125,12 @@
     return takeChanges(found->second.sums, entries, now, options);
 }
 
+void expireSums(LoadView &view, TimePoint now, const LoadOptions &options)
+{
+    std::erase_if(view.targets,
+                  [&](const auto &item) { return now - item.second.received >= options.maxAge; });
+}
+
 void expireReports(LoadBoard &board, TimePoint now, const LoadOptions &options)
 {
     for (auto &[name, reporter] : board.reporters) {
@@ -129,8 +143,10 @@
 
 void mergeSums(LoadView &view, std::span<const LoadEntry> sums, TimePoint now)
 {
-    for (const LoadEntry &entry : sums)
-        view.targets[entry.target] = { entry.load, now };
+    for (const LoadEntry &entry : sums) {
+        if (view.targets.size() < kMaxTargets || view.targets.contains(entry.target))
+            view.targets[entry.target] = { entry.load, now };
+    }
 }
 
 std::optional<OthersLoad> othersLoad(const LoadView &view, TargetKey target, TimePoint now,
--- a/packages/membership/test/load_digest_test.cpp
+++ b/packages/membership/test/load_digest_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(sumsExcludeTheReader);
     CPPUNIT_TEST(newLifeReplacesReports);
     CPPUNIT_TEST(silentReportersExpire);
+    CPPUNIT_TEST(floodIsBounded);
     CPPUNIT_TEST(viewFollowsLoadWithinRefresh);
     CPPUNIT_TEST_SUITE_END();
 
@@ -106,6 +107,24 @@
         CPPUNIT_ASSERT(!othersLoad(view, 7, TimePoint{} + 12s, {}));
     }
 
+    // Guards against memory that grows with forged datagrams.
+    void floodIsBounded()
+    {
+        LoadBoard board;
+        LoadView view;
+        for (std::uint32_t i = 0; i < 5000; ++i) {
+            const LoadEntry entry{ i, makeLoad(10000, 5) };
+            recordReport(board, std::to_string(i), 1, { &entry, 1 }, TimePoint{});
+            recordReport(board, "0", 1, { &entry, 1 }, TimePoint{});
+            mergeSums(view, { &entry, 1 }, TimePoint{});
+        }
+        CPPUNIT_ASSERT(board.reporters.size() <= 720);
+        CPPUNIT_ASSERT(board.reporters.at("0").targets.size() <= 3440);
+        CPPUNIT_ASSERT(view.targets.size() <= 3440);
+        expireSums(view, TimePoint{} + 12s, {});
+        CPPUNIT_ASSERT(view.targets.empty());
+    }
+
     // Guards against a reader whose view stays wrong after the load has become steady, also when
     // some datagrams are lost.
     void viewFollowsLoadWithinRefresh()
