Become ready only after peers were asked; ask meeting points of use only

The first published configuration set readiness before the start had ended. Change: readiness waits for the end of the start, which asks a peer when the table is silent. The load exchange asks meeting points of other data centres only while it has work there, and revisions are remembered for known members only.

--- a/packages/daemon/include/daemon/control_plane.h
+++ b/packages/daemon/include/daemon/control_plane.h
@@ -91,6 +91,7 @@
     base::TimeLine &timeLine_;
     std::atomic<traffic::TargetTablePtr> table_;
     std::atomic<bool> started_{ false };
+    std::atomic<bool> startEnded_{ false };
 
     boost::asio::io_context context_{ 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
--- a/packages/daemon/include/daemon/load_exchange.h
+++ b/packages/daemon/include/daemon/load_exchange.h
@@ -26,7 +26,7 @@
 public:
     using Send = std::function<void(const std::string &address, const peers::Datagram &)>;
 
-    LoadExchange(std::string self, std::uint64_t life, Send send);
+    LoadExchange(std::string self, std::string dataCentre, std::uint64_t life, Send send);
 
     /// Replaces the members and the targets; each target's meeting point follows from them.
     void assign(const std::vector<membership::Member> &members,
@@ -47,6 +47,9 @@
     {
         std::string address; ///< Empty for this daemon itself.
         std::vector<std::string> targets;
+        /// Whether a target of this data centre meets there. Others are asked only while this
+        /// daemon has work at their targets; asking all 360 daemons would not fit 18 KB/s.
+        bool isLocal = false;
         membership::SentLoads sent;
         membership::TimePoint lastReport{};
     };
@@ -55,6 +58,7 @@
     void sendSums(membership::TimePoint now);
 
     std::string self_;
+    std::string dataCentre_;
     std::uint64_t life_;
     Send send_;
     membership::LoadOptions options_;
--- a/packages/daemon/include/daemon/peer_link.h
+++ b/packages/daemon/include/daemon/peer_link.h
@@ -70,6 +70,7 @@
     control::MemberActorOptions actorOptions(control::ConfigurationControl &configuration,
                                              const net::Address &callerAddress);
     void receive(const net::Address &from, peers::Datagram datagram);
+    void noteRevision(const membership::Packet &packet);
     void exchangeTable(const std::string &address);
     void exchangeLoads(const boost::asio::yield_context &yield);
 
--- a/packages/daemon/src/control_plane.cpp
+++ b/packages/daemon/src/control_plane.cpp
@@ -119,6 +119,7 @@
               << " is in force, from " << control::toString(source) << '.';
     // Without any source this instance would refuse what it should serve.
     started_ = source != control::StartSource::Nothing;
+    startEnded_ = true;
     follower_->run(log_, yield);
 }
 
@@ -154,7 +155,8 @@
 {
     table_.store(std::make_shared<const traffic::TargetTable>(configuration));
     peers_.setRevision(configuration->revision());
-    if (configuration->revision() > 0)
+    // During the start, an outdated snapshot may come before the answer of a peer that knows more.
+    if (startEnded_ && configuration->revision() > 0)
         started_ = true;
 }
 
--- a/packages/daemon/src/load_exchange.cpp
+++ b/packages/daemon/src/load_exchange.cpp
@@ -1,6 +1,7 @@
 #include "daemon/load_exchange.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace chervilfield::daemon {
@@ -25,8 +26,9 @@
 
 } // namespace
 
-LoadExchange::LoadExchange(std::string self, std::uint64_t life, Send send)
-    : self_(std::move(self)), life_(life), send_(std::move(send))
+LoadExchange::LoadExchange(std::string self, std::string dataCentre, std::uint64_t life, Send send)
+    : self_(std::move(self)), dataCentre_(std::move(dataCentre)), life_(life),
+      send_(std::move(send))
 {
 }
 
@@ -35,12 +37,19 @@
 {
     std::map<std::string, MeetingPoint> next;
     targets_.clear();
+    std::set<std::string> local;
+    for (const membership::FollowedTarget &target : targets) {
+        if (target.dataCentre == dataCentre_)
+            local.insert(target.name);
+    }
     for (const auto &assignment : membership::assignFollowers(members, targets)) {
         targets_.push_back(assignment.target);
         if (assignment.members.empty())
             continue;
         const std::string &name = assignment.members.front();
-        next[name].targets.push_back(assignment.target);
+        MeetingPoint &point = next[name];
+        point.targets.push_back(assignment.target);
+        point.isLocal = point.isLocal || local.contains(assignment.target);
     }
     for (const membership::Member &member : members) {
         const auto point = next.find(member.name);
@@ -89,7 +98,8 @@
         membership::recordReport(board_, self_, life_, changes, now);
         return;
     }
-    const bool mustAsk = changes.empty() && now - point.lastReport >= options_.refresh;
+    const bool isOfUse = point.isLocal || !current.empty();
+    const bool mustAsk = isOfUse && changes.empty() && now - point.lastReport >= options_.refresh;
     if (changes.empty() && !mustAsk)
         return;
     point.lastReport = now;
--- a/packages/daemon/src/peer_link.cpp
+++ b/packages/daemon/src/peer_link.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -28,7 +29,7 @@
                    base::TimeLine &timeLine, PeerHooks hooks)
     : context_(context), settings_(settings), life_(life), timeLine_(timeLine),
       hooks_(std::move(hooks)), client_(context.get_executor(), { .connectTimeout = kPeerTimeout }),
-      loads_(settings.instanceName, life,
+      loads_(settings.instanceName, settings.dataCentre, life,
              [this](const std::string &address, const peers::Datagram &datagram) {
                  if (const auto to = net::parseAddress(address))
                      transport_->send(*to, datagram);
@@ -122,10 +123,7 @@
 {
     const auto now = steady_clock::now();
     if (auto *packet = std::get_if<membership::Packet>(&datagram)) {
-        {
-            const std::lock_guard lock(mutex_);
-            revisions_[packet->sender.name] = packet->configurationRevision;
-        }
+        noteRevision(*packet);
         if (actor_ != nullptr)
             actor_->receive(toString(from), std::move(*packet));
     } else if (const auto *report = std::get_if<peers::LoadReport>(&datagram)) {
@@ -135,6 +133,20 @@
     }
 }
 
+// Remembers the revision of known members only, because datagrams may carry any name.
+void PeerLink::noteRevision(const membership::Packet &packet)
+{
+    if (actor_ == nullptr)
+        return;
+    const auto snapshot = actor_->snapshot();
+    const std::string &name = packet.sender.name;
+    if (std::ranges::find(snapshot->members, name, &membership::Member::name)
+        == snapshot->members.end())
+        return;
+    const std::lock_guard lock(mutex_);
+    revisions_[name] = packet.configurationRevision;
+}
+
 std::uint64_t PeerLink::revisionOf(const std::string &member) const
 {
     const std::lock_guard lock(mutex_);
--- a/packages/daemon/test/load_exchange_test.cpp
+++ b/packages/daemon/test/load_exchange_test.cpp
@@ -23,7 +23,8 @@
             const std::string name = "entry-" + std::to_string(i);
             members_.push_back({ .name = name, .peerAddress = name, .dataCentre = "leon" });
             exchanges_[name] = std::make_unique<LoadExchange>(
-                    name, 1, [this, name](const std::string &to, const peers::Datagram &datagram) {
+                    name, "leon", 1,
+                    [this, name](const std::string &to, const peers::Datagram &datagram) {
                         if (!losing)
                             queue_.push_back({ name, to, datagram });
                     });
