Keep the load pressure neutral while little work is known

Cause: after a restart, and when digests carry no recent work (as those of the meeting points), a few own requests decided the relative load of targets, and new prefixes were placed by noise. Change: three engine seconds are added to each target's recent work before the targets are compared.

--- a/packages/routing/src/decision.cpp
+++ b/packages/routing/src/decision.cpp
@@ -117,13 +117,17 @@
     candidate.prefill = Cost(uncached / rate);
 }
 
+// Keeps the relative load of targets near 1 while little work is known, such as after a restart or
+// when digests carry no recent work; a target at 60% load has about 5 s.
+constexpr Cost kWorkPrior{ 3 };
+
 void addDisplacement(const Request &request, std::span<const Target> targets,
                      std::span<const Cost> recentWork, const Options &options,
                      std::span<CandidateCost> candidates)
 {
     const double blockTokens = static_cast<double>(request.chain.size()) * kBlockTokens;
     double mostCached = 0;
-    Cost meanRecent(1e-6);
+    Cost meanRecent{};
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         mostCached = std::max(mostCached, candidates[i].cachedTokens);
         meanRecent += recentWork[i] / static_cast<double>(candidates.size());
@@ -134,7 +138,8 @@
         const double inserted = std::max(0.0, blockTokens - candidate.cachedTokens);
         const double duplicates = std::max(0.0, mostCached - candidate.cachedTokens);
         const double strange = std::min(inserted, blockTokens - candidate.homeDepth * kBlockTokens);
-        const double tokens = options.pressureShare * inserted * (recentWork[i] / meanRecent)
+        const double tokens = options.pressureShare * inserted
+                                      * ((recentWork[i] + kWorkPrior) / (meanRecent + kWorkPrior))
                               + options.displacementShare * duplicates
                               + options.homeShare * strange;
         candidate.displacement = Cost(tokens / targets[candidate.index].prefillRate);
