Test the cache follower with a silent engine and with renumbered events

Cause: no test ran the polling loop, and none covered an engine that numbers its events anew within a life.

Change: CacheFollower::stop() ends the loop after the polls in progress, so that a test can run it; two tests.

--- a/packages/traffic/include/traffic/cache_follower.h
+++ b/packages/traffic/include/traffic/cache_follower.h
@@ -31,21 +31,25 @@
     /// Returns the engines to follow; called before each round.
     using Engines = std::function<std::vector<TargetInfo>()>;
 
-    /// The referenced objects outlive the follower. Destroy it after `context` has stopped.
+    /// The referenced objects outlive the follower. Destroy it after `run()` has
+    /// returned or `context` has stopped.
     CacheFollower(boost::asio::io_context &context, Router &router, Metrics &metrics,
                   Engines engines, CacheFollowerOptions options = {});
     CacheFollower(const CacheFollower &) = delete;
     CacheFollower &operator=(const CacheFollower &) = delete;
 
-    /// Polls until the context stops.
+    /// Polls until `stop()`; returns when the polls in progress have ended.
     void run(const boost::asio::yield_context &yield);
 
+    void stop() { stopping_ = true; }
+
     /// Reads what is new of one engine.
     void poll(const TargetInfo &engine, const boost::asio::yield_context &yield);
 
 private:
     using Busy = std::unordered_set<routing::TargetId>;
 
+    void startRound();
     bool pollEvents(const TargetInfo &engine, std::uint64_t from,
                     const boost::asio::yield_context &yield);
     void resynchronise(const TargetInfo &engine, const FollowPosition &before,
@@ -59,6 +63,7 @@
     net::HttpClient client_;
     Busy followed_; ///< Engines of the last round.
     Busy busy_;     ///< Engines with a poll in progress.
+    bool stopping_ = false;
 };
 
 } // namespace chervilfield::traffic
--- a/packages/traffic/src/cache_follower.cpp
+++ b/packages/traffic/src/cache_follower.cpp
@@ -23,26 +23,32 @@
 void CacheFollower::run(const yield_context &yield)
 {
     boost::asio::steady_timer timer(context_);
-    while (true) {
-        const std::vector<TargetInfo> engines = engines_();
-        followed_.clear();
-        for (const TargetInfo &engine : engines)
-            followed_.insert(engine.id);
-        router_.cacheIndex().keepOnly(followed_);
-        for (const TargetInfo &engine : engines) {
-            if (!busy_.insert(engine.id).second)
-                continue;
-            net::spawnCoroutine(context_, "[cache]", [this, engine](const yield_context &inner) {
-                poll(engine, inner);
-                busy_.erase(engine.id);
-            });
-        }
+    while (!stopping_ || !busy_.empty()) {
+        if (!stopping_)
+            startRound();
         timer.expires_after(options_.pollInterval);
         boost::system::error_code ignored;
         timer.async_wait(yield[ignored]);
     }
 }
 
+void CacheFollower::startRound()
+{
+    const std::vector<TargetInfo> engines = engines_();
+    followed_.clear();
+    for (const TargetInfo &engine : engines)
+        followed_.insert(engine.id);
+    router_.cacheIndex().keepOnly(followed_);
+    for (const TargetInfo &engine : engines) {
+        if (!busy_.insert(engine.id).second)
+            continue;
+        net::spawnCoroutine(context_, "[cache]", [this, engine](const yield_context &yield) {
+            poll(engine, yield);
+            busy_.erase(engine.id);
+        });
+    }
+}
+
 void CacheFollower::poll(const TargetInfo &engine, const yield_context &yield)
 {
     const FollowPosition position = router_.cacheIndex().position(engine.id);
--- a/packages/traffic/test/cache_follower_test.cpp
+++ b/packages/traffic/test/cache_follower_test.cpp
@@ -4,6 +4,8 @@
 #include "prefix/chain.h"
 #include "traffic_fixture.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -97,6 +99,8 @@
     CPPUNIT_TEST(repairsLostEvents);
     CPPUNIT_TEST(forgetsEndedLife);
     CPPUNIT_TEST(acceptsNoSnapshotOfReplacedLife);
+    CPPUNIT_TEST(readsAgainAfterNumberingAnew);
+    CPPUNIT_TEST(silentEngineDelaysNoOther);
     CPPUNIT_TEST(separatesCustomers);
     CPPUNIT_TEST(forgetsEnginesOfOtherFollowers);
     CPPUNIT_TEST_SUITE_END();
@@ -201,6 +205,60 @@
         }
     }
 
+    // Guards against ignoring an engine for good that numbers its events anew within a life.
+    void readsAgainAfterNumberingAnew()
+    {
+        constexpr routing::TargetId kEngine = 7;
+        const std::vector<std::uint64_t> chain{ 11 };
+        CacheIndex index;
+        CPPUNIT_ASSERT(index.applySnapshot(kEngine, {}, { .life = 1, .next = 9, .blocks = chain }));
+        CPPUNIT_ASSERT(!index.applyEvents(kEngine, { .life = 1, .next = 2 }));
+        const FollowPosition before = index.position(kEngine);
+        CPPUNIT_ASSERT(index.applySnapshot(kEngine, before, { .life = 1, .next = 2 }));
+        CPPUNIT_ASSERT(index.holders(chain).listed.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 2 }, *index.position(kEngine).next);
+    }
+
+    // Guards against an engine that accepts connections and never answers, which would stop the
+    // following of the others if engines were polled one after another.
+    void silentEngineDelaysNoOther()
+    {
+        constexpr std::chrono::milliseconds kSilence{ 3000 };
+        TrafficFixture fixture(1);
+        using boost::asio::ip::tcp;
+        const tcp::acceptor silent(fixture.context,
+                                   { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        const TargetInfo silentEngine{ .id = 7,
+                                       .name = "silent",
+                                       .address = { "127.0.0.1", silent.local_endpoint().port() } };
+        const auto engines = [&] { return std::vector{ silentEngine, fixture.engine(0) }; };
+        CacheFollower follower(
+                fixture.context, fixture.router, fixture.metrics, engines,
+                { .pollInterval = std::chrono::milliseconds(20), .timeout = kSilence });
+        bool ended = false;
+        fixture.run([&](const yield_context &yield) {
+            const auto answerDue = std::chrono::steady_clock::now() + kSilence;
+            net::spawnCoroutine(fixture.context, "[test]", [&](const yield_context &inner) {
+                follower.run(inner);
+                ended = true;
+            });
+            cachePrompt(fixture, 0, "c", "other-instance", yield);
+            boost::asio::steady_timer timer(fixture.context);
+            const auto pause = [&] {
+                timer.expires_after(std::chrono::milliseconds(10));
+                timer.async_wait(yield);
+            };
+            while (listed(fixture, "c").empty() && std::chrono::steady_clock::now() < answerDue)
+                pause();
+            CPPUNIT_ASSERT_EQUAL(kBlocks, listed(fixture, "c")[fixture.engine(0).id]);
+            CPPUNIT_ASSERT(std::chrono::steady_clock::now() < answerDue);
+            follower.stop();
+            while (!ended && std::chrono::steady_clock::now() < answerDue + kTestTimeout)
+                pause();
+            CPPUNIT_ASSERT_MESSAGE("the follower did not stop", ended);
+        });
+    }
+
     // Guards against holders of one customer's blocks that a request of another customer gets.
     void separatesCustomers()
     {
