Tell the other daemons where prefixes were sent

Change: datagrams with placement hints replace the unused message of hot prefixes; HintExchange sends them every 100 ms within 4 KB/s, to the own data centre first. Field number 5 is not used again. Ruled out: sending all hints to all members; at 360 daemons this does not fit 18 KB/s.

--- a/packages/daemon/include/daemon/peer_link.h
+++ b/packages/daemon/include/daemon/peer_link.h
@@ -3,6 +3,7 @@
 #include "base/time_line.h"
 #include "control/configuration_control.h"
 #include "control/member_actor.h"
+#include "daemon/hint_exchange.h"
 #include "daemon/load_exchange.h"
 #include "daemon/settings.h"
 #include "net/http_client.h"
@@ -29,6 +30,8 @@
     std::function<std::vector<membership::FollowedTarget>()> targets;
     std::function<std::vector<NamedLoad>()> ownLoads;
     std::function<void(const std::vector<NamedLoad> &)> othersLoads;
+    std::function<std::vector<routing::PlacementHint>(std::size_t limit)> takeHints;
+    std::function<void(const std::vector<routing::PlacementHint> &)> mergeHints;
 };
 
 /// Connection of a daemon with the others: membership and load over UDP, tables and configuration
@@ -69,6 +72,7 @@
     void bind(control::ConfigurationControl &configuration, std::error_code &error);
     control::MemberActorOptions actorOptions(control::ConfigurationControl &configuration,
                                              const net::Address &callerAddress);
+    void sendTo(const std::string &address, const peers::Datagram &datagram);
     void receive(const net::Address &from, peers::Datagram datagram);
     void noteRevision(const membership::Packet &packet);
     void exchangeTable(const std::string &address);
@@ -84,6 +88,7 @@
     std::unique_ptr<peers::UdpTransport> transport_;
     std::unique_ptr<control::MemberActor> actor_;
     LoadExchange loads_;
+    HintExchange hints_;
     mutable std::mutex mutex_;
     std::map<std::string, std::uint64_t> revisions_; ///< By member name.
     std::string newestPeer_; ///< Peer address that last reported a newer revision.
--- a/packages/daemon/src/control_plane.cpp
+++ b/packages/daemon/src/control_plane.cpp
@@ -58,7 +58,11 @@
       peers_(context_, settings, startTime(), timeLine,
              { .targets = [this] { return followedTargets(*configuration_->current()); },
                .ownLoads = hooks_.ownLoads,
-               .othersLoads = hooks_.othersLoads }),
+               .othersLoads = hooks_.othersLoads,
+               .takeHints = [&router = state.router](
+                                    std::size_t limit) { return router.takeHints(limit); },
+               .mergeHints =
+                       [&router = state.router](const auto &hints) { router.mergeHints(hints); } }),
       metrics_(state.metrics.registry()),
       cacheFollower_(context_, state.router, state.metrics, [this] { return followedEngines(); })
 {
--- a/packages/daemon/src/peer_link.cpp
+++ b/packages/daemon/src/peer_link.cpp
@@ -30,15 +30,20 @@
     : context_(context), settings_(settings), life_(life), timeLine_(timeLine),
       hooks_(std::move(hooks)), client_(context.get_executor(), { .connectTimeout = kPeerTimeout }),
       loads_(settings.instanceName, settings.dataCentre, life,
-             [this](const std::string &address, const peers::Datagram &datagram) {
-                 if (const auto to = net::parseAddress(address))
-                     transport_->send(*to, datagram);
-             })
+             [this](const std::string &to, const auto &datagram) { sendTo(to, datagram); }),
+      hints_(settings.instanceName, settings.dataCentre,
+             [this](const std::string &to, const auto &datagram) { sendTo(to, datagram); })
 {
 }
 
 PeerLink::~PeerLink() = default;
 
+void PeerLink::sendTo(const std::string &address, const peers::Datagram &datagram)
+{
+    if (const auto to = net::parseAddress(address))
+        transport_->send(*to, datagram);
+}
+
 void PeerLink::start(control::ControlSystem &system, control::ConfigurationControl &configuration,
                      const net::Address &callerAddress, std::error_code &error)
 {
@@ -102,11 +107,8 @@
              .protocol = membership::optionsFor(settings_.protocolPeriod),
              .randomSeed = std::random_device{}(),
              .timeLine = &timeLine_,
-             .send =
-                     [this](const std::string &to, const membership::Packet &packet) {
-                         if (const auto address = net::parseAddress(to))
-                             transport_->send(*address, packet);
-                     },
+             .send = [this](const std::string &to,
+                            const membership::Packet &packet) { sendTo(to, packet); },
              .exchangeTable = [this](const std::string &to) { exchangeTable(to); },
              .published = [](const auto &) {},
              .revisionSeen =
@@ -130,6 +132,8 @@
         loads_.receive(toString(from), *report, now);
     } else if (const auto *sums = std::get_if<peers::LoadSums>(&datagram)) {
         loads_.receive(*sums, now);
+    } else if (const auto *hints = std::get_if<peers::PlacementHints>(&datagram)) {
+        hooks_.mergeHints(toRoutingHints(*hints));
     }
 }
 
@@ -214,6 +218,8 @@
         }
         loads_.tick(hooks_.ownLoads(), steady_clock::now());
         hooks_.othersLoads(loads_.others(steady_clock::now()));
+        hints_.send(members->members, hooks_.takeHints(HintExchange::kMaxHints),
+                    steady_clock::now());
         timer.expires_after(kLoadTick);
         boost::system::error_code ignored;
         timer.async_wait(yield[ignored]);
--- a/packages/peers/include/peers/datagram.h
+++ b/packages/peers/include/peers/datagram.h
@@ -16,9 +16,9 @@
 /// Largest datagram. It fits into one IPv6 packet of the least MTU with the headers of a tunnel.
 constexpr std::size_t kMaxDatagramBytes = 1200;
 
-/// Entries of one load message or rows of hot prefixes; more must be split over datagrams.
+/// Entries of one load message, or hints of one datagram; more must be split over datagrams.
 constexpr std::size_t kMaxLoadEntries = 60;
-constexpr std::size_t kMaxHotPrefixes = 64;
+constexpr std::size_t kMaxPlacementHints = 32;
 
 /// In-flight work of the sender, for a meeting point. Prefill tokens are rounded up to units of
 /// 256 tokens.
@@ -37,23 +37,24 @@
     bool operator==(const LoadSums &) const = default;
 };
 
-struct HotPrefix
+/// A prefix that the sender recently sent to a life of a target, which probably caches it now.
+struct PlacementHint
 {
-    std::uint64_t hash = 0; ///< Hash of the block chain up to the end of the prefix.
-    std::uint32_t requestsPerMinute = 0;
-    bool operator==(const HotPrefix &) const = default;
+    std::uint64_t prefix = 0; ///< Hash of the block chain up to the end of the prefix.
+    std::uint64_t target = 0; ///< Hash of the target's name.
+    std::uint64_t life = 0;
+    bool operator==(const PlacementHint &) const = default;
 };
 
-/// The prefixes that the sender sees most often.
-struct HotPrefixes
+/// Recent placements of the sender. The order of the hints is not kept.
+struct PlacementHints
 {
-    std::string sender;
-    std::vector<HotPrefix> prefixes;
-    bool operator==(const HotPrefixes &) const = default;
+    std::vector<PlacementHint> hints;
+    bool operator==(const PlacementHints &) const = default;
 };
 
 /// Content of one datagram between daemons.
-using Datagram = std::variant<membership::Packet, LoadReport, LoadSums, HotPrefixes>;
+using Datagram = std::variant<membership::Packet, LoadReport, LoadSums, PlacementHints>;
 
 /// Returns the datagram in the compact protocol of Thrift, or no value if it would exceed
 /// `kMaxDatagramBytes` or a limit that the decoder checks.
--- a/packages/peers/src/datagram.cpp
+++ b/packages/peers/src/datagram.cpp
@@ -152,16 +152,38 @@
     return LoadSums{ *std::move(loads) };
 }
 
-std::optional<Datagram> fromWire(const wire::HotPrefixes &message)
+std::optional<Datagram> fromWire(const wire::PlacementHints &message)
 {
-    const std::size_t count = message.hashes.size();
-    if (count > kMaxHotPrefixes || message.requestsPerMinute.size() != count
-        || !isPermitted(message.sender))
-        return std::nullopt;
-    HotPrefixes result{ message.sender, {} };
-    for (std::size_t i = 0; i < count; ++i) {
-        result.prefixes.push_back({ static_cast<std::uint64_t>(message.hashes[i]),
-                                    static_cast<std::uint32_t>(message.requestsPerMinute[i]) });
+    PlacementHints result;
+    for (const wire::TargetPlacements &target : message.targets) {
+        if (result.hints.size() + target.prefixes.size() > kMaxPlacementHints)
+            return std::nullopt;
+        for (const std::int64_t prefix : target.prefixes) {
+            result.hints.push_back({ .prefix = static_cast<std::uint64_t>(prefix),
+                                     .target = static_cast<std::uint64_t>(target.target),
+                                     .life = static_cast<std::uint64_t>(target.life) });
+        }
+    }
+    return result;
+}
+
+// Groups the hints by target and life, which are then sent once.
+wire::PlacementHints toWire(const PlacementHints &hints)
+{
+    wire::PlacementHints result;
+    for (const PlacementHint &hint : hints.hints) {
+        const auto target = static_cast<std::int64_t>(hint.target);
+        const auto life = static_cast<std::int64_t>(hint.life);
+        const auto matches = [&](const auto &known) {
+            return known.target == target && known.life == life;
+        };
+        auto group = std::ranges::find_if(result.targets, matches);
+        if (group == result.targets.end()) {
+            group = result.targets.emplace(result.targets.end());
+            group->target = target;
+            group->life = life;
+        }
+        group->prefixes.push_back(static_cast<std::int64_t>(hint.prefix));
     }
     return result;
 }
@@ -188,15 +210,9 @@
         body.loads = toWire(sums.loads);
         message.__set_loadSums(body);
     }
-    void operator()(const HotPrefixes &hot) const
+    void operator()(const PlacementHints &hints) const
     {
-        wire::HotPrefixes body;
-        body.sender = hot.sender;
-        for (const HotPrefix &prefix : hot.prefixes) {
-            body.hashes.push_back(static_cast<std::int64_t>(prefix.hash));
-            body.requestsPerMinute.push_back(static_cast<std::int32_t>(prefix.requestsPerMinute));
-        }
-        message.__set_hotPrefixes(body);
+        message.__set_placementHints(toWire(hints));
     }
 };
 
@@ -221,7 +237,7 @@
         return std::nullopt;
     const auto &set = message.__isset;
     const int parts = int{ set.membership } + int{ set.loadReport } + int{ set.loadSums }
-                      + int{ set.hotPrefixes };
+                      + int{ set.placementHints };
     if (parts != 1)
         return std::nullopt;
     if (set.membership)
@@ -230,7 +246,7 @@
         return fromWire(message.loadReport);
     if (set.loadSums)
         return fromWire(message.loadSums);
-    return fromWire(message.hotPrefixes);
+    return fromWire(message.placementHints);
 }
 
 } // namespace chervilfield::peers
--- a/packages/peers/test/datagram_test.cpp
+++ b/packages/peers/test/datagram_test.cpp
@@ -78,11 +78,12 @@
     default:
         break;
     }
-    HotPrefixes hot{ makeText(), {} };
-    hot.prefixes.resize(*rc::gen::inRange<std::size_t>(0, kMaxHotPrefixes + 1));
-    for (HotPrefix &prefix : hot.prefixes)
-        prefix = { *rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint32_t>() };
-    return hot;
+    PlacementHints hints;
+    const auto target = *rc::gen::arbitrary<std::uint64_t>();
+    hints.hints.resize(*rc::gen::inRange<std::size_t>(0, kMaxPlacementHints + 1));
+    for (PlacementHint &hint : hints.hints)
+        hint = { *rc::gen::arbitrary<std::uint64_t>(), target, target + 1 };
+    return hints;
 }
 
 } // namespace
--- a/packages/peers/thrift/peers.thrift
+++ b/packages/peers/thrift/peers.thrift
@@ -61,10 +61,15 @@
   1: Loads loads
 }
 
-struct HotPrefixes {
-  1: string sender
-  2: list<i64> hashes
-  3: list<i32> requestsPerMinute
+// Prefixes that a daemon recently sent to one life of a target.
+struct TargetPlacements {
+  1: i64 target
+  2: i64 life
+  3: list<i64> prefixes
+}
+
+struct PlacementHints {
+  1: list<TargetPlacements> targets
 }
 
 // One UDP datagram; exactly one of the optional fields is set.
@@ -73,7 +78,8 @@
   2: optional Membership membership
   3: optional LoadReport loadReport
   4: optional LoadSums loadSums
-  5: optional HotPrefixes hotPrefixes
+  // 5 was used for hot prefixes.
+  6: optional PlacementHints placementHints
 }
 
 // Request and response of POST /peer/v1/members.
--- a/packages/traffic/include/traffic/router.h
+++ b/packages/traffic/include/traffic/router.h
@@ -86,6 +86,12 @@
     /// Blocks that engines hold; the decision looks up the holders of each request's chain here.
     CacheIndex &cacheIndex() { return cacheIndex_; }
 
+    /// Returns at most `limit` recent placements that the other daemons have not been told of.
+    std::vector<routing::PlacementHint> takeHints(std::size_t limit);
+
+    /// Takes placements of another daemon as hints of what targets cache.
+    void mergeHints(std::span<const routing::PlacementHint> hints);
+
 private:
     struct TargetState
     {
--- a/packages/traffic/src/router.cpp
+++ b/packages/traffic/src/router.cpp
@@ -179,6 +179,18 @@
     return result;
 }
 
+std::vector<routing::PlacementHint> Router::takeHints(std::size_t limit)
+{
+    const std::lock_guard lock(mutex_);
+    return routing::takeHints(state_.placements, limit);
+}
+
+void Router::mergeHints(std::span<const routing::PlacementHint> hints)
+{
+    const std::lock_guard lock(mutex_);
+    routing::mergeHints(state_.placements, hints, std::chrono::steady_clock::now());
+}
+
 void Router::setOthersWork(const std::vector<TargetWork> &work)
 {
     // The exchange has already summed the other daemons, so they count as one.
