--- a/bench/fleet/fleet.py
+++ b/bench/fleet/fleet.py
@@ -1,9 +1,7 @@
 """Control work of real daemons against their number: processor time, memory, bytes, store requests."""
 
 import argparse
-import os
 import pathlib
-import re
 import sys
 import time
 import urllib.request
@@ -13,25 +11,15 @@
 from driver import report, scenario  # noqa: E402
 from driver.processes import (  # noqa: E402
     Deployment, new_directory, request_json, wait_until)
+from driver.usage import processor_s, resident_mb  # noqa: E402
 
 SIZES = (10, 20, 40, 60)
 DATA_CENTRES = ["leon", "silao", "irapuato"]
 ENGINES = 6
 CHANGES = 10
-TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 JOIN_TIMEOUT_S = 60.0
 
 
-def processor_s(pid):
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
-
-
-def resident_mb(pid):
-    text = pathlib.Path(f"/proc/{pid}/status").read_text()
-    return int(re.search(r"VmRSS:\s+(\d+)", text).group(1)) / 1024
-
-
 def metrics(address):
     """Returns the samples of a daemon by name and labels."""
     with urllib.request.urlopen(f"http://{address}/metrics", timeout=5) as response:
--- a/bench/footprint/footprint.py
+++ b/bench/footprint/footprint.py
@@ -11,19 +11,13 @@
 
 from driver import report, scenario  # noqa: E402
 from driver.processes import BINARIES, Deployment, new_directory, wait_until  # noqa: E402
+from driver.usage import resident_mb  # noqa: E402
 
 ENGINE = ["--token-interval-us", 200000, "--slots", 4096, "--prefill-tokens-per-second", 1e9]
 SIZES = (0, 250, 500, 1000, 2000)
 LEVEL_S = 4.0
 
 
-def resident_kb(pid):
-    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1])
-    raise RuntimeError("no resident size")
-
-
 def open_streams(daemon):
     with urllib.request.urlopen(f"http://{daemon.address}/metrics", timeout=5) as response:
         for line in response.read().decode().splitlines():
@@ -59,14 +53,14 @@
             peak = [0]
 
             def settled():
-                size = resident_kb(daemon.child.pid)
+                size = resident_mb(daemon.child.pid)
                 grown = size > peak[0]
                 peak[0] = max(peak[0], size)
                 return not grown and time.monotonic() > until
             until = time.monotonic() + LEVEL_S
             wait_until(settled, 4 * LEVEL_S, "the resident size to level off")
             return peak[0]
-        return resident_kb(daemon.child.pid)
+        return resident_mb(daemon.child.pid)
     finally:
         if client:
             client.kill()
@@ -83,11 +77,11 @@
     points = [(streams, measure(streams, options.seed)) for streams in SIZES]
     per_stream, _, fit = report.line(points)
     rows = [
-        report.at_most("idle_rss_mb", "MB", points[0][1] / 1024, 32),
-        report.at_most("rss_per_stream_kb", "KB", per_stream, 64),
+        report.at_most("idle_rss_mb", "MB", points[0][1], 32),
+        report.at_most("rss_per_stream_kb", "KB", per_stream * 1024, 64),
         report.row("rss_per_stream_r2", "ratio", fit),
     ]
-    rows += [report.row(f"rss_{streams}_streams_mb", "MB", size / 1024)
+    rows += [report.row(f"rss_{streams}_streams_mb", "MB", size)
              for streams, size in points]
     report.write("footprint", options.seed, started, rows, options.out)
 
--- a/bench/overhead/overhead.py
+++ b/bench/overhead/overhead.py
@@ -11,6 +11,7 @@
 
 from driver import report, scenario  # noqa: E402
 from driver.processes import BINARIES, Deployment, new_directory  # noqa: E402
+from driver.usage import processor_s  # noqa: E402
 
 STREAMS = 200
 TOKENS = 20
@@ -22,6 +23,8 @@
 RATE_ENGINE = ["--token-interval-us", 1, "--slots", 4096, "--prefill-tokens-per-second", 1e9]
 RATE_ENGINES = 4
 RATE_STREAMS = 128
+TOKEN_SIZES = (1, 20, 60, 120)
+COST_STREAMS = 32
 
 
 def load(targets, seconds, seed, direct=False, streams=STREAMS, tokens=TOKENS, threads=1,
@@ -81,6 +84,24 @@
     return result["finished"] / result["seconds"]
 
 
+def measure_cost(seed, seconds):
+    """Returns the processor time of a daemon per request and per token, in microseconds, and r2."""
+    points = []
+    for tokens in TOKEN_SIZES:
+        deployment = deploy(RATE_ENGINE, RATE_ENGINES, 2, f"cost-{tokens}")
+        try:
+            daemon = deployment.daemons["entry-0"]
+            before = processor_s(daemon.child.pid)
+            result = load([daemon.address], seconds, seed, streams=COST_STREAMS, tokens=tokens,
+                          pause_ms=0)
+            used = processor_s(daemon.child.pid) - before
+        finally:
+            deployment.stop()
+        points.append((tokens, used / result["finished"] * 1e6))
+    per_token, per_request, fit = report.line(points)
+    return per_request, per_token, fit
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
@@ -100,6 +121,10 @@
     rows.append(report.row("requests_per_second_1_thread", "1/s", rates[1]))
     rows.append(report.row("speedup_2_threads", "ratio", rates[2] / rates[1]))
     rows.append(report.row("speedup_4_threads", "ratio", rates[4] / rates[1]))
+    per_request, per_token, fit = measure_cost(options.seed, options.seconds)
+    rows.append(report.row("cpu_us_per_request", "us", per_request))
+    rows.append(report.row("cpu_us_per_token", "us", per_token))
+    rows.append(report.row("cpu_per_token_r2", "ratio", fit))
     rows.append(report.row("samples", "1", len(direct) + len(through)))
     report.write("overhead", options.seed, started, rows, options.out)
 
