--- a/bench/routing/main.cpp
+++ b/bench/routing/main.cpp
@@ -4,10 +4,7 @@
 
 #include <chrono>
 #include <cstdlib>
-#include <fstream>
-#include <iomanip>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
@@ -133,19 +130,6 @@
     return flags;
 }
 
-void printTable(const std::vector<Row> &rows)
-{
-    for (const Row &row : rows) {
-        std::ostringstream line;
-        line << std::left << std::setw(50) << row.name << std::setw(10) << row.value;
-        if (row.goal != Goal::None)
-            line << (row.met() ? " met    " : " NOT MET") << " target " << row.target << ' ';
-        for (const auto &[name, value] : row.baselines)
-            line << "  " << name << '=' << value;
-        std::cerr << line.str() << '\n';
-    }
-}
-
 } // namespace
 
 int main(int argc, char **argv)
@@ -154,17 +138,6 @@
     const auto start = std::chrono::steady_clock::now();
     const std::vector<Row> rows = measureRows(flags.settings, flags.slowed);
     const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - start;
-    printTable(rows);
-    const auto json = toJson("routing", flags.settings.workload.seed, elapsed.count(), rows);
-    if (flags.out.empty()) {
-        std::cout << boost::json::serialize(json) << '\n';
-        return 0;
-    }
-    std::ofstream file(flags.out);
-    file << boost::json::serialize(json) << '\n';
-    if (!file.flush()) {
-        std::cerr << "bench_routing: cannot write " << flags.out << '\n';
-        return 1;
-    }
-    return 0;
+    return writeReport("routing", { .seed = flags.settings.workload.seed, .out = flags.out },
+                       elapsed.count(), rows);
 }
--- a/bench/routing/rows.h
+++ b/bench/routing/rows.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "report.h"
+#include "support/report.h"
 #include "simulation.h"
 
 namespace chervilfield::bench {
--- a/bench/support/report.cpp
+++ b/bench/support/report.cpp
@@ -36,6 +36,14 @@
            + std::to_string(std::thread::hardware_concurrency()) + " cores";
 }
 
+/// Returns the target as text, such as ">=0.95".
+std::string targetText(const Row &row)
+{
+    std::ostringstream text;
+    text << (row.goal == Goal::AtLeast ? ">=" : "<=") << row.target;
+    return text.str();
+}
+
 boost::json::object toJson(const Fit &fit)
 {
     boost::json::array points;
@@ -53,7 +61,7 @@
                                 { "unit", row.unit },
                                 { "value", row.value } };
     const bool hasGoal = row.goal != Goal::None;
-    object["target"] = hasGoal ? boost::json::value(row.target) : boost::json::value(nullptr);
+    object["target"] = hasGoal ? boost::json::value(targetText(row)) : boost::json::value(nullptr);
     object["met"] = hasGoal ? boost::json::value(isMet(row)) : boost::json::value(nullptr);
     boost::json::object baselines;
     for (const auto &[name, value] : row.baselines)
--- a/packages/daemon/include/daemon/app.h
+++ b/packages/daemon/include/daemon/app.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <string>
 #include <vector>
@@ -49,6 +50,7 @@
     traffic::InstanceView view_;
     TrafficPool traffic_;
     Drain drain_;
+    std::atomic<bool> draining_{ false }; ///< Read by the traffic threads.
     boost::asio::io_context context_{ 1 };
     boost::asio::signal_set signals_{ context_, SIGTERM, SIGINT };
 };
--- a/packages/daemon/include/daemon/traffic_pool.h
+++ b/packages/daemon/include/daemon/traffic_pool.h
@@ -23,8 +23,11 @@
     TrafficPool(const TrafficPool &) = delete;
     TrafficPool &operator=(const TrafficPool &) = delete;
 
-    /// Binds the callers' address and starts the threads. Sets `error` if binding fails.
-    void start(std::error_code &error);
+    /// Binds the callers' address. Connections wait until `run()`. Sets `error` if binding fails.
+    void bind(std::error_code &error);
+
+    /// Starts the threads. What `view` and `services` refer to must be ready.
+    void run();
 
     /// Makes callers reconnect: each response from now on closes its connection.
     void closeAfterResponses();
--- a/packages/daemon/src/app.cpp
+++ b/packages/daemon/src/app.cpp
@@ -80,7 +80,7 @@
                               .callTimeout = settings.callTimeout } },
       view_{ .entries = [this](const net::Address &caller) { return control_.entriesBody(caller); },
              .ready =
-                     [this] { return control_.started() && drain_.phase == DrainPhase::Serving; } },
+                     [this] { return control_.started() && !draining_; } },
       traffic_(settings, services_, view_), drain_{
           .options = { .announceTime = settings.entriesTtl + kEntriesMargin,
                        .finishLimit = settings.drainLimit }
@@ -91,13 +91,14 @@
 int App::run()
 {
     std::error_code error;
-    traffic_.start(error);
+    traffic_.bind(error);
     if (!error)
         control_.start(traffic_.localAddress(), error);
     if (error) {
         LOG(ERROR) << "[daemon] Cannot listen: " << error.message() << '.';
         return 1;
     }
+    traffic_.run();
     timeLine_.record("daemon", "started", life_);
     std::cout << "listening callers " << toString(traffic_.localAddress()) << '\n'
               << "listening admin " << toString(control_.adminAddress()) << '\n'
@@ -167,6 +168,7 @@
 {
     switch (phase) {
     case DrainPhase::Announcing:
+        draining_ = true;
         LOG(INFO) << "[daemon] Shutting down: leaving the address lists.";
         timeLine_.record("daemon", "leaving", life_);
         control_.announceLeaving();
--- a/packages/daemon/src/traffic_pool.cpp
+++ b/packages/daemon/src/traffic_pool.cpp
@@ -61,11 +61,13 @@
     }
 }
 
-void TrafficPool::start(std::error_code &error)
+void TrafficPool::bind(std::error_code &error)
 {
     server_->listen(address_, error);
-    if (error)
-        return;
+}
+
+void TrafficPool::run()
+{
     for (auto &worker : workers_)
         worker->runner = std::thread([&context = worker->context] { context.run(); });
 }
