--- a/packages/daemon/src/app.cpp
+++ b/packages/daemon/src/app.cpp
@@ -79,8 +79,7 @@
                               .progressTimeout = settings.progressTimeout,
                               .callTimeout = settings.callTimeout } },
       view_{ .entries = [this](const net::Address &caller) { return control_.entriesBody(caller); },
-             .ready =
-                     [this] { return control_.started() && !draining_; } },
+             .ready = [this] { return control_.started() && !draining_; } },
       traffic_(settings, services_, view_), drain_{
           .options = { .announceTime = settings.entriesTtl + kEntriesMargin,
                        .finishLimit = settings.drainLimit }
