Merge the time lines of all instances

Cause: the time line of the administration API held the events of one process only. Change: instances serve their events on the peer address; the API asks all live members, merges by stamp and leaves out those that do not answer or answer something else. Clocks are not merged between daemons yet, so the order across instances holds only as far as their clocks agree.

--- a/packages/admin/include/admin/admin_api.h
+++ b/packages/admin/include/admin/admin_api.h
@@ -10,6 +10,7 @@
 #include <boost/asio/spawn.hpp>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,8 +33,15 @@
     std::function<net::Response(const net::Request &)> explain;
     std::function<void()> drain;
     base::TimeLine *timeLine = nullptr;
+    /// Returns the time lines of the other instances after a time, each as `timeLineJson` makes it.
+    std::function<std::vector<std::string>(const std::string &after, boost::asio::yield_context)>
+            peerTimeLines;
 };
 
+/// Returns `{"events":[...]}` with the events of this process later than `after`, which is written
+/// as `<milliseconds>.<counter>`, or no value if it is not.
+std::optional<std::string> timeLineJson(const base::TimeLine &timeLine, const std::string &after);
+
 /// The operators' API of one daemon (section 3.4 of the design). All functions run on the thread of
 /// `context`. `docs/operators.md` describes requests and responses.
 class AdminApi
@@ -53,7 +61,7 @@
     net::Response apply(const net::Request &request, boost::asio::yield_context yield);
     net::Response get(const net::Request &request) const;
     net::Response status() const;
-    net::Response timeLine(const net::Request &request) const;
+    net::Response timeLine(const net::Request &request, boost::asio::yield_context yield) const;
     net::Response drain(const net::Request &request) const;
     void adopt(const control::ApplyResult &result, bool dryRun, boost::asio::yield_context yield);
 
--- a/packages/admin/src/admin_api.cpp
+++ b/packages/admin/src/admin_api.cpp
@@ -4,6 +4,7 @@
 #include "configuration/json.h"
 #include "http/error_response.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
@@ -96,6 +97,36 @@
     }
 }
 
+// Returns the events of all time lines in the order of their stamps. Bodies that are not time lines
+// are left out.
+json::array mergeEvents(const std::vector<std::string> &bodies)
+{
+    std::vector<json::value> events;
+    for (const std::string &body : bodies) {
+        boost::system::error_code invalid;
+        const json::value parsed = json::parse(body, invalid);
+        const json::object *object = invalid ? nullptr : parsed.if_object();
+        const json::value *list = object == nullptr ? nullptr : object->if_contains("events");
+        if (list == nullptr || !list->is_array())
+            continue;
+        for (const json::value &event : list->as_array()) {
+            if (event.is_object() && event.as_object().contains("wallMs")
+                && event.as_object().contains("counter"))
+                events.push_back(event);
+        }
+    }
+    const auto stamp = [](const json::value &event) {
+        boost::system::error_code inexact;
+        const json::object &object = event.as_object();
+        const auto wall = object.at("wallMs").to_number<std::int64_t>(inexact);
+        return std::pair(wall, object.at("counter").to_number<std::int64_t>(inexact));
+    };
+    std::stable_sort(events.begin(), events.end(), [&](const auto &first, const auto &second) {
+        return stamp(first) < stamp(second);
+    });
+    return json::array(events.begin(), events.end());
+}
+
 } // namespace
 
 AdminApi::AdminApi(asio::io_context &context, control::ConfigurationControl &control,
@@ -129,7 +160,7 @@
     if (name == "status")
         return status();
     if (name == "timeline")
-        return timeLine(request);
+        return timeLine(request, yield);
     if (name == "explain")
         return hooks_.explain ? hooks_.explain(request) : refusal(Result::NotFound);
     return get(request);
@@ -212,20 +243,32 @@
                                { "instances", std::move(instances) } });
 }
 
-net::Response AdminApi::timeLine(const net::Request &request) const
+std::optional<std::string> timeLineJson(const base::TimeLine &timeLine, const std::string &after)
+{
+    const auto time = parseTime(after);
+    if (!time)
+        return std::nullopt;
+    json::array events;
+    for (const base::TimeLineEvent &event : timeLine.since(*time))
+        events.push_back(encode(event));
+    return json::serialize(json::object{ { "events", std::move(events) } });
+}
+
+net::Response AdminApi::timeLine(const net::Request &request, asio::yield_context yield) const
 {
     if (hooks_.timeLine == nullptr)
         return refusal(Result::NotFound);
-    const std::string text = net::queryParameter(request.target, "after").value_or("0");
-    const auto after = parseTime(text);
-    if (!after) {
+    const std::string after = net::queryParameter(request.target, "after").value_or("0");
+    const auto own = timeLineJson(*hooks_.timeLine, after);
+    if (!own) {
         return refusal(Result::InvalidField, WorkStatus::NotRun,
-                       "after: expected <milliseconds>.<counter>, found '" + text + "'");
+                       "after: expected <milliseconds>.<counter>, found '" + after + "'");
     }
-    json::array events;
-    for (const base::TimeLineEvent &event : hooks_.timeLine->since(*after))
-        events.push_back(encode(event));
-    return reply(json::object{ { "events", std::move(events) } });
+    std::vector<std::string> bodies;
+    if (hooks_.peerTimeLines)
+        bodies = hooks_.peerTimeLines(after, yield);
+    bodies.push_back(*own);
+    return reply(json::object{ { "events", mergeEvents(bodies) } });
 }
 
 net::Response AdminApi::drain(const net::Request &) const
--- a/packages/admin/test/admin_api_test.cpp
+++ b/packages/admin/test/admin_api_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST_SUITE(AdminApiTest);
     CPPUNIT_TEST(requestsGetTheDocumentedResponse);
     CPPUNIT_TEST(copiesReachTheObjectService);
+    CPPUNIT_TEST(timeLinesAreMergedByStamp);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,6 +105,18 @@
         });
     }
 
+    // Guards against a time line in which the events of another instance stand out of order, and
+    // against an instance with a malformed answer that hides the others.
+    void timeLinesAreMergedByStamp()
+    {
+        withApi([](AdminApi &api, PlatformFixture &, asio::yield_context yield) {
+            const auto response = api.handle({ .target = "/admin/v1/timeline" }, yield);
+            const std::size_t early = response.body.find("early");
+            const std::size_t late = response.body.find("late");
+            CPPUNIT_ASSERT_MESSAGE(response.body, early < late && late != std::string::npos);
+        });
+    }
+
 private:
     using Body = std::function<void(AdminApi &, PlatformFixture &, asio::yield_context)>;
 
@@ -124,7 +137,15 @@
                                    return std::vector<InstanceStatus>{ { "i2", "celaya", 7 } };
                                },
                        .drain = [this] { ++drains_; },
-                       .timeLine = &timeLine });
+                       .timeLine = &timeLine,
+                       .peerTimeLines =
+                               [](const auto &, auto) {
+                                   return std::vector<std::string>{
+                                       R"({"events":[{"wallMs":9,"counter":0,"kind":"late"}]})",
+                                       "not a time line",
+                                       R"({"events":[{"wallMs":8,"counter":2,"kind":"early"}]})",
+                                   };
+                               } });
         fixture.run({ [&](asio::yield_context yield) { body(api, fixture, yield); } });
     }
 
--- a/packages/daemon/include/daemon/peer_link.h
+++ b/packages/daemon/include/daemon/peer_link.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -32,6 +33,8 @@
     std::function<void(const std::vector<NamedLoad> &)> othersLoads;
     std::function<std::vector<routing::PlacementHint>(std::size_t limit)> takeHints;
     std::function<void(const std::vector<routing::PlacementHint> &)> mergeHints;
+    /// Returns this instance's time line after a time as JSON, or no value for a bad time.
+    std::function<std::optional<std::string>(const std::string &after)> timeLine;
 };
 
 /// Connection of a daemon with the others: membership and load over UDP, tables and configuration
@@ -65,6 +68,11 @@
     std::vector<control::LogEntry> fetchEntries(control::RevisionNumber after,
                                                 const boost::asio::yield_context &yield);
 
+    /// Asks all live members for their time lines after a time. Those that do not answer are left
+    /// out.
+    std::vector<std::string> fetchTimeLines(const std::string &after,
+                                            const boost::asio::yield_context &yield);
+
     void leave() { actor_->leave(); }
     void exit() { actor_->exit(); }
 
@@ -72,6 +80,7 @@
     void bind(control::ConfigurationControl &configuration, std::error_code &error);
     control::MemberActorOptions actorOptions(control::ConfigurationControl &configuration,
                                              const net::Address &callerAddress);
+    void serveTimeLine(net::Exchange &exchange, const boost::asio::yield_context &yield);
     void sendTo(const std::string &address, const peers::Datagram &datagram);
     void receive(const net::Address &from, peers::Datagram datagram);
     void noteRevision(const membership::Packet &packet);
--- a/packages/daemon/src/control_plane.cpp
+++ b/packages/daemon/src/control_plane.cpp
@@ -62,7 +62,11 @@
                .takeHints = [&router = state.router](
                                     std::size_t limit) { return router.takeHints(limit); },
                .mergeHints =
-                       [&router = state.router](const auto &hints) { router.mergeHints(hints); } }),
+                       [&router = state.router](const auto &hints) { router.mergeHints(hints); },
+               .timeLine =
+                       [this](const std::string &after) {
+                           return admin::timeLineJson(timeLine_, after);
+                       } }),
       metrics_(state.metrics.registry()),
       cacheFollower_(context_, state.router, state.metrics, [this] { return followedEngines(); })
 {
@@ -92,12 +96,17 @@
 {
     adminApi_ = std::make_unique<admin::AdminApi>(
             context_, *configuration_, log_,
-            admin::AdminHooks{ .self = { .instance = settings_.instanceName,
-                                         .dataCentre = settings_.dataCentre },
-                               .peers = [this] { return instanceStatus(); },
-                               .explain = hooks_.explain,
-                               .drain = hooks_.drain,
-                               .timeLine = &timeLine_ });
+            admin::AdminHooks{
+                    .self = { .instance = settings_.instanceName,
+                              .dataCentre = settings_.dataCentre },
+                    .peers = [this] { return instanceStatus(); },
+                    .explain = hooks_.explain,
+                    .drain = hooks_.drain,
+                    .timeLine = &timeLine_,
+                    .peerTimeLines =
+                            [this](const std::string &after, const yield_context &yield) {
+                                return peers_.fetchTimeLines(after, yield);
+                            } });
     adminServer_ = std::make_unique<net::HttpServer>(
             std::vector<net::ServerWorker>{ { &context_, adminApi_->handler() } },
             net::ServerOptions{});
--- a/packages/daemon/src/peer_link.cpp
+++ b/packages/daemon/src/peer_link.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t kPeersAsked = 3;
 // TCP and UDP share a port number; the kernel's choice for TCP may be taken for UDP.
 constexpr int kBindAttempts = 8;
+constexpr std::string_view kTimeLinePath = "/peer/v1/timeline";
 
 } // namespace
 
@@ -83,9 +84,16 @@
                     return entries;
                 }
     };
+    const net::Handler exchangeHandler = peers::makeExchangeHandler(source);
+    const net::Handler handler = [this, exchangeHandler](net::Exchange &exchange,
+                                                         const yield_context &yield) {
+        if (net::pathOf(exchange.request().target) == kTimeLinePath)
+            serveTimeLine(exchange, yield);
+        else
+            exchangeHandler(exchange, yield);
+    };
     server_ = std::make_unique<net::HttpServer>(
-            std::vector<net::ServerWorker>{ { &context_, peers::makeExchangeHandler(source) } },
-            net::ServerOptions{});
+            std::vector<net::ServerWorker>{ { &context_, handler } }, net::ServerOptions{});
     server_->listen(settings_.peers, error);
     if (error)
         return;
@@ -203,6 +211,36 @@
     return result;
 }
 
+void PeerLink::serveTimeLine(net::Exchange &exchange, const yield_context &yield)
+{
+    const std::string after = net::queryParameter(exchange.request().target, "after").value_or("0");
+    const auto body = hooks_.timeLine(after);
+    constexpr int kOk = 200;
+    constexpr int kBadRequest = 400;
+    std::error_code ignored;
+    exchange.respond(net::jsonResponse(body ? kOk : kBadRequest, body.value_or("{}")), yield,
+                     ignored);
+}
+
+std::vector<std::string> PeerLink::fetchTimeLines(const std::string &after,
+                                                  const yield_context &yield)
+{
+    std::vector<std::string> bodies;
+    const net::Request request{ .target = std::string(kTimeLinePath)
+                                          + "?after=" + net::percentEncode(after) };
+    for (const membership::Member &member : members()->members) {
+        const auto peer = net::parseAddress(member.peerAddress);
+        const bool isOther = member.name != settings_.instanceName;
+        if (!isOther || !peer.has_value() || member.state == membership::MemberState::Dead)
+            continue;
+        std::error_code error;
+        auto response = client_.send(*peer, request, kPeerTimeout, yield, error);
+        if (response.has_value())
+            bodies.push_back(std::move(response->body));
+    }
+    return bodies;
+}
+
 void PeerLink::exchangeLoads(const yield_context &yield)
 {
     boost::asio::steady_timer timer(context_);
