--- a/packages/daemon/include/daemon/peer_link.h
+++ b/packages/daemon/include/daemon/peer_link.h
@@ -64,7 +64,8 @@
 
     void setRevision(std::uint64_t revision) { actor_->setRevision(revision); }
 
-    /// Asks up to three peers, a recently updated one first, for log entries after a revision.
+    /// Asks three peers, a recently updated one first, for log entries after a revision, and
+    /// returns those of the peer that knows most.
     std::vector<control::LogEntry> fetchEntries(control::RevisionNumber after,
                                                 const boost::asio::yield_context &yield);
 
--- a/packages/daemon/src/peer_link.cpp
+++ b/packages/daemon/src/peer_link.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace chervilfield::daemon {
@@ -195,19 +196,23 @@
         if (member.name != settings_.instanceName && membership::takesWork(member))
             candidates.push_back(member.peerAddress);
     }
-    std::vector<control::LogEntry> result;
-    for (std::size_t i = 0; i < candidates.size() && i < kPeersAsked; ++i) {
-        const auto peer = net::parseAddress(candidates[i]);
-        std::error_code error;
-        if (!peer.has_value())
+    // A peer may lag, so several are asked and the one that knows most is believed.
+    std::vector<peers::ConfigurationEntry> best;
+    std::set<std::string> asked;
+    for (const std::string &candidate : candidates) {
+        const auto peer = net::parseAddress(candidate);
+        if (!peer.has_value() || asked.size() == kPeersAsked || !asked.insert(candidate).second)
             continue;
-        const auto entries = peers::fetchEntries(client_, *peer, after, kPeerTimeout, yield, error);
+        std::error_code error;
+        auto entries = peers::fetchEntries(client_, *peer, after, kPeerTimeout, yield, error);
         if (!entries.has_value() || entries->entries.empty())
             continue;
-        for (const auto &entry : entries->entries)
-            result.push_back({ .revision = entry.revision, .value = entry.value });
-        break;
+        if (best.empty() || entries->entries.back().revision > best.back().revision)
+            best = std::move(entries->entries);
     }
+    std::vector<control::LogEntry> result;
+    for (const peers::ConfigurationEntry &entry : best)
+        result.push_back({ .revision = entry.revision, .value = entry.value });
     return result;
 }
 
