--- a/packages/daemon/src/peer_link.cpp
+++ b/packages/daemon/src/peer_link.cpp
@@ -211,6 +211,7 @@
             best = std::move(entries->entries);
     }
     std::vector<control::LogEntry> result;
+    result.reserve(best.size());
     for (const peers::ConfigurationEntry &entry : best)
         result.push_back({ .revision = entry.revision, .value = entry.value });
     return result;
