--- a/packages/base/include/base/result.h
+++ b/packages/base/include/base/result.h
@@ -36,6 +36,8 @@
     TargetFailed = 3002,
     StreamInterrupted = 3003,
     ProgressTimeout = 3004,
+    RequestCancelled = 3005,
+    RouteTimeout = 3006,
 
     RevisionConflict = 4001,
     ValidationFailed = 4002,
--- a/packages/daemon/include/daemon/settings.h
+++ b/packages/daemon/include/daemon/settings.h
@@ -12,6 +12,22 @@
 
 namespace chervilfield::daemon {
 
+/// Settings of an instance on a platform whose store describes the deployment. Times in `bounds`
+/// are limits of the platform, as numbers.
+struct EntrySettings
+{
+    net::Address ready;                           ///< `entry.ready`
+    net::Address directory;                       ///< `entry.directory`
+    net::Address metrics;                         ///< `entry.metrics`
+    bool enginesCheckFences = false;              ///< `entry.engines_check_fences`
+    std::chrono::milliseconds leaseTime{ 3000 };  ///< `entry.lease_ms`
+    std::chrono::milliseconds grace{ 8000 };      ///< `entry.grace_s`, from the signal to the kill
+    double retryRatio = 0.2;                      ///< `entry.retry_ratio`
+    double retryBurst = 50;                       ///< `entry.retry_burst`
+    std::chrono::milliseconds retryWindow{ 10000 }; ///< `entry.retry_window_s`
+    std::chrono::milliseconds longestAddressLifetime{ 5000 }; ///< `entry.address_lifetime_s`
+};
+
 /// Settings of one instance, read from a TOML file. Durations are written with a unit ("500ms",
 /// "2s", "1m"), sizes as "64KiB" or "16MiB".
 struct Settings
@@ -39,6 +55,9 @@
 
     std::chrono::milliseconds entriesTtl{ 2000 };  ///< `entries.ttl`
     std::chrono::milliseconds drainLimit{ 60000 }; ///< `shutdown.drain_limit`
+
+    /// Set by the table `entry`: the deployment is described in the platform's store.
+    std::optional<EntrySettings> entry;
 };
 
 /// One fault of a settings file.
--- a/packages/daemon/main/main.cpp
+++ b/packages/daemon/main/main.cpp
@@ -1,5 +1,8 @@
 #include "daemon/app.h"
+#include "daemon/entry_options.h"
 #include "daemon/settings.h"
+#include "entry/entry_app.h"
+#include "platform/adapter.h"
 
 #include <getopt.h>
 #include <glog/logging.h>
@@ -89,5 +92,10 @@
         std::cout << "settings are valid\n";
         return 0;
     }
+    if (settings.entry) {
+        return chervilfield::entry::EntryApp(entryOptions(settings),
+                                             chervilfield::platform_adapter::makePlatform())
+                .run();
+    }
     return App(settings).run();
 }
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -96,6 +96,58 @@
     };
 }
 
+// Returns the entry settings, which any key of their table brings into being.
+EntrySettings &entryOf(Settings &settings)
+{
+    if (!settings.entry)
+        settings.entry.emplace();
+    return *settings.entry;
+}
+
+auto entryAddress(net::Address EntrySettings::*member)
+{
+    return [member](const toml::node &node, Settings &settings) {
+        const auto value = net::parseAddress(node.value_or(std::string()));
+        if (value.has_value())
+            entryOf(settings).*member = *value;
+        return value.has_value();
+    };
+}
+
+auto entryNumber(double EntrySettings::*member)
+{
+    return [member](const toml::node &node, Settings &settings) {
+        const auto value = node.value<double>();
+        if (!node.is_number() || *value < 0)
+            return false;
+        entryOf(settings).*member = *value;
+        return true;
+    };
+}
+
+// A number of `unit`s.
+auto entryTime(milliseconds EntrySettings::*member, std::chrono::duration<double> unit)
+{
+    return [=](const toml::node &node, Settings &settings) {
+        const auto value = node.value<double>();
+        constexpr double kLargest = 1e6;
+        if (!node.is_number() || *value < 0 || *value > kLargest)
+            return false;
+        entryOf(settings).*member = std::chrono::duration_cast<milliseconds>(unit * *value);
+        return true;
+    };
+}
+
+auto entryFlag(bool EntrySettings::*member)
+{
+    return [member](const toml::node &node, Settings &settings) {
+        if (!node.is_boolean())
+            return false;
+        entryOf(settings).*member = node.value_or(false);
+        return true;
+    };
+}
+
 bool readSeeds(const toml::node &node, Settings &settings)
 {
     const toml::array *array = node.as_array();
@@ -115,6 +167,10 @@
     using std::chrono::hours;
     using std::chrono::minutes;
     using S = Settings;
+    using E = EntrySettings;
+    constexpr std::string_view kNumber = "a number that is not negative";
+    constexpr std::chrono::duration<double> kSecond{ 1 };
+    constexpr std::chrono::duration<double> kMillisecond{ 0.001 };
     constexpr std::string_view kAddress = "an address such as \"127.0.0.1:7400\"";
     constexpr milliseconds kShort{ 10 };
     static const std::vector<KeyRule> rules{
@@ -144,6 +200,18 @@
           duration(&S::callTimeout, kShort, minutes(10)) },
         { "entries", "ttl", false, "a duration from 100ms to 10m",
           duration(&S::entriesTtl, milliseconds(100), minutes(10)) },
+        { "entry", "ready", false, kAddress, entryAddress(&E::ready) },
+        { "entry", "directory", false, kAddress, entryAddress(&E::directory) },
+        { "entry", "metrics", false, kAddress, entryAddress(&E::metrics) },
+        { "entry", "engines_check_fences", false, "true or false",
+          entryFlag(&E::enginesCheckFences) },
+        { "entry", "lease_ms", false, kNumber, entryTime(&E::leaseTime, kMillisecond) },
+        { "entry", "grace_s", false, kNumber, entryTime(&E::grace, kSecond) },
+        { "entry", "retry_ratio", false, kNumber, entryNumber(&E::retryRatio) },
+        { "entry", "retry_burst", false, kNumber, entryNumber(&E::retryBurst) },
+        { "entry", "retry_window_s", false, kNumber, entryTime(&E::retryWindow, kSecond) },
+        { "entry", "address_lifetime_s", false, kNumber,
+          entryTime(&E::longestAddressLifetime, kSecond) },
         { "shutdown", "drain_limit", false, "a duration from 1s to 24h",
           duration(&S::drainLimit, milliseconds(1000), hours(24)) },
     };
--- /dev/null
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "base/result.h"
+#include "dispatch/prefix_memory.h"
+#include "dispatch/target_board.h"
+#include "fleet/view.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace chervilfield::dispatch {
+
+/// A part of a prompt that other requests may share. The chain of parts identifies the prefix.
+struct PromptPart
+{
+    std::string id;
+    std::uint32_t tokens = 0;
+};
+
+/// What the placement needs to know of a request.
+struct WorkRequest
+{
+    std::string model;              ///< Empty for plain calls.
+    std::string cacheScope;         ///< Requests of different scopes share no cached prefix.
+    std::span<const PromptPart> parts{};
+    std::uint32_t promptTokens = 0;
+    std::chrono::milliseconds goal{ 0 };  ///< Time to the answer or first event that is aimed at.
+    std::chrono::milliseconds left{ 0 };  ///< Until the caller gives up.
+    std::span<const std::string> excluded{}; ///< Ids of targets that were tried before.
+};
+
+/// Where to send a request.
+struct Placement
+{
+    std::size_t target = 0;        ///< Index into the targets of the view.
+    std::uint64_t weights = 0;     ///< Version that the target has, 0 if unknown.
+    std::optional<net::Address> cacheSource; ///< Another target that probably caches the prefix.
+    double uncachedTokens = 0;     ///< Expected prompt tokens to compute.
+    Seconds expected{};            ///< Expected time to the first event.
+};
+
+/// A request that is not sent anywhere.
+struct Refusal
+{
+    base::Result code = base::Result::Overloaded;
+    std::chrono::milliseconds retryAfter{ 0 };
+};
+
+struct PlacementOptions
+{
+    /// Prompt tokens that an engine computes per second; the rate of the engines of today.
+    double prefillRate = 40'000;
+    /// Time that each request at an engine adds to the first event of the next one.
+    Seconds perRequest{ 0.006 };
+    /// Time that a request takes one slot of a plain service.
+    Seconds serviceTime{ 0.06 };
+    /// Time to fetch a cached token from another engine, at the links of today.
+    Seconds fetchPerToken{ 1e-6 };
+    /// Cost of a target with older weights than the wanted ones.
+    Seconds staleWeights{ 0.25 };
+    /// Cost of a target in another data centre, beside the way there.
+    Seconds otherDataCentre{ 0.004 };
+    /// Cost of a target other than the home of the prefix, so that prefixes stay where they are
+    /// while loads are nearly equal.
+    Seconds awayFromHome{ 0.03 };
+    /// Time for which a sent prefix is expected to stay cached.
+    std::chrono::milliseconds cacheLifetime{ 20'000 };
+    /// Retry-After of a refusal because no target is available.
+    std::chrono::milliseconds noTargetRetry{ 500 };
+};
+
+/// Chooses targets. Not safe for concurrent use.
+class Placer
+{
+public:
+    Placer(std::string dataCentre, std::uint64_t seed, PlacementOptions options = {});
+
+    /// Chooses a target of `pool`, or refuses.
+    std::variant<Placement, Refusal> place(const WorkRequest &request, const std::string &pool,
+                                           const fleet::View &view, Time now);
+
+    /// Records that the request was sent to its place.
+    void sent(const WorkRequest &request, const Placement &placement, const fleet::View &view,
+              Time now);
+
+    TargetBoard &board() { return board_; }
+    const TargetBoard &board() const { return board_; }
+
+private:
+    struct Candidate;
+
+    std::vector<Candidate> candidates(const WorkRequest &request, const std::string &pool,
+                                      const fleet::View &view, Time now) const;
+    void addCost(Candidate &candidate, const WorkRequest &request, const fleet::View &view,
+                 Time now) const;
+    double cachedTokens(const WorkRequest &request, const fleet::Target &target,
+                        std::uint64_t weights, Time now) const;
+    const fleet::Target *cacheSource(const WorkRequest &request, const fleet::View &view,
+                                     const Candidate &chosen, const fleet::Target *home,
+                                     Time now) const;
+
+    std::string dataCentre_;
+    PlacementOptions options_;
+    std::mt19937_64 random_;
+    TargetBoard board_;
+    PrefixMemory memory_;
+};
+
+/// Returns a hash of the first `count` parts under a cache scope and a version of the weights.
+std::uint64_t prefixHash(const WorkRequest &request, std::size_t count, std::uint64_t weights);
+
+} // namespace chervilfield::dispatch
--- /dev/null
+++ b/packages/dispatch/include/dispatch/target_board.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "fleet/configuration.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+#include <unordered_map>
+
+/// Decisions on where a request goes and when it is refused. No sockets and no clock of its own.
+namespace chervilfield::dispatch {
+
+using Time = std::chrono::steady_clock::time_point;
+using Seconds = std::chrono::duration<double>;
+
+/// Load that a target reports with its answers.
+struct LoadReport
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+    double slowness = 1; ///< Time that work takes there now, relative to the usual time.
+};
+
+/// What this instance knows about one run of a target.
+struct TargetStatus
+{
+    std::uint64_t startedAt = 0;     ///< Of the run that all of this is about.
+    std::uint32_t inFlight = 0;      ///< Requests of this instance without a complete answer.
+    double waitingTokens = 0;        ///< Prompt tokens of those without a first event.
+    LoadReport report;
+    std::uint32_t ownAtReport = 0;   ///< Of `report`, what was this instance's own.
+    Time reportedAt{};
+    std::map<std::string, std::uint64_t> weights; ///< Version by model, as last learnt.
+    double failures = 0;             ///< Recent failures, decaying.
+    Time failuresAt{};               ///< When `failures` was decayed.
+    Time avoidUntil{};               ///< No new work before this, unless there is no other target.
+    Time loadingUntil{};             ///< Expected end of a load of weights.
+};
+
+/// Why a target did not answer a request.
+enum class Fault {
+    Unreachable, ///< No connection.
+    Broken,      ///< The connection ended or the answer could not be read.
+    Silent,      ///< No answer in time.
+    Refused,     ///< Answered that it did not run the request.
+    Failed,      ///< Answered with an error of its own.
+};
+
+/// How faults make a target less likely to be chosen.
+struct BoardOptions
+{
+    /// Time constant with which faults are forgotten; faults of a few seconds are the usual ones.
+    std::chrono::milliseconds faultMemory{ 4000 };
+    /// Pause after an unreachable target or one that did not answer, times the recent faults.
+    std::chrono::milliseconds pause{ 400 };
+    std::chrono::milliseconds maxPause{ 3000 };
+    /// Age at which half of a load report counts; answers arrive several times a second.
+    std::chrono::milliseconds reportHalfLife{ 700 };
+};
+
+/// Status of all targets that this instance has sent work to. Not safe for concurrent use.
+class TargetBoard
+{
+public:
+    explicit TargetBoard(BoardOptions options = {}) : options_(options) {}
+
+    /// Returns the status of the run, empty at first. The reference is valid until the next call
+    /// with another target.
+    TargetStatus &status(const fleet::Target &target);
+
+    /// Returns the status, or null if nothing is known of the run.
+    const TargetStatus *find(const fleet::Target &target) const;
+
+    void start(const fleet::Target &target, double tokens);
+    void firstEvent(const fleet::Target &target, double tokens);
+    /// Ends a request; `tokens` as passed to `start`, zero after `firstEvent`.
+    void end(const fleet::Target &target, double tokens);
+
+    void report(const fleet::Target &target, const LoadReport &report, Time now);
+    void fault(const fleet::Target &target, Fault fault, Time now);
+    void success(const fleet::Target &target, Time now);
+
+    /// Returns the estimated requests of all instances at the target.
+    double estimatedRequests(const fleet::Target &target, Time now) const;
+
+    /// Returns the version of `model` on the target as last learnt, 0 if unknown. What the target
+    /// said with an answer goes before what it registered, if it is later.
+    std::uint64_t weightsOf(const fleet::Target &target, const std::string &model) const;
+    void learnWeights(const fleet::Target &target, const std::string &model, std::uint64_t version);
+
+    /// Forgets runs that are not in `targets` and have no request in flight.
+    void retain(const std::vector<fleet::Target> &targets);
+
+private:
+    double recentFaults(const TargetStatus &status, Time now) const;
+
+    BoardOptions options_;
+    std::unordered_map<std::string, TargetStatus> targets_; ///< By id.
+};
+
+} // namespace chervilfield::dispatch
--- /dev/null
+++ b/packages/entry/include/entry/entry_app.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "base/event_log.h"
+#include "base/hybrid_clock.h"
+#include "base/time_line.h"
+#include "control/control_system.h"
+#include "entry/options.h"
+#include "entry/peer_mesh.h"
+#include "entry/platform.h"
+#include "entry/rollout.h"
+#include "entry/view_keeper.h"
+#include "net/http_server.h"
+#include "relay/relay.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <thread>
+
+namespace chervilfield::entry {
+
+/// One entry instance on a platform that keeps the deployment in its store. One thread owns the
+/// control state and moves its bytes, one serves callers.
+class EntryApp
+{
+public:
+    EntryApp(EntryOptions options, Platform platform);
+    ~EntryApp();
+    EntryApp(const EntryApp &) = delete;
+    EntryApp &operator=(const EntryApp &) = delete;
+
+    /// Serves until SIGTERM or SIGINT, then drains. Returns the exit status of the process.
+    int run();
+
+private:
+    using Clock = std::chrono::steady_clock;
+
+    void listen(std::error_code &error);
+    void serveReady(net::Exchange &exchange, const boost::asio::yield_context &yield);
+    void serveDirectory(net::Exchange &exchange, const boost::asio::yield_context &yield);
+    void serveMetrics(net::Exchange &exchange, const boost::asio::yield_context &yield);
+    void published(const fleet::ViewPtr &view);
+    void waitForSignal();
+    void startDrain();
+    void drainStep();
+    bool isReady() const;
+
+    const EntryOptions options_;
+    const Platform platform_;
+    const std::uint64_t life_;
+    base::EventLog log_;
+    base::HybridClock clock_;
+    base::TimeLine timeLine_;
+    std::atomic<bool> draining_{ false };
+    Clock::time_point drainStarted_{};
+
+    boost::asio::io_context control_{ 1 };
+    boost::asio::io_context traffic_{ 1 };
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> controlWork_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> trafficWork_;
+    boost::asio::signal_set signals_{ control_, SIGTERM, SIGINT };
+
+    std::unique_ptr<fleet::Store> store_;
+    std::unique_ptr<fleet::EngineControl> engines_;
+    control::ControlSystem system_;
+    ViewKeeper views_;
+    PeerMesh peers_;
+    Rollout rollout_;
+    net::HttpClient client_; ///< Of the traffic thread.
+    dispatch::Placer placer_;
+    relay::Metrics metrics_;
+    relay::Relay relay_;
+    std::unique_ptr<net::HttpServer> callers_;
+    std::unique_ptr<net::HttpServer> ready_;
+    std::unique_ptr<net::HttpServer> directory_;
+    std::unique_ptr<net::HttpServer> exposition_;
+    std::thread trafficThread_;
+};
+
+} // namespace chervilfield::entry
--- /dev/null
+++ b/packages/entry/include/entry/view_keeper.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "base/event_log.h"
+#include "fleet/documents.h"
+#include "fleet/store.h"
+#include "fleet/view.h"
+#include "peers/transfer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chervilfield::entry {
+
+struct ViewKeeperOptions
+{
+    /// Longest wait of one question for changes. An answer also shows that the store is there.
+    std::chrono::milliseconds feedWait{ 3000 };
+    std::chrono::milliseconds leastBackoff{ 100 };
+    std::chrono::milliseconds mostBackoff{ 1000 };
+    /// Time without an answer after which the view is not known to be up to date.
+    std::chrono::milliseconds freshFor{ 4500 };
+    /// Registrations that ran out while the store was away return within this time.
+    std::chrono::milliseconds returnTime{ 2000 };
+    /// A silence of the store of this length may have let registrations run out.
+    std::chrono::milliseconds outage{ 1500 };
+};
+
+/// Keeps a copy of the tables that describe the deployment, by following the store and by asking
+/// peers while the store does not answer, and publishes views of it. Runs on the control I/O
+/// thread, except for `view()` and `isFresh()`.
+class ViewKeeper
+{
+public:
+    using Clock = std::chrono::steady_clock;
+
+    struct Hooks
+    {
+        std::function<void(const fleet::ViewPtr &)> published;
+    };
+
+    /// `store`, `documents` and `log` outlive the object.
+    ViewKeeper(boost::asio::io_context &context, fleet::Store &store,
+               const fleet::Documents &documents, base::EventLog &log, Hooks hooks,
+               ViewKeeperOptions options = {});
+
+    /// Starts to follow the store.
+    void start();
+
+    /// Returns the latest view, empty but never null. Safe from any thread.
+    fleet::ViewPtr view() const { return view_.load(); }
+
+    /// Returns true if the store or a peer has confirmed the view lately. Safe from any thread.
+    bool isFresh() const;
+
+    /// Returns true if the store has answered lately.
+    bool storeAnswers() const;
+
+    /// Returns what changed after a version of the store, for a peer.
+    peers::ConfigurationEntries entriesAfter(std::uint64_t version) const;
+
+    /// Takes what a peer knows.
+    void merge(const peers::ConfigurationEntries &entries);
+
+    /// Returns the version up to which every table is known.
+    std::uint64_t version() const;
+
+private:
+    void follow(const std::string &table, const boost::asio::yield_context &yield);
+    bool step(const std::string &table, const boost::asio::yield_context &yield);
+    void noteAnswer(const std::string &table);
+    void noteFailure(const std::string &table, const std::error_code &error);
+    void rebuild();
+    void keepMissing(std::vector<fleet::Target> &targets);
+    void scheduleRebuild(std::chrono::milliseconds delay);
+
+    boost::asio::io_context &context_;
+    fleet::Store &store_;
+    const fleet::Documents &documents_;
+    base::EventLog &log_;
+    Hooks hooks_;
+    ViewKeeperOptions options_;
+    fleet::Tables tables_;
+    std::map<std::string, Clock::time_point> answered_; ///< Last answer by table.
+    std::map<std::string, bool> failing_;               ///< By table.
+    Clock::time_point storeReturned_{};                 ///< End of the last outage.
+    std::map<std::string, std::string> reported_; ///< Reason by rejected row, to log it once.
+    std::atomic<fleet::ViewPtr> view_;
+    std::atomic<Clock::time_point> storeAnswered_{ Clock::time_point{} };
+    std::atomic<Clock::time_point> peerAnswered_{ Clock::time_point{} };
+};
+
+} // namespace chervilfield::entry
--- /dev/null
+++ b/packages/entry/src/entry_app.cpp
@@ -0,0 +1,228 @@
+#include "entry/entry_app.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace chervilfield::entry {
+
+using boost::asio::yield_context;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kTimeLineEvents = 1024;
+constexpr milliseconds kDrainCheck{ 20 };
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+// Above the longest time for which callers of today reuse an idle connection.
+constexpr milliseconds kCallerIdle{ 60'000 };
+constexpr milliseconds kCallerWrite{ 6'000 };
+
+std::uint64_t startTime()
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                              std::chrono::system_clock::now().time_since_epoch())
+                                              .count());
+}
+
+relay::RelayOptions relayOptions(const EntryOptions &options)
+{
+    const double window = std::chrono::duration<double>(options.retryWindow).count();
+    // Without a count of the instances in service, the burst is meant for this one alone.
+    return { .retries = { .perRequest = options.retryRatio,
+                          .perSecond = options.retryBurst / window,
+                          .most = options.retryBurst } };
+}
+
+RolloutOptions rolloutOptions(const EntryOptions &options)
+{
+    RolloutOptions rollout{ .instance = options.instance };
+    rollout.lease.duration = options.leaseDuration;
+    rollout.lease.effect =
+            options.enginesCheckFences ? milliseconds(0) : options.leaseDuration;
+    rollout.fences = options.enginesCheckFences ? leases::FenceCheck::Checked
+                                                : leases::FenceCheck::Ignored;
+    return rollout;
+}
+
+} // namespace
+
+EntryApp::EntryApp(EntryOptions options, Platform platform)
+    : options_(std::move(options)), platform_(std::move(platform)), life_(startTime()),
+      timeLine_(options_.instance, kTimeLineEvents, clock_), controlWork_(control_.get_executor()),
+      trafficWork_(traffic_.get_executor()),
+      store_(platform_.makeStore(control_.get_executor(), options_.store)),
+      engines_(platform_.makeEngineControl(control_.get_executor())),
+      views_(control_, *store_, platform_.documents, log_,
+             { .published = [this](const fleet::ViewPtr &view) { published(view); } }),
+      peers_(control_, options_, life_, timeLine_, log_, views_),
+      rollout_(control_, *store_, *engines_, log_,
+               { .view = [this] { return views_.view(); },
+                 .liveInstances = [this] { return peers_.liveInstances(); },
+                 .progress = [](const LoadTask &, bool) {} },
+               rolloutOptions(options_)),
+      client_(traffic_.get_executor(), {}), placer_(options_.dataCentre, std::random_device{}()),
+      relay_({ .codec = platform_.codec,
+               .client = client_,
+               .placer = placer_,
+               .metrics = metrics_,
+               .log = log_,
+               .knowledge =
+                       [this] {
+                           return relay::Knowledge{ .view = views_.view(),
+                                                    .isFresh = views_.isFresh() };
+                       },
+               .options = relayOptions(options_) })
+{
+}
+
+EntryApp::~EntryApp()
+{
+    traffic_.stop();
+    if (trafficThread_.joinable())
+        trafficThread_.join();
+}
+
+bool EntryApp::isReady() const
+{
+    return !draining_ && views_.view()->isComplete();
+}
+
+void EntryApp::listen(std::error_code &error)
+{
+    const auto serve = [&](std::unique_ptr<net::HttpServer> &server,
+                           boost::asio::io_context &context, const net::Address &address,
+                           net::Handler handler, net::ServerOptions options) {
+        if (error)
+            return;
+        server = std::make_unique<net::HttpServer>(
+                std::vector<net::ServerWorker>{ { &context, std::move(handler) } },
+                std::move(options));
+        server->listen(address, error);
+    };
+    const auto bound = [this](auto member) {
+        return [this, member](net::Exchange &exchange, const yield_context &yield) {
+            (this->*member)(exchange, yield);
+        };
+    };
+    serve(ready_, control_, options_.ready, bound(&EntryApp::serveReady), {});
+    serve(directory_, control_, options_.directory, bound(&EntryApp::serveDirectory), {});
+    serve(exposition_, control_, options_.metrics, bound(&EntryApp::serveMetrics), {});
+    serve(callers_, traffic_, options_.callers,
+          [this](net::Exchange &exchange, const yield_context &yield) {
+              relay_.serve(exchange, yield);
+          },
+          { .idleTimeout = kCallerIdle,
+            .writeTimeout = kCallerWrite,
+            .errorResponse = [this](base::Result result) {
+                return platform_.codec.failure({ .code = result });
+            } });
+}
+
+int EntryApp::run()
+{
+    std::error_code error;
+    listen(error);
+    if (!error)
+        peers_.start(system_, error);
+    if (error) {
+        log_.write("entry", "cannot-listen", { { "error", error.message() } });
+        return 1;
+    }
+    log_.write("entry", "started",
+               { { "instance", options_.instance },
+                 { "data_centre", options_.dataCentre },
+                 { "life", life_ },
+                 { "callers", toString(options_.callers) } });
+    views_.start();
+    rollout_.start();
+    waitForSignal();
+    trafficThread_ = std::thread([this] { traffic_.run(); });
+    control_.run();
+    return 0;
+}
+
+void EntryApp::published(const fleet::ViewPtr &view)
+{
+    peers_.setVersion(view->storeVersion());
+}
+
+void EntryApp::serveReady(net::Exchange &exchange, const yield_context &yield)
+{
+    int status = kNotFound;
+    if (net::pathOf(exchange.request().target) == platform_.readyPath)
+        status = isReady() ? kOk : kUnavailable;
+    std::error_code ignored;
+    exchange.respond({ .status = status, .headers = {}, .body = {} }, yield, ignored);
+}
+
+void EntryApp::serveDirectory(net::Exchange &exchange, const yield_context &yield)
+{
+    std::error_code ignored;
+    if (!platform_.decodeAddressQuestion(exchange.request())) {
+        exchange.respond({ .status = kNotFound, .headers = {}, .body = {} }, yield, ignored);
+        return;
+    }
+    auto addresses = peers_.callerAddresses();
+    // Spreads callers that take the first address.
+    std::ranges::shuffle(addresses, std::mt19937_64(std::random_device{}()));
+    constexpr std::size_t kMostAddresses = 64;
+    if (addresses.size() > kMostAddresses)
+        addresses.resize(kMostAddresses);
+    exchange.respond(platform_.encodeAddresses(addresses, options_.addressLifetime), yield,
+                     ignored);
+}
+
+void EntryApp::serveMetrics(net::Exchange &exchange, const yield_context &yield)
+{
+    std::error_code ignored;
+    exchange.respond({ .status = kOk,
+                       .headers = { { "Content-Type", "text/plain; version=0.0.4" } },
+                       .body = metrics_.exposition() },
+                     yield, ignored);
+}
+
+void EntryApp::waitForSignal()
+{
+    signals_.async_wait([this](const auto &error, int) {
+        if (error)
+            return;
+        // Further signals must not end the process while it drains.
+        waitForSignal();
+        if (!draining_)
+            startDrain();
+    });
+}
+
+void EntryApp::startDrain()
+{
+    draining_ = true;
+    drainStarted_ = Clock::now();
+    log_.write("entry", "draining", { { "active", callers_->activeRequests() } });
+    peers_.leave();
+    callers_->closeAfterResponses();
+    drainStep();
+}
+
+void EntryApp::drainStep()
+{
+    const auto passed = Clock::now() - drainStarted_;
+    if (passed > options_.drainAnnounce)
+        callers_->stopAccepting();
+    const bool isIdle = passed > options_.drainAnnounce && callers_->activeRequests() == 0;
+    if (isIdle || passed > options_.drainLimit) {
+        log_.write("entry", "stopped", { { "active", callers_->activeRequests() } });
+        peers_.exit();
+        control_.stop();
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(control_, kDrainCheck);
+    timer->async_wait([this, timer](const auto &) { drainStep(); });
+}
+
+} // namespace chervilfield::entry
--- /dev/null
+++ b/packages/entry/src/peer_mesh.cpp
@@ -0,0 +1,183 @@
+#include "entry/peer_mesh.h"
+
+#include "peers/exchange.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilfield::entry {
+
+using boost::asio::yield_context;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kPeerTimeout{ 300 };   ///< Several round trips between data centres.
+constexpr milliseconds kAskInterval{ 500 };   ///< While the store does not answer.
+
+} // namespace
+
+PeerMesh::PeerMesh(boost::asio::io_context &context, const EntryOptions &options,
+                   std::uint64_t life, base::TimeLine &timeLine, base::EventLog &log,
+                   ViewKeeper &views)
+    : context_(context), options_(options), life_(life), timeLine_(timeLine), log_(log),
+      views_(views), client_(context.get_executor(), { .connectTimeout = kPeerTimeout }),
+      random_(std::random_device{}())
+{
+}
+
+PeerMesh::~PeerMesh() = default;
+
+void PeerMesh::start(control::ControlSystem &system, std::error_code &error)
+{
+    const peers::ExchangeSource source{
+        .exchangeTable =
+                [this](std::vector<membership::Member> table) {
+                    actor_->receiveTable(std::move(table));
+                    return actor_->snapshot()->members;
+                },
+        .entriesAfter = [this](std::uint64_t after) { return views_.entriesAfter(after); }
+    };
+    server_ = std::make_unique<net::HttpServer>(
+            std::vector<net::ServerWorker>{ { &context_, peers::makeExchangeHandler(source) } },
+            net::ServerOptions{});
+    server_->listen(options_.peers, error);
+    if (error)
+        return;
+    transport_ = std::make_unique<peers::UdpTransport>(
+            context_, [this](const net::Address &from, peers::Datagram datagram) {
+                receive(from, std::move(datagram));
+            });
+    transport_->open(server_->localAddress(), error);
+    if (error)
+        return;
+    actor_ = std::make_unique<control::MemberActor>(system, actorOptions());
+    std::vector<std::string> seeds;
+    for (const net::Address &seed : options_.seeds)
+        seeds.push_back(toString(seed));
+    actor_->setSeeds(std::move(seeds));
+    net::spawnCoroutine(context_, "[entry]",
+                        [this](const yield_context &yield) { askPeers(yield); });
+}
+
+control::MemberActorOptions PeerMesh::actorOptions()
+{
+    return { .self = { .name = options_.instance,
+                       .peerAddress = toString(server_->localAddress()),
+                       .callerAddress = toString(options_.callers),
+                       .dataCentre = options_.dataCentre,
+                       .life = life_ },
+             .protocol = membership::optionsFor(options_.protocolPeriod),
+             .randomSeed = random_(),
+             .timeLine = &timeLine_,
+             .send = [this](const std::string &to,
+                            const membership::Packet &packet) { sendTo(to, packet); },
+             .exchangeTable = [this](const std::string &to) { exchangeTable(to); },
+             .published =
+                     [this](const control::MemberSnapshotPtr &snapshot) {
+                         const auto live = std::ranges::count_if(snapshot->members,
+                                                                 membership::takesWork);
+                         log_.write("membership", "changed",
+                                    { { "members", snapshot->members.size() }, { "live", live } });
+                     },
+             .revisionSeen =
+                     [this](std::uint64_t, const std::string &from) {
+                         const auto peer = net::parseAddress(from);
+                         if (!peer)
+                             return;
+                         net::spawnCoroutine(context_, "[entry]",
+                                             [this, peer = *peer](const yield_context &yield) {
+                                                 fetchRows(peer, yield);
+                                             });
+                     } };
+}
+
+void PeerMesh::sendTo(const std::string &address, const peers::Datagram &datagram)
+{
+    if (const auto to = net::parseAddress(address))
+        transport_->send(*to, datagram);
+}
+
+void PeerMesh::receive(const net::Address &from, peers::Datagram datagram)
+{
+    if (auto *packet = std::get_if<membership::Packet>(&datagram); packet && actor_)
+        actor_->receive(toString(from), std::move(*packet));
+}
+
+void PeerMesh::exchangeTable(const std::string &address)
+{
+    const auto peer = net::parseAddress(address);
+    if (!peer)
+        return;
+    net::spawnCoroutine(context_, "[entry]", [this, peer = *peer](const yield_context &yield) {
+        std::error_code error;
+        auto table = peers::exchangeTable(client_, peer, actor_->snapshot()->members, kPeerTimeout,
+                                          yield, error);
+        if (table)
+            actor_->receiveTable(std::move(*table));
+    });
+}
+
+void PeerMesh::fetchRows(const net::Address &peer, const yield_context &yield)
+{
+    std::error_code error;
+    const auto entries =
+            peers::fetchEntries(client_, peer, views_.version(), kPeerTimeout, yield, error);
+    if (entries)
+        views_.merge(*entries);
+}
+
+std::vector<net::Address> PeerMesh::otherPeers() const
+{
+    std::vector<net::Address> result;
+    for (const membership::Member &member : actor_->snapshot()->members) {
+        if (member.name == options_.instance || member.state == membership::MemberState::Dead)
+            continue;
+        if (const auto address = net::parseAddress(member.peerAddress))
+            result.push_back(*address);
+    }
+    // Before the first contact only the seeds are known.
+    return result.empty() ? options_.seeds : result;
+}
+
+void PeerMesh::askPeers(const yield_context &yield)
+{
+    boost::asio::steady_timer timer(context_);
+    while (true) {
+        timer.expires_after(kAskInterval);
+        boost::system::error_code ignored;
+        timer.async_wait(yield[ignored]);
+        if (views_.storeAnswers())
+            continue;
+        const auto peers = otherPeers();
+        if (!peers.empty())
+            fetchRows(peers[random_() % peers.size()], yield);
+    }
+}
+
+std::vector<net::Address> PeerMesh::callerAddresses() const
+{
+    std::vector<net::Address> result;
+    for (const membership::Member &member : actor_->snapshot()->members) {
+        if (!membership::takesWork(member))
+            continue;
+        if (const auto address = net::parseAddress(member.callerAddress))
+            result.push_back(*address);
+    }
+    return result;
+}
+
+std::vector<std::string> PeerMesh::liveInstances() const
+{
+    std::vector<std::string> result;
+    for (const membership::Member &member : actor_->snapshot()->members) {
+        if (membership::takesWork(member))
+            result.push_back(member.name);
+    }
+    return result;
+}
+
+} // namespace chervilfield::entry
--- /dev/null
+++ b/packages/entry/src/rollout.cpp
@@ -0,0 +1,285 @@
+#include "entry/rollout.h"
+
+#include "base/result.h"
+#include "net/http_server.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <ctime>
+
+namespace chervilfield::entry {
+
+using base::Result;
+using boost::asio::yield_context;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string kLeaseTable = "leases";
+const std::string kLeaseKey = "weights";
+
+// The steady clock stands still while the machine is suspended, and a lease must not.
+leases::SteadyTime leaseNow()
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return leases::SteadyTime(std::chrono::duration_cast<leases::SteadyTime::duration>(
+            std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
+} // namespace
+
+Rollout::Rollout(boost::asio::io_context &context, fleet::Store &store,
+                 fleet::EngineControl &engines, base::EventLog &log, Hooks hooks,
+                 RolloutOptions options)
+    : context_(context), store_(store), engines_(engines), log_(log), hooks_(std::move(hooks)),
+      options_(std::move(options))
+{
+}
+
+void Rollout::start()
+{
+    net::spawnCoroutine(context_, "[entry]", [this](const yield_context &yield) { run(yield); });
+}
+
+void Rollout::pause(milliseconds time, const yield_context &yield)
+{
+    boost::asio::steady_timer timer(context_, time);
+    boost::system::error_code ignored;
+    timer.async_wait(yield[ignored]);
+}
+
+std::vector<LoadTask> Rollout::tasks() const
+{
+    std::vector<LoadTask> result;
+    const fleet::ViewPtr view = hooks_.view();
+    for (const fleet::Target &target : view->targets()) {
+        if (target.state != fleet::TargetState::Ready)
+            continue;
+        const auto seen = seen_.find({ target.id, target.startedAt });
+        for (const auto &[model, registered] : target.weights) {
+            std::uint64_t present = registered;
+            if (seen != seen_.end() && seen->second.contains(model))
+                present = std::max(present, seen->second.at(model));
+            const std::uint64_t wanted = view->wantedWeights(model);
+            if (present < wanted)
+                result.push_back({ target, model, wanted });
+        }
+    }
+    return result;
+}
+
+bool Rollout::isMyTurn(Clock::time_point now)
+{
+    if (!neededSince_)
+        neededSince_ = now;
+    if (holding_)
+        return true;
+    const auto live = hooks_.liveInstances();
+    const auto own = std::ranges::find(live, options_.instance);
+    const auto rank = own == live.end() ? live.size() : std::distance(live.begin(), own);
+    return now - *neededSince_ >= rank * options_.standbyDelay;
+}
+
+bool Rollout::holdsLease() const
+{
+    return holding_ && leaseNow() < leases::validUntil(*holding_, clocks_);
+}
+
+bool Rollout::ensureLease(const yield_context &yield)
+{
+    if (holdsLease()) {
+        const auto remaining = leases::validUntil(*holding_, clocks_) - leaseNow();
+        if (remaining < options_.lease.duration / 2)
+            renewLease(yield);
+        return holdsLease();
+    }
+    return takeLease(yield);
+}
+
+void Rollout::renewLease(const yield_context &yield)
+{
+    const auto sentAt = leaseNow();
+    const auto sentAtWall = std::chrono::system_clock::now();
+    std::error_code error;
+    const auto version = store_.write({ .table = kLeaseTable,
+                                        .key = kLeaseKey,
+                                        .expectedVersion = holding_->version,
+                                        .value = leases::encodeLease(holding_->row) },
+                                      yield, error);
+    if (version) {
+        leases::recordRenewal(*holding_, *version, sentAt, sentAtWall);
+        return;
+    }
+    log_.write("rollout", "renewal-failed",
+               { { "fence", holding_->row.fence },
+                 { "result", base::resultInfo(base::toResult(error)).name } });
+    // After a write without an answer the row's version is unknown; it is read again.
+    if (error == Result::RevisionConflict || error == Result::WriteUndecided)
+        holding_.reset();
+}
+
+bool Rollout::takeLease(const yield_context &yield)
+{
+    holding_.reset();
+    std::error_code error;
+    const auto rows = store_.readAll(kLeaseTable, yield, error);
+    if (!rows)
+        return false;
+    const auto found = std::ranges::find(rows->rows, kLeaseKey, &fleet::StoreRow::key);
+    std::optional<leases::LeaseRow> current;
+    std::uint64_t version = 0;
+    if (found != rows->rows.end()) {
+        version = found->version;
+        current = leases::decodeLease(found->value, error);
+        if (!current)
+            return false;
+        observed_ = leases::observe(observed_, version, leaseNow());
+        const bool isOwn = current->holder == options_.instance;
+        if (!isOwn && !leases::mayTake(*current, *observed_, options_.fences, clocks_, leaseNow()))
+            return false;
+    }
+    leases::LeaseRow row = leases::takenRow(
+            current, { .holder = options_.instance, .target = {}, .times = options_.lease });
+    row.fence = std::max(row.fence, fenceFloor_ + 1);
+    const auto sentAt = leaseNow();
+    const auto sentAtWall = std::chrono::system_clock::now();
+    const auto written = store_.write({ .table = kLeaseTable,
+                                        .key = kLeaseKey,
+                                        .expectedVersion = version,
+                                        .value = leases::encodeLease(row) },
+                                      yield, error);
+    if (!written)
+        return false;
+    holding_ = leases::Holding{ .row = row, .version = *written };
+    leases::recordRenewal(*holding_, *written, sentAt, sentAtWall);
+    log_.write("rollout", "lease-taken",
+               { { "fence", row.fence }, { "before", current ? current->holder : std::string() } });
+    return true;
+}
+
+void Rollout::releaseLease(const yield_context &yield)
+{
+    const leases::LeaseRow row{ .holder = {},
+                                .fence = holding_->row.fence,
+                                .times = holding_->row.times,
+                                .target = {} };
+    std::error_code error;
+    store_.write({ .table = kLeaseTable,
+                   .key = kLeaseKey,
+                   .expectedVersion = holding_->version,
+                   .value = leases::encodeLease(row) },
+                 yield, error);
+    log_.write("rollout", "lease-released",
+               { { "fence", row.fence },
+                 { "result", base::resultInfo(base::toResult(error)).name } });
+    holding_.reset();
+}
+
+void Rollout::done(const LoadTask &task, std::string_view how)
+{
+    seen_[{ task.target.id, task.target.startedAt }][task.model] = task.version;
+    neededSince_ = Clock::now();
+    hooks_.progress(task, true);
+    log_.write("rollout", "weights-in-place",
+               { { "target", task.target.id },
+                 { "model", task.model },
+                 { "weights", task.version },
+                 { "how", how } });
+}
+
+bool Rollout::awaitLoad(const LoadTask &task, const yield_context &yield)
+{
+    const auto until = Clock::now() + options_.loadLimit;
+    while (Clock::now() < until) {
+        pause(options_.statePoll, yield);
+        std::error_code error;
+        const auto state = engines_.state(task.target, yield, error);
+        if (!state)
+            return false;
+        const auto weights = state->weights.find(task.model);
+        if (weights != state->weights.end() && weights->second >= task.version)
+            return true;
+    }
+    return false;
+}
+
+void Rollout::load(const LoadTask &task, const yield_context &yield)
+{
+    std::error_code error;
+    const auto state = engines_.state(task.target, yield, error);
+    if (!state || state->isBusy || !holdsLease())
+        return;
+    const auto weights = state->weights.find(task.model);
+    if (weights != state->weights.end() && weights->second >= task.version)
+        return done(task, "already");
+    lastOrder_ = Clock::now();
+    hooks_.progress(task, false);
+    const auto outcome = engines_.load(task.target,
+                                       { .model = task.model,
+                                         .version = task.version,
+                                         .holder = options_.instance,
+                                         .fence = holding_->row.fence,
+                                         .ordersExpected = state->ordersAccepted },
+                                       yield);
+    log_.write("rollout", "ordered",
+               { { "target", task.target.id },
+                 { "model", task.model },
+                 { "weights", task.version },
+                 { "outcome", static_cast<int>(outcome) } });
+    switch (outcome) {
+    case fleet::OrderOutcome::AlreadyDone:
+        return done(task, "already");
+    case fleet::OrderOutcome::StaleFence:
+        if (holding_)
+            fenceFloor_ = std::max(fenceFloor_, holding_->row.fence);
+        holding_.reset();
+        return;
+    case fleet::OrderOutcome::Accepted:
+    case fleet::OrderOutcome::Undecided:
+        if (awaitLoad(task, yield))
+            done(task, "loaded");
+        return;
+    case fleet::OrderOutcome::Busy:
+    case fleet::OrderOutcome::Rejected:
+        return;
+    }
+}
+
+void Rollout::startLoads(const std::vector<LoadTask> &tasks)
+{
+    const auto now = Clock::now();
+    for (const LoadTask &task : tasks) {
+        const std::string &id = task.target.id;
+        if (loading_.size() >= options_.parallelLoads)
+            return;
+        if (loading_.contains(id) || retryAt_[id] > now)
+            continue;
+        loading_.insert(id);
+        net::spawnCoroutine(context_, "[entry]", [this, task](const yield_context &yield) {
+            load(task, yield);
+            retryAt_[task.target.id] = Clock::now() + options_.retryDelay;
+            loading_.erase(task.target.id);
+        });
+    }
+}
+
+void Rollout::run(const yield_context &yield)
+{
+    while (true) {
+        pause(options_.tick, yield);
+        const auto now = Clock::now();
+        const auto open = tasks();
+        if (open.empty() && loading_.empty()) {
+            neededSince_.reset();
+            if (holding_ && now - lastOrder_ > options_.releaseAfter)
+                releaseLease(yield);
+            continue;
+        }
+        if (isMyTurn(now) && ensureLease(yield))
+            startLoads(open);
+    }
+}
+
+} // namespace chervilfield::entry
--- /dev/null
+++ b/packages/entry/src/view_keeper.cpp
@@ -0,0 +1,265 @@
+#include "entry/view_keeper.h"
+
+#include "base/result.h"
+#include "net/http_server.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <memory>
+#include <utility>
+
+namespace chervilfield::entry {
+
+namespace json = boost::json;
+using base::Result;
+using boost::asio::yield_context;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Rows of one version travel together, because the entries of a peer's answer must grow in version.
+std::string encodeRows(const std::vector<const fleet::StoreRow *> &rows)
+{
+    json::array list;
+    for (const fleet::StoreRow *row : rows) {
+        list.push_back(json::object{ { "table", row->table },
+                                     { "key", row->key },
+                                     { "value", row->value },
+                                     { "deleted", row->isDeleted } });
+    }
+    return json::serialize(list);
+}
+
+std::vector<fleet::StoreRow> decodeRows(const peers::ConfigurationEntry &entry)
+{
+    std::vector<fleet::StoreRow> rows;
+    json::error_code error;
+    const json::value value = json::parse(entry.value, error);
+    if (error || !value.is_array())
+        return rows;
+    for (const json::value &item : value.get_array()) {
+        const json::object *object = item.if_object();
+        if (object == nullptr)
+            continue;
+        const json::value *table = object->if_contains("table");
+        const json::value *key = object->if_contains("key");
+        const json::value *content = object->if_contains("value");
+        const json::value *deleted = object->if_contains("deleted");
+        if (!table || !key || !content || !deleted || !table->is_string() || !key->is_string()
+            || !content->is_string() || !deleted->is_bool())
+            continue;
+        rows.push_back({ .table = std::string(table->get_string()),
+                         .partition = {},
+                         .key = std::string(key->get_string()),
+                         .value = std::string(content->get_string()),
+                         .version = entry.revision,
+                         .isDeleted = deleted->get_bool() });
+    }
+    return rows;
+}
+
+} // namespace
+
+ViewKeeper::ViewKeeper(boost::asio::io_context &context, fleet::Store &store,
+                       const fleet::Documents &documents, base::EventLog &log, Hooks hooks,
+                       ViewKeeperOptions options)
+    : context_(context), store_(store), documents_(documents), log_(log), hooks_(std::move(hooks)),
+      options_(options), view_(std::make_shared<const fleet::View>())
+{
+    for (const std::string &table : documents_.tables)
+        tables_[table] = {};
+}
+
+void ViewKeeper::start()
+{
+    for (const std::string &table : documents_.tables) {
+        net::spawnCoroutine(context_, "[entry]", [this, table](const yield_context &yield) {
+            follow(table, yield);
+        });
+    }
+}
+
+bool ViewKeeper::storeAnswers() const
+{
+    return Clock::now() - storeAnswered_.load() < options_.freshFor;
+}
+
+bool ViewKeeper::isFresh() const
+{
+    return storeAnswers() || Clock::now() - peerAnswered_.load() < options_.freshFor;
+}
+
+std::uint64_t ViewKeeper::version() const
+{
+    std::uint64_t least = std::numeric_limits<std::uint64_t>::max();
+    for (const auto &[name, table] : tables_)
+        least = std::min(least, table.version());
+    return least;
+}
+
+void ViewKeeper::noteAnswer(const std::string &table)
+{
+    const auto now = Clock::now();
+    const auto last = answered_.find(table);
+    const bool wasAway = failing_[table]
+                         || (last != answered_.end()
+                             && now - last->second > options_.feedWait + options_.outage);
+    if (wasAway) {
+        storeReturned_ = now;
+        log_.write("store", "regained", { { "table", table }, { "version", version() } });
+    }
+    failing_[table] = false;
+    answered_[table] = now;
+    storeAnswered_ = now;
+}
+
+void ViewKeeper::noteFailure(const std::string &table, const std::error_code &error)
+{
+    if (failing_[table])
+        return;
+    failing_[table] = true;
+    log_.write("store", "lost",
+               { { "table", table },
+                 { "version", version() },
+                 { "result", base::resultInfo(base::toResult(error)).name } });
+}
+
+bool ViewKeeper::step(const std::string &table, const yield_context &yield)
+{
+    fleet::TableReplica &replica = tables_[table];
+    std::error_code error;
+    bool changed = false;
+    std::optional<fleet::StoreRows> rows;
+    if (answered_.contains(table) && replica.version() > 0)
+        rows = store_.changes(table, replica.version(), options_.feedWait, yield, error);
+    const bool needsAll = !rows && (!error || error == Result::NotFound);
+    if (needsAll) {
+        error.clear();
+        rows = store_.readAll(table, yield, error);
+    }
+    if (!rows) {
+        noteFailure(table, error);
+        return false;
+    }
+    noteAnswer(table);
+    changed = needsAll ? replica.replace(*rows) : replica.apply(*rows);
+    if (changed || needsAll)
+        rebuild();
+    return true;
+}
+
+void ViewKeeper::follow(const std::string &table, const yield_context &yield)
+{
+    milliseconds backoff = options_.leastBackoff;
+    boost::asio::steady_timer timer(context_);
+    while (true) {
+        if (step(table, yield)) {
+            backoff = options_.leastBackoff;
+            continue;
+        }
+        timer.expires_after(backoff);
+        boost::system::error_code ignored;
+        timer.async_wait(yield[ignored]);
+        backoff = std::min(options_.mostBackoff, backoff * 2);
+    }
+}
+
+void ViewKeeper::keepMissing(std::vector<fleet::Target> &targets)
+{
+    const auto until = storeReturned_ + options_.returnTime;
+    const auto now = Clock::now();
+    const bool isAway = std::ranges::any_of(failing_, [](const auto &f) { return f.second; });
+    if (storeReturned_ == Clock::time_point{} || (now >= until && !isAway))
+        return;
+    std::size_t kept = 0;
+    for (const fleet::Target &known : view()->targets()) {
+        const bool isListed =
+                std::ranges::find(targets, known.id, &fleet::Target::id) != targets.end();
+        if (isListed || known.state != fleet::TargetState::Ready)
+            continue;
+        targets.push_back(known);
+        ++kept;
+    }
+    if (kept == 0)
+        return;
+    log_.write("store", "registrations-kept", { { "targets", kept } });
+    scheduleRebuild(std::chrono::duration_cast<milliseconds>(until - now) + milliseconds(1));
+}
+
+void ViewKeeper::scheduleRebuild(milliseconds delay)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
+    timer->async_wait([this, timer](const auto &error) {
+        if (!error)
+            rebuild();
+    });
+}
+
+void ViewKeeper::rebuild()
+{
+    fleet::Deployment deployment = documents_.read(tables_);
+    for (const fleet::RejectedRow &row : deployment.rejected) {
+        std::string &known = reported_[row.table + '/' + row.key];
+        if (std::exchange(known, row.reason) != row.reason)
+            log_.write("store", "row-rejected",
+                       { { "table", row.table }, { "key", row.key }, { "reason", row.reason } });
+    }
+    // A configuration that cannot be read does not replace the one in force.
+    const fleet::ViewPtr before = view();
+    keepMissing(deployment.targets);
+    const auto view = std::make_shared<const fleet::View>(deployment.configuration,
+                                                          std::move(deployment.targets),
+                                                          std::move(deployment.weights), version());
+    const auto versionOf = [](const fleet::View &v) {
+        return v.isComplete() ? v.configuration().version : 0;
+    };
+    view_ = view;
+    log_.write("view", "published",
+               { { "version", view->storeVersion() },
+                 { "configuration", versionOf(*view) },
+                 { "before", versionOf(*before) },
+                 { "targets", view->targets().size() } });
+    hooks_.published(view);
+}
+
+peers::ConfigurationEntries ViewKeeper::entriesAfter(std::uint64_t version) const
+{
+    std::map<std::uint64_t, std::vector<const fleet::StoreRow *>> byVersion;
+    std::vector<fleet::StoreRows> changes;
+    changes.reserve(tables_.size());
+    for (const auto &[name, table] : tables_)
+        changes.push_back(table.after(version));
+    for (const fleet::StoreRows &rows : changes) {
+        for (const fleet::StoreRow &row : rows.rows)
+            byVersion[row.version].push_back(&row);
+    }
+    peers::ConfigurationEntries entries{ .revisionInForce = this->version(), .entries = {} };
+    for (const auto &[rowVersion, rows] : byVersion)
+        entries.entries.push_back({ rowVersion, encodeRows(rows) });
+    return entries;
+}
+
+void ViewKeeper::merge(const peers::ConfigurationEntries &entries)
+{
+    std::map<std::string, fleet::StoreRows> byTable;
+    for (const peers::ConfigurationEntry &entry : entries.entries) {
+        for (fleet::StoreRow &row : decodeRows(entry))
+            byTable[row.table].rows.push_back(std::move(row));
+    }
+    bool changed = false;
+    for (auto &[name, table] : tables_) {
+        fleet::StoreRows &rows = byTable[name];
+        rows.version = entries.revisionInForce;
+        changed = table.apply(rows) || changed;
+    }
+    peerAnswered_ = Clock::now();
+    if (!changed)
+        return;
+    log_.write("view", "taken-from-peer", { { "version", entries.revisionInForce } });
+    rebuild();
+}
+
+} // namespace chervilfield::entry
--- /dev/null
+++ b/packages/fleet/src/view.cpp
@@ -0,0 +1,80 @@
+#include "fleet/view.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace chervilfield::fleet {
+
+namespace {
+
+std::string normalizedHost(std::string_view host)
+{
+    std::string name(host.substr(0, host.find(':')));
+    std::ranges::transform(name, name.begin(),
+                           [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return name;
+}
+
+} // namespace
+
+View::View(std::shared_ptr<const Configuration> configuration, std::vector<Target> targets,
+           std::map<std::string, std::uint64_t> weights, std::uint64_t storeVersion)
+    : configuration_(std::move(configuration)), targets_(std::move(targets)),
+      weights_(std::move(weights)), storeVersion_(storeVersion)
+{
+    for (std::size_t i = 0; i < targets_.size(); ++i) {
+        if (targets_[i].state == TargetState::Ready)
+            readyByPool_[targets_[i].pool].push_back(i);
+    }
+    if (configuration_ == nullptr)
+        return;
+    for (const Route &route : configuration_->routes)
+        routesByHost_[normalizedHost(route.host)].push_back(&route);
+    for (auto &[host, routes] : routesByHost_) {
+        std::ranges::stable_sort(
+                routes, [](auto a, auto b) { return a->prefix.size() > b->prefix.size(); });
+    }
+    for (const Customer &customer : configuration_->customers) {
+        for (const std::string &key : customer.keys)
+            customersByKey_.emplace(key, &customer);
+    }
+}
+
+const Route *View::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto routes = routesByHost_.find(normalizedHost(host));
+    if (routes == routesByHost_.end())
+        return nullptr;
+    const auto match = std::ranges::find_if(
+            routes->second, [path](const Route *route) { return path.starts_with(route->prefix); });
+    return match == routes->second.end() ? nullptr : *match;
+}
+
+const Customer *View::findCustomer(std::string_view key) const
+{
+    const auto found = customersByKey_.find(key);
+    return found == customersByKey_.end() ? nullptr : found->second;
+}
+
+const Pool *View::findPool(std::string_view name) const
+{
+    if (configuration_ == nullptr)
+        return nullptr;
+    const auto found = std::ranges::find(configuration_->pools, name, &Pool::name);
+    return found == configuration_->pools.end() ? nullptr : &*found;
+}
+
+std::span<const std::size_t> View::readyTargets(const std::string &pool) const
+{
+    const auto found = readyByPool_.find(pool);
+    return found == readyByPool_.end() ? std::span<const std::size_t>() : found->second;
+}
+
+std::uint64_t View::wantedWeights(const std::string &model) const
+{
+    const auto found = weights_.find(model);
+    return found == weights_.end() ? 0 : found->second;
+}
+
+} // namespace chervilfield::fleet
--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -52,6 +52,10 @@
 
     /// Returns true if and only if the peer has closed its side or reset the connection.
     virtual bool peerHasClosed() = 0;
+
+    /// Calls `closed` on the exchange's thread if the peer closes its side or resets the connection
+    /// before the exchange ends. Call it at most once for an exchange.
+    virtual void watchPeer(std::function<void()> closed) = 0;
 };
 
 using Handler = std::function<void(Exchange &, boost::asio::yield_context)>;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -37,6 +37,9 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     bool reused = false;
+    std::chrono::steady_clock::time_point idleSince{};
+    /// A write that may outlast the exchange, because a server can answer before it has read all.
+    std::shared_ptr<WireRequest> pendingWrite;
 };
 
 WireRequest toWire(const Address &address, const Request &request)
@@ -44,7 +47,8 @@
     WireRequest wire(http::string_to_verb(request.method), request.target, 11);
     if (wire.method() == http::verb::unknown)
         wire.method_string(request.method);
-    wire.set(http::field::host, toString(address));
+    if (!findHeader(request.headers, "Host"))
+        wire.set(http::field::host, toString(address));
     for (const Header &header : request.headers)
         wire.insert(header.name, header.value);
     wire.body() = request.body;
@@ -77,25 +81,51 @@
     {
     }
 
-    std::unique_ptr<Connection> acquire(const Address &address, bool mayReuse,
+    std::shared_ptr<Connection> acquire(const Address &address, const ExchangeOptions &options,
                                         asio::yield_context yield, std::error_code &error);
-    void release(const Address &address, std::unique_ptr<Connection> connection);
+    void release(const Address &address, std::shared_ptr<Connection> connection);
     std::unique_ptr<ResponseStream> open(const Address &address, const Request &request,
                                          milliseconds timeout, asio::yield_context yield,
                                          std::error_code &error);
+    std::unique_ptr<ResponseStream> openOnce(const Address &address, const Request &request,
+                                             const ExchangeOptions &options,
+                                             asio::yield_context yield, std::error_code &error);
 
     const ClientOptions &options() const { return options_; }
 
 private:
     asio::any_io_executor executor_;
     ClientOptions options_;
-    std::map<Address, std::vector<std::unique_ptr<Connection>>> idle_;
+    std::map<Address, std::vector<std::shared_ptr<Connection>>> idle_;
 };
 
 namespace {
 
 using Parser = http::response_parser<http::buffer_body>;
 constexpr std::size_t kReadBytes = 16U << 10U;
+// Servers close idle connections sooner; a connection that was closed is found stale.
+constexpr milliseconds kMaxIdle{ 3'600'000 };
+
+// Lets a cancellation close the connection while an operation is in progress.
+class AbortScope
+{
+public:
+    AbortScope(Cancellation *cancellation, beast::tcp_stream &stream) : cancellation_(cancellation)
+    {
+        if (cancellation_ != nullptr)
+            cancellation_->setAbort([&stream] { stream.close(); });
+    }
+    ~AbortScope()
+    {
+        if (cancellation_ != nullptr)
+            cancellation_->setAbort({});
+    }
+    AbortScope(const AbortScope &) = delete;
+    AbortScope &operator=(const AbortScope &) = delete;
+
+private:
+    Cancellation *cancellation_;
+};
 
 // True if the server has closed the idle connection or sent bytes that nothing asked for.
 bool isStale(Connection &connection)
@@ -112,25 +142,27 @@
 
 } // namespace
 
-std::unique_ptr<Connection> HttpClient::Implementation::acquire(const Address &address,
-                                                                bool mayReuse,
+std::shared_ptr<Connection> HttpClient::Implementation::acquire(const Address &address,
+                                                                const ExchangeOptions &options,
                                                                 asio::yield_context yield,
                                                                 std::error_code &error)
 {
     auto &idle = idle_[address];
-    while (mayReuse && !idle.empty()) {
-        std::unique_ptr<Connection> connection = std::move(idle.back());
+    const auto oldest = std::chrono::steady_clock::now() - options.reuseWithin;
+    while (options.reuseWithin > milliseconds::zero() && !idle.empty()) {
+        std::shared_ptr<Connection> connection = std::move(idle.back());
         idle.pop_back();
-        if (isStale(*connection))
+        if (connection->idleSince < oldest || isStale(*connection))
             continue;
         connection->reused = true;
         return connection;
     }
-    auto connection = std::make_unique<Connection>(executor_);
+    auto connection = std::make_shared<Connection>(executor_);
     error_code failure;
     const auto host = asio::ip::make_address(address.host, failure);
     if (!failure) {
-        connection->stream.expires_after(options_.connectTimeout);
+        connection->stream.expires_after(options.connectTimeout);
+        const AbortScope scope(options.cancellation, connection->stream);
         connection->stream.async_connect({ host, address.port }, yield[failure]);
     }
     if (failure) {
@@ -142,12 +174,13 @@
 }
 
 void HttpClient::Implementation::release(const Address &address,
-                                         std::unique_ptr<Connection> connection)
+                                         std::shared_ptr<Connection> connection)
 {
     auto &idle = idle_[address];
     if (idle.size() >= options_.maxIdlePerAddress)
         return;
     connection->stream.expires_never();
+    connection->idleSince = std::chrono::steady_clock::now();
     idle.push_back(std::move(connection));
 }
 
@@ -159,7 +192,7 @@
 {
 public:
     ConnectionStream(std::shared_ptr<Owner> owner, Address address,
-                     std::unique_ptr<Connection> connection, std::unique_ptr<Parser> parser)
+                     std::shared_ptr<Connection> connection, std::unique_ptr<Parser> parser)
         : owner_(std::move(owner)), address_(std::move(address)),
           connection_(std::move(connection)), parser_(std::move(parser)),
           headers_(fromWire(parser_->get()))
@@ -169,6 +202,12 @@
     int status() const override { return parser_->get().result_int(); }
     const Headers &headers() const override { return headers_; }
 
+    void abort() override
+    {
+        if (connection_ != nullptr)
+            connection_->stream.close();
+    }
+
     bool read(std::string &out, milliseconds timeout, asio::yield_context yield,
               std::error_code &error) override
     {
@@ -199,14 +238,15 @@
 private:
     void giveBack()
     {
-        if (connection_ != nullptr && parser_->get().keep_alive())
+        if (connection_ != nullptr && parser_->get().keep_alive() && !parser_->need_eof()
+            && connection_->pendingWrite == nullptr)
             owner_->release(address_, std::move(connection_));
         connection_.reset();
     }
 
     std::shared_ptr<Owner> owner_;
     Address address_;
-    std::unique_ptr<Connection> connection_;
+    std::shared_ptr<Connection> connection_;
     std::unique_ptr<Parser> parser_;
     Headers headers_;
 };
@@ -221,7 +261,9 @@
 {
     const WireRequest wire = toWire(address, request);
     for (bool mayReuse = request.idempotent;; mayReuse = false) {
-        auto connection = acquire(address, mayReuse, yield, error);
+        const ExchangeOptions exchange{ .connectTimeout = options_.connectTimeout,
+                                        .reuseWithin = mayReuse ? kMaxIdle : milliseconds::zero() };
+        auto connection = acquire(address, exchange, yield, error);
         if (connection == nullptr)
             return nullptr;
         error_code failure;
@@ -244,6 +286,89 @@
     }
 }
 
+namespace {
+
+// Starts to write without waiting. The server may answer before it has read all of the request, and
+// then goes on reading it.
+void startWrite(const std::shared_ptr<Connection> &connection, WireRequest wire)
+{
+    connection->pendingWrite = std::make_shared<WireRequest>(std::move(wire));
+    const std::weak_ptr<Connection> weak = connection;
+    http::async_write(connection->stream, *connection->pendingWrite,
+                      [weak, wire = connection->pendingWrite](const error_code &, std::size_t) {
+                          if (const auto alive = weak.lock())
+                              alive->pendingWrite.reset();
+                      });
+}
+
+// Reads the rest of a response that belongs to an earlier request.
+void drop(Connection &connection, Parser &parser, asio::yield_context yield, error_code &error)
+{
+    std::array<char, 4096> scratch{};
+    while (!error && !parser.is_done()) {
+        parser.get().body().data = scratch.data();
+        parser.get().body().size = scratch.size();
+        http::async_read(connection.stream, connection.buffer, parser, yield[error]);
+        if (error == http::error::need_buffer)
+            error.clear();
+    }
+}
+
+// A server sends at most a few responses that no request on the connection waits for.
+constexpr int kMaxForeignResponses = 4;
+
+std::unique_ptr<Parser> readOwnHead(Connection &connection, const ExchangeOptions &options,
+                                    std::size_t maxBodyBytes, asio::yield_context yield,
+                                    error_code &error)
+{
+    for (int foreign = 0; foreign <= kMaxForeignResponses && !error; ++foreign) {
+        auto parser = std::make_unique<Parser>();
+        parser->body_limit(maxBodyBytes);
+        http::async_read_header(connection.stream, connection.buffer, *parser, yield[error]);
+        if (error)
+            return nullptr;
+        if (!options.belongs || options.belongs(fromWire(parser->get())))
+            return parser;
+        drop(connection, *parser, yield, error);
+    }
+    if (!error)
+        error = http::error::bad_version;
+    return nullptr;
+}
+
+} // namespace
+
+std::unique_ptr<ResponseStream>
+HttpClient::Implementation::openOnce(const Address &address, const Request &request,
+                                     const ExchangeOptions &options, asio::yield_context yield,
+                                     std::error_code &error)
+{
+    const auto deadline = std::chrono::steady_clock::now() + options.headTimeout;
+    std::shared_ptr<Connection> connection = acquire(address, options, yield, error);
+    const bool cancelled = options.cancellation != nullptr && options.cancellation->cancelled();
+    if (connection == nullptr || cancelled) {
+        error = cancelled ? Result::RequestCancelled : Result::TargetUnreachable;
+        return nullptr;
+    }
+    connection->stream.expires_at(deadline);
+    startWrite(connection, toWire(address, request));
+    error_code failure;
+    std::unique_ptr<Parser> parser;
+    {
+        const AbortScope scope(options.cancellation, connection->stream);
+        parser = readOwnHead(*connection, options, options_.maxBodyBytes, yield, failure);
+    }
+    if (parser != nullptr)
+        return std::make_unique<ConnectionStream<Implementation>>(
+                shared_from_this(), address, std::move(connection), std::move(parser));
+    connection->stream.close();
+    if (options.cancellation != nullptr && options.cancellation->cancelled())
+        error = Result::RequestCancelled;
+    else
+        error = failure == beast::error::timeout ? Result::ProgressTimeout : Result::TargetFailed;
+    return nullptr;
+}
+
 HttpClient::HttpClient(asio::any_io_executor executor, ClientOptions options)
     : implementation_(std::make_shared<Implementation>(std::move(executor), options))
 {
@@ -258,6 +383,15 @@
     return implementation_->open(address, request, timeout, yield, error);
 }
 
+std::unique_ptr<ResponseStream> HttpClient::openOnce(const Address &address,
+                                                     const Request &request,
+                                                     const ExchangeOptions &options,
+                                                     asio::yield_context yield,
+                                                     std::error_code &error)
+{
+    return implementation_->openOnce(address, request, options, yield, error);
+}
+
 std::optional<Response> HttpClient::send(const Address &address, const Request &request,
                                          milliseconds timeout, asio::yield_context yield,
                                          std::error_code &error)
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -176,6 +176,19 @@
         return received == 0 && error != asio::error::would_block;
     }
 
+    void watchPeer(std::function<void()> closed) override
+    {
+        watch_ = std::make_shared<std::function<void()>>(std::move(closed));
+        stream_.socket().async_wait(
+                tcp::socket::wait_read,
+                [this, weak = std::weak_ptr(watch_)](const error_code &error) {
+                    const auto watch = weak.lock();
+                    // Bytes of a further request are no reason to end this one.
+                    if (watch != nullptr && (error || peerHasClosed()))
+                        (*watch)();
+                });
+    }
+
     bool complete() const { return complete_; }
     bool started() const { return started_; }
 
@@ -187,6 +200,7 @@
     bool keepAlive_;
     bool started_ = false;
     bool complete_ = false;
+    std::shared_ptr<std::function<void()>> watch_;
 };
 
 } // namespace
--- /dev/null
+++ b/packages/relay/include/relay/relay.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "admission/extra_budget.h"
+#include "base/event_log.h"
+#include "dispatch/placement.h"
+#include "fleet/view.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "relay/codec.h"
+#include "relay/metrics.h"
+
+#include <boost/asio/spawn.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace chervilfield::relay {
+
+/// The deployment as the control thread last published it.
+struct Knowledge
+{
+    fleet::ViewPtr view;
+    /// False while neither the store nor a peer has confirmed the view lately, so that a route or
+    /// a key that it lacks may exist.
+    bool isFresh = false;
+};
+
+struct RelayOptions
+{
+    std::chrono::milliseconds connectTimeout{ 250 }; ///< Several round trips of a data centre link.
+    /// Time after which the head of an answer is overdue at a target, if the request may run again,
+    /// as a multiple of the latency goal.
+    double overdueGoals = 1.0;
+    /// An idle connection is reused for this part of the time that the target keeps it open.
+    double keepAliveShare = 0.5;
+    /// Reuse of a connection whose target states no time.
+    std::chrono::milliseconds defaultReuse{ 500 };
+    std::size_t maxAnswerBytes = 4U << 20U; ///< Largest answer that is not a stream.
+    /// Retry-After while this instance knows no configuration.
+    std::chrono::milliseconds notReadyRetry{ 400 };
+    /// Additional sends per request and at once, for this instance's part of the deployment.
+    admission::ExtraBudgetOptions retries = admission::kRetryBudget;
+};
+
+/// Parts of the daemon that the relay works with; they outlive it.
+struct RelayContext
+{
+    const Codec &codec;
+    net::HttpClient &client;
+    dispatch::Placer &placer;
+    Metrics &metrics;
+    base::EventLog &log;
+    std::function<Knowledge()> knowledge;
+    RelayOptions options;
+};
+
+/// Forwards callers' requests to targets of the pool that the route names, and answers to callers.
+/// Runs on one thread. A request whose work must not be repeated is sent again only after proof
+/// that it did not run.
+class Relay
+{
+public:
+    explicit Relay(RelayContext context);
+
+    void serve(net::Exchange &exchange, boost::asio::yield_context yield);
+
+private:
+    class Flow;
+
+    RelayContext context_;
+    std::mt19937_64 random_;
+    admission::ExtraBudgets poolRetries_;
+    admission::ExtraBudgets targetRetries_;
+    std::map<std::string, std::chrono::milliseconds> reuse_; ///< By target id.
+};
+
+} // namespace chervilfield::relay
--- /dev/null
+++ b/packages/relay/src/event_splitter.cpp
@@ -0,0 +1,52 @@
+#include "relay/event_splitter.h"
+
+#include "base/numbers.h"
+
+namespace chervilfield::relay {
+
+namespace {
+
+std::size_t endOfEvent(std::string_view text)
+{
+    const std::size_t plain = text.find("\n\n");
+    const std::size_t withReturn = text.find("\r\n\r\n");
+    if (plain < withReturn)
+        return plain + 2;
+    return withReturn == std::string_view::npos ? std::string_view::npos : withReturn + 4;
+}
+
+std::optional<std::uint64_t> eventId(std::string_view event)
+{
+    constexpr std::string_view kField = "id:";
+    while (!event.empty()) {
+        const std::size_t end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
+        if (!line.starts_with(kField))
+            continue;
+        line.remove_prefix(kField.size());
+        while (!line.empty() && line.front() == ' ')
+            line.remove_prefix(1);
+        if (!line.empty() && line.back() == '\r')
+            line.remove_suffix(1);
+        std::uint64_t id = 0;
+        if (base::parseDecimal(line, id))
+            return id;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<RawEvent> EventSplitter::next()
+{
+    const std::size_t end = endOfEvent(buffer_);
+    if (end == std::string_view::npos)
+        return std::nullopt;
+    RawEvent event{ .bytes = buffer_.substr(0, end), .id = {} };
+    buffer_.erase(0, end);
+    event.id = eventId(event.bytes);
+    return event;
+}
+
+} // namespace chervilfield::relay
--- /dev/null
+++ b/packages/relay/src/flow.cpp
@@ -0,0 +1,552 @@
+#include "flow.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chervilfield::relay {
+
+using base::Result;
+using base::WorkStatus;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kMultipleChoices = 300;
+constexpr int kServerError = 500;
+constexpr milliseconds kLongestWait{ 60'000 }; ///< Of a caller that states no time.
+
+std::string_view toString(SendOutcome outcome)
+{
+    switch (outcome) {
+    case SendOutcome::Answered:
+        return "answered";
+    case SendOutcome::NotSent:
+        return "not-sent";
+    case SendOutcome::NotRun:
+        return "not-run";
+    case SendOutcome::Unknown:
+        return "unknown";
+    case SendOutcome::Failed:
+        return "failed";
+    case SendOutcome::Cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+bool isSuccess(int status)
+{
+    return status >= kOk && status < kMultipleChoices;
+}
+
+bool isEventStream(const net::Headers &headers)
+{
+    return net::findHeader(headers, "Content-Type").value_or("").starts_with("text/event-stream");
+}
+
+// Keeps a decision's in-flight counts right whatever way the send ends.
+class InFlight
+{
+public:
+    InFlight(dispatch::TargetBoard &board, const fleet::Target &target, double &waitingTokens)
+        : board_(board), target_(target), waitingTokens_(waitingTokens)
+    {
+    }
+    ~InFlight() { board_.end(target_, std::exchange(waitingTokens_, 0)); }
+    InFlight(const InFlight &) = delete;
+    InFlight &operator=(const InFlight &) = delete;
+
+private:
+    dispatch::TargetBoard &board_;
+    const fleet::Target &target_;
+    double &waitingTokens_;
+};
+
+} // namespace
+
+Relay::Flow::Flow(Relay &relay, net::Exchange &exchange, boost::asio::yield_context yield)
+    : relay_(relay), context_(relay.context_), exchange_(exchange), yield_(yield),
+      started_(Clock::now()), caller_(context_.codec.decodeRequest(exchange.request())),
+      knowledge_(context_.knowledge())
+{
+}
+
+milliseconds Relay::Flow::left() const
+{
+    return duration_cast<milliseconds>(deadline_ - Clock::now());
+}
+
+milliseconds Relay::Flow::elapsed() const
+{
+    return duration_cast<milliseconds>(Clock::now() - started_);
+}
+
+bool Relay::Flow::isRepeatable() const
+{
+    return route_->kind == fleet::WorkKind::Idempotent
+           || (route_->kind == fleet::WorkKind::Stream && route_->isResumable);
+}
+
+bool Relay::Flow::admit()
+{
+    if (!knowledge_.view || !knowledge_.view->isComplete()) {
+        fail(Result::NotReady, WorkStatus::NotRun, context_.options.notReadyRetry);
+        return false;
+    }
+    const net::Request &request = exchange_.request();
+    const auto host = net::findHeader(request.headers, "Host").value_or("");
+    route_ = knowledge_.view->findRoute(host, net::pathOf(request.target));
+    if (route_ == nullptr) {
+        if (knowledge_.isFresh)
+            fail(Result::UnknownPath, WorkStatus::NotRun);
+        else
+            fail(Result::NotReady, WorkStatus::NotRun, context_.options.notReadyRetry);
+        return false;
+    }
+    if (!authenticate())
+        return false;
+    milliseconds patience = caller_.patience.value_or(kLongestWait);
+    if (route_->timeout > milliseconds::zero())
+        patience = std::min(patience, route_->timeout);
+    deadline_ = started_ + patience;
+    if (patience <= milliseconds::zero()) {
+        fail(Result::DeadlineUnreachable, WorkStatus::NotRun);
+        return false;
+    }
+    choosePool();
+    return true;
+}
+
+bool Relay::Flow::authenticate()
+{
+    if (!caller_.key.empty())
+        customer_ = knowledge_.view->findCustomer(caller_.key);
+    if (customer_ != nullptr || route_->allowsAnonymous
+        || knowledge_.view->configuration().customers.empty())
+        return true;
+    if (knowledge_.isFresh)
+        fail(Result::Unauthorized, WorkStatus::NotRun);
+    else
+        fail(Result::NotReady, WorkStatus::NotRun, context_.options.notReadyRetry);
+    return false;
+}
+
+void Relay::Flow::choosePool()
+{
+    double total = 0;
+    for (const fleet::PoolShare &share : route_->pools)
+        total += share.weight;
+    double draw = std::uniform_real_distribution<double>(0, total)(relay_.random_);
+    for (const fleet::PoolShare &share : route_->pools) {
+        pool_ = share.pool;
+        draw -= share.weight;
+        if (draw < 0)
+            return;
+    }
+}
+
+dispatch::WorkRequest Relay::Flow::workRequest() const
+{
+    return { .model = caller_.model,
+             .cacheScope = customer_ != nullptr && customer_->isolatesCache ? customer_->name
+                                                                            : std::string(),
+             .parts = caller_.parts,
+             .promptTokens = caller_.promptTokens,
+             .goal = route_->latencyGoal,
+             .left = left(),
+             .excluded = avoided_ };
+}
+
+std::optional<dispatch::Placement> Relay::Flow::place()
+{
+    const auto now = Clock::now();
+    const dispatch::WorkRequest work = workRequest();
+    auto result = context_.placer.place(work, pool_, *knowledge_.view, now);
+    if (const auto *refusal = std::get_if<dispatch::Refusal>(&result)) {
+        if (!mayHaveRun_ && !hasStarted_ && !targetFailure_)
+            fail(refusal->code, WorkStatus::NotRun, refusal->retryAfter);
+        else
+            answerFailure(SendOutcome::Unknown);
+        return std::nullopt;
+    }
+    auto placement = std::get<dispatch::Placement>(result);
+    context_.placer.sent(work, placement, *knowledge_.view, now);
+    return placement;
+}
+
+net::Request Relay::Flow::forwardedRequest(const dispatch::Placement &placement) const
+{
+    const net::Request &original = exchange_.request();
+    const dispatch::WorkRequest work = workRequest();
+    ForwardFields fields{ .target = target_->id,
+                          .left = left(),
+                          .customer = customer_ == nullptr ? std::string() : customer_->name,
+                          .cacheKey = {},
+                          .weights = placement.weights,
+                          .cacheSource = placement.cacheSource,
+                          .priority = route_->priority,
+                          .lastEventId = caller_.lastEventId };
+    if (customer_ != nullptr && customer_->priority)
+        fields.priority = *customer_->priority;
+    if (!caller_.model.empty())
+        fields.cacheKey = base::toHex(dispatch::prefixHash(work, 0, placement.weights));
+    if (lastEvent_)
+        fields.lastEventId = std::to_string(*lastEvent_);
+    return { .method = original.method,
+             .target = original.target,
+             .headers = context_.codec.forward(original, fields),
+             .body = original.body,
+             .idempotent = isRepeatable() };
+}
+
+milliseconds Relay::Flow::headTimeout() const
+{
+    const bool mayTryAnother = isRepeatable() && tried_.size() < route_->maxTargets
+                               && route_->kind == fleet::WorkKind::Idempotent;
+    if (!mayTryAnother || route_->latencyGoal <= milliseconds::zero())
+        return left();
+    const auto overdue = duration_cast<milliseconds>(
+            std::chrono::duration<double, std::milli>(route_->latencyGoal)
+            * context_.options.overdueGoals);
+    return std::min(left(), overdue);
+}
+
+net::ExchangeOptions Relay::Flow::exchangeOptions() const
+{
+    const auto reuse = relay_.reuse_.find(target_->id);
+    net::ExchangeOptions options{ .headTimeout = headTimeout(),
+                                  .connectTimeout =
+                                          std::min(left(), context_.options.connectTimeout),
+                                  .reuseWithin = reuse == relay_.reuse_.end()
+                                                         ? context_.options.defaultReuse
+                                                         : reuse->second };
+    options.belongs = [this](const net::Headers &headers) {
+        const AnswerFields fields = context_.codec.decodeAnswer(headers);
+        return fields.requestId.empty() || fields.requestId == caller_.requestId;
+    };
+    return options;
+}
+
+SendOutcome Relay::Flow::send(const dispatch::Placement &placement)
+{
+    target_ = &knowledge_.view->targets()[placement.target];
+    waitingTokens_ = placement.uncachedTokens;
+    const InFlight counted(context_.placer.board(), *target_, waitingTokens_);
+    avoided_.push_back(target_->id);
+    net::ExchangeOptions options = exchangeOptions();
+    if (route_->kind != fleet::WorkKind::NonIdempotent)
+        options.cancellation = &cancellation_;
+    std::error_code error;
+    const auto response = context_.client.openOnce(target_->address, forwardedRequest(placement),
+                                                   options, yield_, error);
+    if (response != nullptr) {
+        tried_.push_back(target_->id);
+        return receive(*response, placement);
+    }
+    auto &board = context_.placer.board();
+    result_ = base::toResult(error);
+    if (error == Result::RequestCancelled)
+        return SendOutcome::Cancelled;
+    if (error == Result::TargetUnreachable) {
+        board.fault(*target_, dispatch::Fault::Unreachable, Clock::now());
+        return SendOutcome::NotSent;
+    }
+    tried_.push_back(target_->id);
+    board.fault(*target_,
+                error == Result::ProgressTimeout ? dispatch::Fault::Silent
+                                                 : dispatch::Fault::Broken,
+                Clock::now());
+    return SendOutcome::Unknown;
+}
+
+void Relay::Flow::learn(const AnswerFields &fields, int status)
+{
+    auto &board = context_.placer.board();
+    const auto now = Clock::now();
+    if (fields.load)
+        board.report(*target_, *fields.load, now);
+    if (fields.weights && !caller_.model.empty())
+        board.learnWeights(*target_, caller_.model, *fields.weights);
+    if (fields.keepAlive) {
+        relay_.reuse_[target_->id] = duration_cast<milliseconds>(
+                std::chrono::duration<double, std::milli>(*fields.keepAlive)
+                * context_.options.keepAliveShare);
+    }
+    if (fields.isNotRun)
+        board.fault(*target_, dispatch::Fault::Refused, now);
+    else if (status >= kServerError)
+        board.fault(*target_, dispatch::Fault::Failed, now);
+}
+
+SendOutcome Relay::Flow::receive(net::ResponseStream &response,
+                                 const dispatch::Placement &placement)
+{
+    const AnswerFields fields = context_.codec.decodeAnswer(response.headers());
+    learn(fields, response.status());
+    if (fields.isNotRun) {
+        // The rest of the answer is read so that the connection can be used again.
+        std::string ignored;
+        std::error_code error;
+        while (response.read(ignored, context_.options.connectTimeout, yield_, error)) {
+        }
+        result_ = Result::Overloaded;
+        return SendOutcome::NotRun;
+    }
+    if (isSuccess(response.status()) && isEventStream(response.headers()))
+        return receiveStream(response, fields, placement);
+    return receiveWhole(response, fields);
+}
+
+SendOutcome Relay::Flow::receiveWhole(net::ResponseStream &response, const AnswerFields &fields)
+{
+    net::Response whole{ .status = response.status(),
+                         .headers = context_.codec.answer(response.headers()) };
+    cancellation_.setAbort([&response] { response.abort(); });
+    std::error_code error;
+    while (!error && left() > milliseconds::zero()
+           && response.read(whole.body, left(), yield_, error)) {
+        if (whole.body.size() > context_.options.maxAnswerBytes)
+            error = Result::BodyTooLarge;
+    }
+    cancellation_.setAbort({});
+    auto &board = context_.placer.board();
+    const bool isBroken = error || left() <= milliseconds::zero();
+    if (isBroken || (isSuccess(whole.status) && !fields.isSigned)) {
+        if (cancellation_.cancelled() && route_->kind != fleet::WorkKind::NonIdempotent)
+            return SendOutcome::Cancelled;
+        board.fault(*target_, dispatch::Fault::Broken, Clock::now());
+        result_ = error ? base::toResult(error) : Result::TargetFailed;
+        return SendOutcome::Unknown;
+    }
+    if (whole.status >= kServerError) {
+        targetFailure_ = std::move(whole);
+        result_ = Result::TargetFailed;
+        return SendOutcome::Failed;
+    }
+    board.success(*target_, Clock::now());
+    std::error_code callerError;
+    exchange_.respond(whole, yield_, callerError);
+    hasStarted_ = true;
+    isFinished_ = !callerError;
+    result_ = callerError ? Result::RequestCancelled : Result::Ok;
+    return SendOutcome::Answered;
+}
+
+bool Relay::Flow::deliver(EventSplitter &splitter, const net::ResponseStream &response)
+{
+    std::error_code error;
+    while (const auto event = splitter.next()) {
+        if (event->id && lastEvent_ && *event->id <= *lastEvent_)
+            continue;
+        if (!hasStarted_) {
+            hasStarted_ = true;
+            context_.metrics.observeFirst(pool_, Clock::now() - started_);
+            exchange_.startStream(response.status(), context_.codec.answer(response.headers()),
+                                  yield_, error);
+        }
+        if (!error)
+            exchange_.write(event->bytes, yield_, error);
+        if (error)
+            return false;
+        if (event->id)
+            lastEvent_ = event->id;
+    }
+    return true;
+}
+
+SendOutcome Relay::Flow::receiveStream(net::ResponseStream &response, const AnswerFields &fields,
+                                       const dispatch::Placement &)
+{
+    auto &board = context_.placer.board();
+    if (!fields.isSigned) {
+        board.fault(*target_, dispatch::Fault::Broken, Clock::now());
+        result_ = Result::TargetFailed;
+        return SendOutcome::Unknown;
+    }
+    cancellation_.setAbort([&response] { response.abort(); });
+    EventSplitter splitter;
+    std::string bytes;
+    std::error_code error;
+    bool callerIsThere = true;
+    while (callerIsThere && left() > milliseconds::zero()
+           && response.read(bytes, left(), yield_, error)) {
+        if (waitingTokens_ > 0)
+            board.firstEvent(*target_, std::exchange(waitingTokens_, 0));
+        splitter.feed(bytes);
+        bytes.clear();
+        callerIsThere = deliver(splitter, response);
+    }
+    cancellation_.setAbort({});
+    if (!callerIsThere || cancellation_.cancelled()) {
+        response.abort();
+        result_ = Result::RequestCancelled;
+        return SendOutcome::Cancelled;
+    }
+    const bool isComplete = !error && left() > milliseconds::zero();
+    if (isComplete && !splitter.hasPartialEvent())
+        board.success(*target_, Clock::now());
+    else
+        board.fault(*target_, dispatch::Fault::Broken, Clock::now());
+    return endStream(isComplete, splitter);
+}
+
+SendOutcome Relay::Flow::endStream(bool isComplete, const EventSplitter &splitter)
+{
+    if (!isComplete || splitter.hasPartialEvent() || !hasStarted_) {
+        result_ = Result::StreamInterrupted;
+        return SendOutcome::Unknown;
+    }
+    std::error_code error;
+    exchange_.finish(yield_, error);
+    isFinished_ = !error;
+    result_ = error ? Result::RequestCancelled : Result::Ok;
+    return SendOutcome::Answered;
+}
+
+bool Relay::Flow::takeRetry()
+{
+    const auto now = Clock::now();
+    const auto &options = context_.options.retries;
+    auto &pool = admission::budgetOf(relay_.poolRetries_, base::hash64(pool_), options, now);
+    auto &target =
+            admission::budgetOf(relay_.targetRetries_, base::hash64(target_->id), options, now);
+    return !admission::takeRetry(pool, target, options, now);
+}
+
+bool Relay::Flow::mayRepeat(SendOutcome outcome)
+{
+    if (left() <= milliseconds::zero())
+        return false;
+    switch (outcome) {
+    case SendOutcome::NotSent:
+        return true;
+    case SendOutcome::NotRun:
+        return tried_.size() < route_->maxTargets && takeRetry();
+    case SendOutcome::Unknown:
+    case SendOutcome::Failed:
+        return isRepeatable() && tried_.size() < route_->maxTargets && takeRetry();
+    case SendOutcome::Answered:
+    case SendOutcome::Cancelled:
+        break;
+    }
+    return false;
+}
+
+void Relay::Flow::answerFailure(SendOutcome last)
+{
+    if (hasStarted_)
+        return; // The connection closes without the end of the stream.
+    if (targetFailure_) {
+        std::error_code error;
+        exchange_.respond(*targetFailure_, yield_, error);
+        hasStarted_ = true;
+        return;
+    }
+    if (mayHaveRun_ || last == SendOutcome::Unknown) {
+        const bool isLate = left() <= milliseconds::zero();
+        fail(isLate ? Result::RouteTimeout : Result::TargetFailed, WorkStatus::Unknown);
+        return;
+    }
+    const Result code = last == SendOutcome::NotSent ? Result::NoTarget : Result::Overloaded;
+    fail(code, WorkStatus::NotRun, context_.options.notReadyRetry);
+}
+
+void Relay::Flow::fail(Result code, WorkStatus work, milliseconds retryAfter)
+{
+    result_ = code;
+    std::error_code error;
+    exchange_.respond(context_.codec.failure({ .code = code,
+                                               .work = work,
+                                               .retryAfter = retryAfter,
+                                               .requestId = caller_.requestId }),
+                      yield_, error);
+    hasStarted_ = true;
+}
+
+void Relay::Flow::logSend(const dispatch::Placement &placement, SendOutcome outcome,
+                          Clock::time_point at)
+{
+    const auto &board = context_.placer.board();
+    const auto *status = board.find(*target_);
+    context_.log.write(
+            "relay", "sent",
+            { { "request", caller_.requestId },
+              { "attempt", avoided_.size() },
+              { "target", target_->id },
+              { "weights", placement.weights },
+              { "expected_ms", placement.expected },
+              { "uncached_tokens", placement.uncachedTokens },
+              { "in_flight", status == nullptr ? 0 : status->inFlight },
+              { "load", board.estimatedRequests(*target_, Clock::now()) },
+              { "load_age_ms",
+                status == nullptr ? milliseconds(-1)
+                                  : duration_cast<milliseconds>(at - status->reportedAt) },
+              { "view", knowledge_.view->storeVersion() },
+              { "outcome", toString(outcome) },
+              { "result", base::resultInfo(result_).name },
+              { "took_ms", Clock::now() - at } });
+}
+
+void Relay::Flow::run()
+{
+    context_.metrics.requestStarted();
+    exchange_.watchPeer([this] { cancellation_.cancel(); });
+    if (admit()) {
+        const auto now = Clock::now();
+        admission::earn(admission::budgetOf(relay_.poolRetries_, base::hash64(pool_),
+                                            context_.options.retries, now),
+                        context_.options.retries, now);
+        while (!cancellation_.cancelled()) {
+            const auto placement = place();
+            if (!placement)
+                break;
+            const auto sentAt = Clock::now();
+            const SendOutcome outcome = send(*placement);
+            logSend(*placement, outcome, sentAt);
+            context_.metrics.countSend(pool_, result_);
+            mayHaveRun_ = mayHaveRun_ || outcome == SendOutcome::Unknown
+                          || outcome == SendOutcome::Failed;
+            if (outcome == SendOutcome::Answered || outcome == SendOutcome::Cancelled)
+                break;
+            if (!mayRepeat(outcome)) {
+                answerFailure(outcome);
+                break;
+            }
+            if (hasStarted_)
+                context_.metrics.countResume();
+        }
+    }
+    if (cancellation_.cancelled() && !isFinished_)
+        result_ = Result::RequestCancelled;
+    context_.metrics.observeWhole(pool_, Clock::now() - started_);
+    context_.metrics.countAnswer(result_);
+    context_.metrics.requestEnded();
+    context_.log.write("relay", "answered",
+                       { { "request", caller_.requestId },
+                         { "route", route_ == nullptr ? std::string() : route_->name },
+                         { "customer", customer_ == nullptr ? std::string() : customer_->name },
+                         { "configuration", knowledge_.view && knowledge_.view->isComplete()
+                                                    ? knowledge_.view->configuration().version
+                                                    : 0 },
+                         { "fresh", knowledge_.isFresh },
+                         { "sends", avoided_.size() },
+                         { "complete", isFinished_ },
+                         { "result", base::resultInfo(result_).name },
+                         { "took_ms", elapsed() } });
+}
+
+Relay::Relay(RelayContext context)
+    : context_(std::move(context)), random_(std::random_device{}())
+{
+}
+
+void Relay::serve(net::Exchange &exchange, boost::asio::yield_context yield)
+{
+    Flow(*this, exchange, yield).run();
+}
+
+} // namespace chervilfield::relay
--- /dev/null
+++ b/packages/relay/src/flow.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "relay/event_splitter.h"
+#include "relay/relay.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace chervilfield::relay {
+
+/// What became of one send of a request to a target.
+enum class SendOutcome {
+    Answered,    ///< The caller has the whole answer, or the stream cannot go on.
+    NotSent,     ///< No byte was sent.
+    NotRun,      ///< The target states that it did not run the request.
+    Unknown,     ///< The request was sent and may have run.
+    Failed,      ///< The target ran the request and answered with an error of its own.
+    Cancelled,   ///< The caller has gone.
+};
+
+/// One request of a caller on its way through the system.
+class Relay::Flow
+{
+public:
+    Flow(Relay &relay, net::Exchange &exchange, boost::asio::yield_context yield);
+
+    void run();
+
+private:
+    using Clock = std::chrono::steady_clock;
+
+    /// Checks the request against the view; answers it and returns false if it is not allowed.
+    bool admit();
+    bool authenticate();
+    void choosePool();
+    dispatch::WorkRequest workRequest() const;
+    std::optional<dispatch::Placement> place();
+    /// Sends the request to its next target.
+    SendOutcome send(const dispatch::Placement &placement);
+    net::Request forwardedRequest(const dispatch::Placement &placement) const;
+    net::ExchangeOptions exchangeOptions() const;
+    std::chrono::milliseconds headTimeout() const;
+    SendOutcome receive(net::ResponseStream &response, const dispatch::Placement &placement);
+    SendOutcome receiveWhole(net::ResponseStream &response, const AnswerFields &fields);
+    SendOutcome receiveStream(net::ResponseStream &response, const AnswerFields &fields,
+                              const dispatch::Placement &placement);
+    /// Sends complete events to the caller. Returns false if the stream cannot go on.
+    bool deliver(EventSplitter &splitter, const net::ResponseStream &response);
+    SendOutcome endStream(bool isComplete, const EventSplitter &splitter);
+    void learn(const AnswerFields &fields, int status);
+
+    /// Returns true if the request may be sent once more after `outcome`.
+    bool mayRepeat(SendOutcome outcome);
+    bool takeRetry();
+    void answerFailure(SendOutcome last);
+    void fail(base::Result code, base::WorkStatus work,
+              std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0));
+    void logSend(const dispatch::Placement &placement, SendOutcome outcome, Clock::time_point at);
+
+    bool isRepeatable() const;
+    std::chrono::milliseconds left() const;
+    std::chrono::milliseconds elapsed() const;
+
+    Relay &relay_;
+    RelayContext &context_;
+    net::Exchange &exchange_;
+    boost::asio::yield_context yield_;
+    Clock::time_point started_;
+    CallerFields caller_;
+    Knowledge knowledge_;
+    const fleet::Route *route_ = nullptr;
+    const fleet::Customer *customer_ = nullptr;
+    std::string pool_;
+    Clock::time_point deadline_;
+    net::Cancellation cancellation_;
+
+    std::vector<std::string> tried_;  ///< Targets that the request was sent to.
+    std::vector<std::string> avoided_; ///< Those and the ones without a connection.
+    const fleet::Target *target_ = nullptr; ///< Of the send in progress.
+    double waitingTokens_ = 0;         ///< Of the send in progress, until its first event.
+    bool mayHaveRun_ = false;
+    bool hasStarted_ = false;          ///< The head of the answer was sent to the caller.
+    bool isFinished_ = false;
+    std::optional<std::uint64_t> lastEvent_;
+    base::Result result_ = base::Result::Ok; ///< For the log and the metrics.
+    std::string failureReason_;
+    std::optional<net::Response> targetFailure_; ///< A target's own error, to pass on if need be.
+};
+
+} // namespace chervilfield::relay
--- /dev/null
+++ b/packages/relay/src/metrics.cpp
@@ -0,0 +1,75 @@
+#include "relay/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace chervilfield::relay {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+
+// Upper bounds in seconds, around latency goals of 0.1 to 1.2 s.
+const prometheus::Histogram::BucketBoundaries kLatencyBuckets{ 0.01, 0.02, 0.05, 0.1, 0.2, 0.3,
+                                                               0.5,  0.8,  1.2,  2,   4,   8 };
+
+} // namespace
+
+Metrics::Metrics()
+    : answers_(BuildCounter()
+                       .Name("chervilfield_relay_answers_total")
+                       .Help("Requests of callers by result.")
+                       .Register(registry_)),
+      sends_(BuildCounter()
+                     .Name("chervilfield_relay_sends_total")
+                     .Help("Attempts at targets by pool and result.")
+                     .Register(registry_)),
+      first_(BuildHistogram()
+                     .Name("chervilfield_relay_first_event_seconds")
+                     .Help("Time to the first event of a stream.")
+                     .Register(registry_)),
+      whole_(BuildHistogram()
+                     .Name("chervilfield_relay_answer_seconds")
+                     .Help("Time to the end of an answer.")
+                     .Register(registry_)),
+      resumes_(BuildCounter()
+                       .Name("chervilfield_relay_resumes_total")
+                       .Help("Streams that were continued at another target.")
+                       .Register(registry_)
+                       .Add({})),
+      open_(BuildGauge()
+                    .Name("chervilfield_relay_open_requests")
+                    .Help("Requests without a complete answer.")
+                    .Register(registry_)
+                    .Add({}))
+{
+}
+
+void Metrics::countAnswer(base::Result result)
+{
+    answers_.Add({ { "result", std::string(base::resultInfo(result).name) } }).Increment();
+}
+
+void Metrics::countSend(const std::string &pool, base::Result result)
+{
+    sends_.Add({ { "pool", pool }, { "result", std::string(base::resultInfo(result).name) } })
+            .Increment();
+}
+
+void Metrics::observeFirst(const std::string &pool, std::chrono::duration<double> elapsed)
+{
+    first_.Add({ { "pool", pool } }, kLatencyBuckets).Observe(elapsed.count());
+}
+
+void Metrics::observeWhole(const std::string &pool, std::chrono::duration<double> elapsed)
+{
+    whole_.Add({ { "pool", pool } }, kLatencyBuckets).Observe(elapsed.count());
+}
+
+std::string Metrics::exposition() const
+{
+    return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+} // namespace chervilfield::relay
