--- a/packages/daemon/include/daemon/app.h
+++ b/packages/daemon/include/daemon/app.h
@@ -30,8 +30,8 @@
     int run();
 
 private:
-    std::vector<NamedLoad> ownLoads() const;
-    void setOthersLoads(const std::vector<NamedLoad> &loads);
+    std::vector<peers::NamedLoad> ownLoads() const;
+    void setOthersLoads(const std::vector<peers::NamedLoad> &loads);
     void setLeaving(const std::vector<std::string> &names);
     void waitForSignal();
     void drainStep();
--- a/packages/daemon/include/daemon/control_plane.h
+++ b/packages/daemon/include/daemon/control_plane.h
@@ -36,8 +36,8 @@
     std::function<void()> drain;
     /// Told the names of the targets that the platform's instance list reports as leaving.
     std::function<void(const std::vector<std::string> &)> leavingTargets;
-    std::function<std::vector<NamedLoad>()> ownLoads;
-    std::function<void(const std::vector<NamedLoad> &)> othersLoads;
+    std::function<std::vector<peers::NamedLoad>()> ownLoads;
+    std::function<void(const std::vector<peers::NamedLoad> &)> othersLoads;
 };
 
 /// What the control plane feeds for the traffic threads.
--- a/packages/daemon/include/daemon/peer_link.h
+++ b/packages/daemon/include/daemon/peer_link.h
@@ -3,12 +3,13 @@
 #include "base/time_line.h"
 #include "control/configuration_control.h"
 #include "control/member_actor.h"
-#include "daemon/hint_exchange.h"
-#include "daemon/load_exchange.h"
+#include "peers/hint_exchange.h"
+#include "peers/load_exchange.h"
 #include "daemon/settings.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "peers/udp_transport.h"
+#include "routing/recent_placements.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
@@ -29,8 +30,8 @@
 struct PeerHooks
 {
     std::function<std::vector<membership::FollowedTarget>()> targets;
-    std::function<std::vector<NamedLoad>()> ownLoads;
-    std::function<void(const std::vector<NamedLoad> &)> othersLoads;
+    std::function<std::vector<peers::NamedLoad>()> ownLoads;
+    std::function<void(const std::vector<peers::NamedLoad> &)> othersLoads;
     std::function<std::vector<routing::PlacementHint>(std::size_t limit)> takeHints;
     std::function<void(const std::vector<routing::PlacementHint> &)> mergeHints;
     /// Returns this instance's time line after a time as JSON, or no value for a bad time.
@@ -97,8 +98,8 @@
     std::unique_ptr<net::HttpServer> server_;
     std::unique_ptr<peers::UdpTransport> transport_;
     std::unique_ptr<control::MemberActor> actor_;
-    LoadExchange loads_;
-    HintExchange hints_;
+    peers::LoadExchange loads_;
+    peers::HintExchange hints_;
     mutable std::mutex mutex_;
     std::map<std::string, std::uint64_t> revisions_; ///< By member name.
     std::string newestPeer_; ///< Peer address that last reported a newer revision.
--- a/packages/daemon/src/app.cpp
+++ b/packages/daemon/src/app.cpp
@@ -45,7 +45,7 @@
     return load;
 }
 
-traffic::TargetWork toTargetWork(const NamedLoad &load)
+traffic::TargetWork toTargetWork(const peers::NamedLoad &load)
 {
     traffic::TargetWork work{ .target = traffic::targetId(load.target) };
     for (std::size_t i = 0; i < work.classes.size(); ++i)
@@ -115,12 +115,12 @@
     router_.setLeaving(std::move(targets));
 }
 
-std::vector<NamedLoad> App::ownLoads() const
+std::vector<peers::NamedLoad> App::ownLoads() const
 {
     std::unordered_map<routing::TargetId, traffic::TargetWork> work;
     for (const traffic::TargetWork &entry : router_.ownWork())
         work.emplace(entry.target, entry);
-    std::vector<NamedLoad> result;
+    std::vector<peers::NamedLoad> result;
     for (const auto &target : control_.targetTable()->configuration().resources().targets) {
         const auto found = work.find(traffic::targetId(target->name));
         if (found != work.end())
@@ -129,11 +129,11 @@
     return result;
 }
 
-void App::setOthersLoads(const std::vector<NamedLoad> &loads)
+void App::setOthersLoads(const std::vector<peers::NamedLoad> &loads)
 {
     std::vector<traffic::TargetWork> work;
     work.reserve(loads.size());
-    for (const NamedLoad &load : loads)
+    for (const peers::NamedLoad &load : loads)
         work.push_back(toTargetWork(load));
     router_.setOthersWork(work);
 }
--- a/packages/daemon/src/peer_link.cpp
+++ b/packages/daemon/src/peer_link.cpp
@@ -25,6 +25,23 @@
 constexpr int kBindAttempts = 8;
 constexpr std::string_view kTimeLinePath = "/peer/v1/timeline";
 
+std::vector<routing::PlacementHint> toRoutingHints(const peers::PlacementHints &hints)
+{
+    std::vector<routing::PlacementHint> result;
+    result.reserve(hints.hints.size());
+    for (const peers::PlacementHint &hint : hints.hints)
+        result.push_back({ .prefix = hint.prefix, .target = hint.target, .life = hint.life });
+    return result;
+}
+
+peers::PlacementHints toMessage(const std::vector<routing::PlacementHint> &hints)
+{
+    peers::PlacementHints message;
+    for (const routing::PlacementHint &hint : hints)
+        message.hints.push_back({ .prefix = hint.prefix, .target = hint.target, .life = hint.life });
+    return message;
+}
+
 } // namespace
 
 PeerLink::PeerLink(boost::asio::io_context &context, const Settings &settings, std::uint64_t life,
@@ -262,7 +279,7 @@
         }
         loads_.tick(hooks_.ownLoads(), steady_clock::now());
         hooks_.othersLoads(loads_.others(steady_clock::now()));
-        hints_.send(members->members, hooks_.takeHints(HintExchange::kMaxHints),
+        hints_.send(members->members, toMessage(hooks_.takeHints(peers::HintExchange::kMaxHints)),
                     steady_clock::now());
         timer.expires_after(kLoadTick);
         boost::system::error_code ignored;
--- a/packages/dispatch/include/dispatch/placement.h
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -56,21 +56,32 @@
 {
     /// Prompt tokens that an engine computes per second; the rate of the engines of today.
     double prefillRate = 40'000;
-    /// Time that each request at an engine adds to the first event of the next one.
-    Seconds perRequest{ 0.006 };
+    /// Time that each running request at an engine adds to the first event of the next one.
+    Seconds perRequest{ 0.003 };
     /// Time that a request takes one slot of a plain service.
     Seconds serviceTime{ 0.06 };
     /// Time to fetch a cached token from another engine, at the links of today.
     Seconds fetchPerToken{ 1e-6 };
-    /// Cost of a target with older weights than the wanted ones.
-    Seconds staleWeights{ 0.25 };
+    /// Cost of a target with older weights than the wanted ones, as a share of the latency goal.
+    double staleWeightsShare = 0.4;
     /// Cost of a target in another data centre, beside the way there.
     Seconds otherDataCentre{ 0.004 };
-    /// Cost of a target other than the home of the prefix, so that prefixes stay where they are
-    /// while loads are nearly equal.
-    Seconds awayFromHome{ 0.03 };
-    /// Time for which a sent prefix is expected to stay cached.
+    /// Cost of computing a prefix that another target holds already, relative to its time: the copy
+    /// also evicts another prefix, as in the cost model of package routing.
+    double duplicateShare = 4;
+    /// Cost of a target other than the home of a prefix that nobody holds, relative to the time to
+    /// compute it. Other instances expect it at its home.
+    double awayShare = 0.5;
+    /// Cost of one recent fault of a target: about the time that it lost.
+    Seconds perFault{ 0.1 };
+    /// Time for which an unused prefix is expected to stay cached.
     std::chrono::milliseconds cacheLifetime{ 20'000 };
+    /// Prefixes below this size are neither fetched nor told to other instances.
+    double worthSharing = 512;
+    /// A prefix is expected to be read within this multiple of the expected time to first event.
+    double readFactor = 1.5;
+    /// Time after which a prefix that another instance told of is expected to be read.
+    std::chrono::milliseconds hintDelay{ 500 };
     /// Retry-After of a refusal because no target is available.
     std::chrono::milliseconds noTargetRetry{ 500 };
 };
@@ -89,6 +100,12 @@
     void sent(const WorkRequest &request, const Placement &placement, const fleet::View &view,
               Time now);
 
+    /// Returns at most `limit` prefixes that other instances do not know of, and forgets the rest.
+    std::vector<PrefixHint> takeHints(std::size_t limit);
+
+    /// Takes what another instance knows.
+    void mergeHints(std::span<const PrefixHint> hints, Time now);
+
     TargetBoard &board() { return board_; }
     const TargetBoard &board() const { return board_; }
 
@@ -97,19 +114,23 @@
 
     std::vector<Candidate> candidates(const WorkRequest &request, const std::string &pool,
                                       const fleet::View &view, Time now) const;
-    void addCost(Candidate &candidate, const WorkRequest &request, const fleet::View &view,
-                 Time now) const;
-    double cachedTokens(const WorkRequest &request, const fleet::Target &target,
-                        std::uint64_t weights, Time now) const;
-    const fleet::Target *cacheSource(const WorkRequest &request, const fleet::View &view,
-                                     const Candidate &chosen, const fleet::Target *home,
-                                     Time now) const;
+    void addServiceCost(Candidate &candidate, const fleet::Target &target, Time now) const;
+    void addEngineCost(Candidate &candidate, const WorkRequest &request,
+                       const fleet::Target &target, Time now) const;
+    void addCommonCost(Candidate &candidate, const WorkRequest &request, const fleet::View &view,
+                       Time now) const;
+    void findPrefix(Candidate &candidate, const WorkRequest &request, const fleet::View &view,
+                    Time now) const;
+    void addHomeCost(std::vector<Candidate> &candidates, const WorkRequest &request,
+                     const fleet::View &view) const;
+    const fleet::Target *liveHolder(const Holder &holder, const fleet::View &view, Time now) const;
 
     std::string dataCentre_;
     PlacementOptions options_;
     std::mt19937_64 random_;
     TargetBoard board_;
     PrefixMemory memory_;
+    std::vector<PrefixHint> hints_;
 };
 
 /// Returns a hash of the first `count` parts under a cache scope and a version of the weights.
--- a/packages/dispatch/include/dispatch/target_board.h
+++ b/packages/dispatch/include/dispatch/target_board.h
@@ -31,6 +31,9 @@
     std::uint32_t inFlight = 0;      ///< Requests of this instance without a complete answer.
     double waitingTokens = 0;        ///< Prompt tokens of those without a first event.
     LoadReport report;
+    double othersRequests = 0;       ///< In flight of all other instances, as they tell.
+    double othersTokens = 0;         ///< Their prompt tokens without a first event.
+    Time othersAt{};                 ///< When the others last told; `Time{}` if never.
     std::uint32_t ownAtReport = 0;   ///< Of `report`, what was this instance's own.
     Time reportedAt{};
     std::map<std::string, std::uint64_t> weights; ///< Version by model, as last learnt.
@@ -40,6 +43,14 @@
     Time loadingUntil{};             ///< Expected end of a load of weights.
 };
 
+/// Work in flight at a target.
+struct TargetWork
+{
+    std::string target; ///< Id.
+    double requests = 0;
+    double waitingTokens = 0; ///< Prompt tokens of requests without a first event.
+};
+
 /// Why a target did not answer a request.
 enum class Fault {
     Unreachable, ///< No connection.
@@ -59,6 +70,10 @@
     std::chrono::milliseconds maxPause{ 3000 };
     /// Age at which half of a load report counts; answers arrive several times a second.
     std::chrono::milliseconds reportHalfLife{ 700 };
+    /// Age at which what the others told no longer counts; they repeat it more often.
+    std::chrono::milliseconds othersLifetime{ 3000 };
+    /// Longest time for which a target counts as loading; a load takes one to three seconds.
+    std::chrono::milliseconds loadTime{ 3000 };
 };
 
 /// Status of all targets that this instance has sent work to. Not safe for concurrent use.
@@ -83,14 +98,26 @@
     void fault(const fleet::Target &target, Fault fault, Time now);
     void success(const fleet::Target &target, Time now);
 
+    /// Takes what the other instances have in flight at the target.
+    void setOthers(const fleet::Target &target, double requests, double tokens, Time now);
+
     /// Returns the estimated requests of all instances at the target.
     double estimatedRequests(const fleet::Target &target, Time now) const;
 
+    /// Returns the estimated prompt tokens of all instances that wait at the target.
+    double estimatedTokens(const fleet::Target &target, Time now) const;
+
+    /// Records that the target loads weights and refuses work until then.
+    void startLoad(const fleet::Target &target, Time now);
+
     /// Returns the version of `model` on the target as last learnt, 0 if unknown. What the target
     /// said with an answer goes before what it registered, if it is later.
     std::uint64_t weightsOf(const fleet::Target &target, const std::string &model) const;
     void learnWeights(const fleet::Target &target, const std::string &model, std::uint64_t version);
 
+    /// Returns this instance's own work at each target that has any.
+    std::vector<TargetWork> ownWork() const;
+
     /// Forgets runs that are not in `targets` and have no request in flight.
     void retain(const std::vector<fleet::Target> &targets);
 
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -3,7 +3,7 @@
 #include "base/hash.h"
 
 #include <algorithm>
-#include <limits>
+#include <utility>
 
 namespace chervilfield::dispatch {
 
@@ -15,24 +15,38 @@
     return request.parts.size() > 1 ? request.parts.size() - 1 : 0;
 }
 
-double sharedTokens(const WorkRequest &request)
+double tokensOf(const WorkRequest &request, std::size_t parts)
 {
     double tokens = 0;
-    for (std::size_t i = 0; i < sharedParts(request); ++i)
+    for (std::size_t i = 0; i < parts; ++i)
         tokens += request.parts[i].tokens;
     return tokens;
 }
 
+std::uint64_t hashOf(const fleet::Target &target)
+{
+    return base::hash64(target.id);
+}
+
 } // namespace
 
 struct Placer::Candidate
 {
     std::size_t index = 0;
     std::uint64_t weights = 0;
-    double cached = 0;
+    double cached = 0;            ///< Tokens of the prefix that the target holds.
+    double fetched = 0;           ///< Tokens beyond those that another target holds.
+    Seconds prefixWait{};         ///< Until the prefix is read that is being read now.
+    bool isDuplicate = false;     ///< Another target is reading the prefix.
+    const fleet::Target *source = nullptr;
     bool avoided = false;
     Seconds cost{};
     Seconds expected{};
+
+    double uncached(const WorkRequest &request) const
+    {
+        return std::max(0.0, request.promptTokens - cached - fetched);
+    }
 };
 
 std::uint64_t prefixHash(const WorkRequest &request, std::size_t count, std::uint64_t weights)
@@ -49,49 +63,93 @@
 {
 }
 
-double Placer::cachedTokens(const WorkRequest &request, const fleet::Target &target,
-                            std::uint64_t weights, Time now) const
+const fleet::Target *Placer::liveHolder(const Holder &holder, const fleet::View &view,
+                                        Time now) const
 {
-    double tokens = sharedTokens(request);
-    for (std::size_t count = sharedParts(request); count > 0; --count) {
-        for (const Holder &holder : memory_.holders(prefixHash(request, count, weights))) {
-            const bool isHere = holder.target == target.id && holder.startedAt == target.startedAt;
-            if (isHere && now - holder.sentAt < options_.cacheLifetime)
-                return tokens;
+    if (holder.target == 0 || now - holder.usedAt > options_.cacheLifetime)
+        return nullptr;
+    const auto found = std::ranges::find_if(view.targets(), [&holder](const auto &target) {
+        return target.startedAt == holder.startedAt && hashOf(target) == holder.target;
+    });
+    return found == view.targets().end() ? nullptr : &*found;
+}
+
+// Finds the longest prefix that the candidate holds, and where it can fetch a longer one.
+void Placer::findPrefix(Candidate &candidate, const WorkRequest &request, const fleet::View &view,
+                        Time now) const
+{
+    const fleet::Target &target = view.targets()[candidate.index];
+    for (std::size_t parts = sharedParts(request); parts > 0; --parts) {
+        const double tokens = tokensOf(request, parts);
+        for (const Holder &holder :
+             memory_.holders(prefixHash(request, parts, candidate.weights))) {
+            const fleet::Target *live = liveHolder(holder, view, now);
+            if (live == nullptr)
+                continue;
+            const TargetStatus *status = board_.find(*live);
+            const bool isReady = holder.readyAt <= now;
+            if (live == &target) {
+                candidate.cached = tokens;
+                candidate.prefixWait = isReady ? Seconds(0) : Seconds(holder.readyAt - now);
+                candidate.fetched = 0;
+                candidate.source = nullptr;
+                candidate.isDuplicate = false;
+                return;
+            }
+            const bool canServe = status == nullptr || status->avoidUntil <= now;
+            if (isReady && canServe && candidate.source == nullptr
+                && tokens >= options_.worthSharing) {
+                candidate.source = live;
+                candidate.fetched = tokens;
+            }
+            candidate.isDuplicate = true;
         }
-        tokens -= request.parts[count - 1].tokens;
+        if (candidate.source != nullptr)
+            return;
     }
-    return 0;
 }
 
-void Placer::addCost(Candidate &candidate, const WorkRequest &request, const fleet::View &view,
-                     Time now) const
+void Placer::addServiceCost(Candidate &candidate, const fleet::Target &target, Time now) const
+{
+    const TargetStatus *status = board_.find(target);
+    const double slowness = status == nullptr ? 1 : std::max(0.5, status->report.slowness);
+    const double slots = std::max<std::uint32_t>(1, target.slots);
+    const double occupied = board_.estimatedRequests(target, now) / slots;
+    // The wait grows slowly while slots are free and by a whole turn for each further round.
+    candidate.expected = options_.serviceTime * slowness * (1 + occupied * occupied);
+}
+
+void Placer::addEngineCost(Candidate &candidate, const WorkRequest &request,
+                           const fleet::Target &target, Time now) const
 {
-    const fleet::Target &target = view.targets()[candidate.index];
     const TargetStatus *status = board_.find(target);
     const double slowness = status == nullptr ? 1 : std::max(0.5, status->report.slowness);
-    const double requests = board_.estimatedRequests(target, now);
-    Seconds queue{};
-    if (request.model.empty()) {
-        const double ahead = requests / std::max<std::uint32_t>(1, target.slots);
-        queue = options_.serviceTime * slowness * (1 + ahead * ahead);
-    } else {
-        const double waiting = status == nullptr ? 0 : status->waitingTokens;
-        const double uncached = request.promptTokens - candidate.cached;
-        queue = Seconds((waiting + uncached) / options_.prefillRate * slowness)
-                + options_.perRequest * requests * slowness;
+    const Seconds queue =
+            Seconds(board_.estimatedTokens(target, now) / options_.prefillRate) * slowness;
+    const Seconds prefill = Seconds(candidate.uncached(request) / options_.prefillRate) * slowness;
+    const Seconds running =
+            options_.perRequest * board_.estimatedRequests(target, now) * slowness;
+    candidate.expected = std::max(queue, candidate.prefixWait) + prefill + running
+                         + options_.fetchPerToken * candidate.fetched;
+    if (candidate.isDuplicate && candidate.source == nullptr) {
+        const double tokens = tokensOf(request, sharedParts(request));
+        candidate.cost += Seconds(tokens / options_.prefillRate) * options_.duplicateShare;
     }
-    candidate.expected = queue;
-    candidate.cost = queue;
+}
+
+void Placer::addCommonCost(Candidate &candidate, const WorkRequest &request,
+                           const fleet::View &view, Time now) const
+{
+    const fleet::Target &target = view.targets()[candidate.index];
+    candidate.cost += candidate.expected;
     if (target.dataCentre != dataCentre_)
         candidate.cost += options_.otherDataCentre;
-    if (status != nullptr) {
+    if (const TargetStatus *status = board_.find(target)) {
         candidate.avoided = status->avoidUntil > now || status->loadingUntil > now;
-        // A target with recent faults is expected to lose the time that they cost.
-        candidate.cost += Seconds(status->failures * 0.1);
+        candidate.cost += options_.perFault * status->failures;
     }
     if (!request.model.empty() && candidate.weights < view.wantedWeights(request.model))
-        candidate.cost += options_.staleWeights;
+        candidate.cost += Seconds(request.goal) * options_.staleWeightsShare;
 }
 
 std::vector<Placer::Candidate> Placer::candidates(const WorkRequest &request,
@@ -104,34 +162,40 @@
         if (std::ranges::find(request.excluded, target.id) != request.excluded.end())
             continue;
         Candidate candidate{ .index = index };
-        if (!request.model.empty()) {
+        if (request.model.empty()) {
+            addServiceCost(candidate, target, now);
+        } else {
             candidate.weights = board_.weightsOf(target, request.model);
-            candidate.cached = cachedTokens(request, target, candidate.weights, now);
+            findPrefix(candidate, request, view, now);
+            addEngineCost(candidate, request, target, now);
         }
-        addCost(candidate, request, view, now);
+        addCommonCost(candidate, request, view, now);
         result.push_back(candidate);
     }
     return result;
 }
 
-const fleet::Target *Placer::cacheSource(const WorkRequest &request, const fleet::View &view,
-                                         const Candidate &chosen, const fleet::Target *home,
-                                         Time now) const
+// The home of a prefix is the same at every instance, without any exchange between them.
+void Placer::addHomeCost(std::vector<Candidate> &candidates, const WorkRequest &request,
+                         const fleet::View &view) const
 {
-    const auto isUsable = [&](const fleet::Target &target) {
-        const TargetStatus *status = board_.find(target);
-        return target.id != view.targets()[chosen.index].id
-               && board_.weightsOf(target, request.model) == chosen.weights
-               && (status == nullptr || (status->avoidUntil <= now && status->loadingUntil <= now));
+    if (sharedParts(request) == 0)
+        return;
+    const Seconds away(tokensOf(request, sharedParts(request)) / options_.prefillRate
+                       * options_.awayShare);
+    const std::uint64_t key = prefixHash(request, 1, 0);
+    const auto rank = [&](const Candidate &candidate) {
+        return base::combineHash(key, hashOf(view.targets()[candidate.index]));
     };
-    for (const Holder &holder :
-         memory_.holders(prefixHash(request, sharedParts(request), chosen.weights))) {
-        const auto found = std::ranges::find(view.targets(), holder.target, &fleet::Target::id);
-        if (found != view.targets().end() && found->startedAt == holder.startedAt
-            && now - holder.sentAt < options_.cacheLifetime && isUsable(*found))
-            return &*found;
+    // Each version of the weights has a home of its own.
+    for (Candidate &candidate : candidates) {
+        const bool isKnown = candidate.cached > 0 || candidate.source != nullptr;
+        const bool isHome = std::ranges::none_of(candidates, [&](const Candidate &other) {
+            return other.weights == candidate.weights && rank(other) > rank(candidate);
+        });
+        if (!isKnown && !isHome)
+            candidate.cost += away;
     }
-    return home != nullptr && isUsable(*home) ? home : nullptr;
 }
 
 std::variant<Placement, Refusal> Placer::place(const WorkRequest &request, const std::string &pool,
@@ -140,48 +204,20 @@
     std::vector<Candidate> all = candidates(request, pool, view, now);
     if (all.empty())
         return Refusal{ .code = base::Result::NoTarget, .retryAfter = options_.noTargetRetry };
-    const bool anyGood = std::ranges::any_of(all, [](const auto &c) { return !c.avoided; });
-    if (anyGood)
+    if (std::ranges::any_of(all, [](const auto &c) { return !c.avoided; }))
         std::erase_if(all, [](const Candidate &c) { return c.avoided; });
-    // The home of a prefix is the same at every instance, without any exchange between them.
-    const double shared = sharedTokens(request);
-    const fleet::Target *home = nullptr;
-    std::uint64_t highest = 0;
-    const std::uint64_t key = prefixHash(request, std::min<std::size_t>(1, sharedParts(request)), 0);
-    for (const Candidate &candidate : all) {
-        const fleet::Target &target = view.targets()[candidate.index];
-        const std::uint64_t rank = base::combineHash(key, base::hash64(target.id));
-        if (shared > 0 && (home == nullptr || rank > highest)) {
-            home = &target;
-            highest = rank;
-        }
-    }
-    const double awayShare = std::min(1.0, shared * 20 / options_.prefillRate);
-    const Candidate *best = nullptr;
-    Seconds bestCost{ std::numeric_limits<double>::max() };
-    for (Candidate &candidate : all) {
-        const bool isHome = home != nullptr && &view.targets()[candidate.index] == home;
-        Seconds cost = candidate.cost;
-        if (home != nullptr && !isHome)
-            cost += options_.awayFromHome * awayShare;
-        // Equal costs are drawn at random, so that instances do not all choose the same target.
-        cost += Seconds(std::uniform_real_distribution<double>(0, 0.002)(random_));
-        if (cost < bestCost) {
-            best = &candidate;
-            bestCost = cost;
-        }
-    }
+    addHomeCost(all, request, view);
+    // Instances see nearly the same costs; the draw keeps them from choosing the same target.
+    constexpr double kNearEqual = 0.002;
+    for (Candidate &candidate : all)
+        candidate.cost += Seconds(std::uniform_real_distribution<double>(0, kNearEqual)(random_));
+    const auto best = std::ranges::min_element(all, {}, &Candidate::cost);
     Placement placement{ .target = best->index,
                          .weights = best->weights,
-                         .uncachedTokens = request.promptTokens - best->cached,
+                         .uncachedTokens = best->uncached(request),
                          .expected = best->expected };
-    constexpr double kWorthFetching = 512;
-    if (shared - best->cached > kWorthFetching) {
-        if (const fleet::Target *source = cacheSource(request, view, *best, home, now)) {
-            placement.cacheSource = source->address;
-            placement.uncachedTokens -= shared - best->cached;
-        }
-    }
+    if (best->source != nullptr)
+        placement.cacheSource = best->source->address;
     return placement;
 }
 
@@ -190,8 +226,38 @@
 {
     const fleet::Target &target = view.targets()[placement.target];
     board_.start(target, placement.uncachedTokens);
-    for (std::size_t count = 1; count <= sharedParts(request); ++count)
-        memory_.record(prefixHash(request, count, placement.weights), target, now);
+    const auto readTime = std::chrono::duration_cast<Time::duration>(placement.expected
+                                                                     * options_.readFactor);
+    const Holder holder{ .target = hashOf(target),
+                         .startedAt = target.startedAt,
+                         .readyAt = now + readTime,
+                         .usedAt = now };
+    constexpr std::size_t kMostHints = 256;
+    for (std::size_t parts = 1; parts <= sharedParts(request); ++parts) {
+        const std::uint64_t prefix = prefixHash(request, parts, placement.weights);
+        const bool isNew = memory_.record(prefix, holder);
+        if (isNew && tokensOf(request, parts) >= options_.worthSharing
+            && hints_.size() < kMostHints)
+            hints_.push_back({ prefix, holder.target, holder.startedAt });
+    }
+}
+
+std::vector<PrefixHint> Placer::takeHints(std::size_t limit)
+{
+    std::vector<PrefixHint> taken = std::exchange(hints_, {});
+    if (taken.size() > limit)
+        taken.resize(limit);
+    return taken;
+}
+
+void Placer::mergeHints(std::span<const PrefixHint> hints, Time now)
+{
+    for (const PrefixHint &hint : hints) {
+        memory_.record(hint.prefix, { .target = hint.target,
+                                      .startedAt = hint.startedAt,
+                                      .readyAt = now + options_.hintDelay,
+                                      .usedAt = now });
+    }
 }
 
 } // namespace chervilfield::dispatch
--- a/packages/dispatch/src/prefix_memory.cpp
+++ b/packages/dispatch/src/prefix_memory.cpp
@@ -1,32 +1,58 @@
 #include "dispatch/prefix_memory.h"
 
-#include <utility>
+#include <algorithm>
 
 namespace chervilfield::dispatch {
 
-void PrefixMemory::record(std::uint64_t prefix, const fleet::Target &target, Time now)
+PrefixMemory::Entry &PrefixMemory::touch(std::uint64_t prefix)
 {
     const auto [found, isNew] = entries_.try_emplace(prefix);
-    Entry &entry = found->second;
-    if (isNew) {
-        recent_.push_front(prefix);
-        entry.place = recent_.begin();
-    } else {
-        recent_.splice(recent_.begin(), recent_, entry.place);
+    if (!isNew) {
+        recent_.splice(recent_.begin(), recent_, found->second.place);
+        return found->second;
     }
-    if (entry.holders[0].target != target.id)
-        entry.holders[1] = std::move(entry.holders[0]);
-    entry.holders[0] = { .target = target.id, .startedAt = target.startedAt, .sentAt = now };
+    recent_.push_front(prefix);
+    found->second.place = recent_.begin();
     if (entries_.size() > capacity_) {
         entries_.erase(recent_.back());
         recent_.pop_back();
     }
+    return found->second;
 }
 
-std::array<Holder, 2> PrefixMemory::holders(std::uint64_t prefix) const
+bool PrefixMemory::record(std::uint64_t prefix, const Holder &holder)
+{
+    Holders &holders = touch(prefix).holders;
+    const auto known = std::ranges::find_if(holders, [&](const Holder &h) {
+        return h.target == holder.target && h.startedAt == holder.startedAt;
+    });
+    const bool isNew = known == holders.end();
+    if (isNew) {
+        std::shift_right(holders.begin(), holders.end(), 1);
+        holders.front() = holder;
+    } else {
+        known->usedAt = holder.usedAt;
+        known->readyAt = std::min(known->readyAt, holder.readyAt);
+        std::rotate(holders.begin(), known, known + 1);
+    }
+    return isNew;
+}
+
+PrefixMemory::Holders PrefixMemory::holders(std::uint64_t prefix) const
+{
+    const auto found = entries_.find(prefix);
+    return found == entries_.end() ? Holders{} : found->second.holders;
+}
+
+void PrefixMemory::forget(std::uint64_t prefix, std::uint64_t target)
 {
     const auto found = entries_.find(prefix);
-    return found == entries_.end() ? std::array<Holder, 2>{} : found->second.holders;
+    if (found == entries_.end())
+        return;
+    for (Holder &holder : found->second.holders) {
+        if (holder.target == target)
+            holder = {};
+    }
 }
 
 } // namespace chervilfield::dispatch
--- a/packages/dispatch/src/target_board.cpp
+++ b/packages/dispatch/src/target_board.cpp
@@ -85,17 +85,41 @@
     entry.avoidUntil = {};
 }
 
+void TargetBoard::setOthers(const fleet::Target &target, double requests, double tokens, Time now)
+{
+    TargetStatus &entry = status(target);
+    entry.othersRequests = requests;
+    entry.othersTokens = tokens;
+    entry.othersAt = now;
+}
+
+void TargetBoard::startLoad(const fleet::Target &target, Time now)
+{
+    status(target).loadingUntil = now + options_.loadTime;
+}
+
 double TargetBoard::estimatedRequests(const fleet::Target &target, Time now) const
 {
     const TargetStatus *entry = find(target);
     if (entry == nullptr)
         return 0;
+    if (now - entry->othersAt < options_.othersLifetime)
+        return entry->inFlight + entry->othersRequests;
     const double reported = entry->report.running + entry->report.waiting;
     const double others = std::max(0.0, reported - entry->ownAtReport);
     const Seconds age = now - entry->reportedAt;
     return entry->inFlight + others * std::exp2(-age / Seconds(options_.reportHalfLife));
 }
 
+double TargetBoard::estimatedTokens(const fleet::Target &target, Time now) const
+{
+    const TargetStatus *entry = find(target);
+    if (entry == nullptr)
+        return 0;
+    const bool isRecent = now - entry->othersAt < options_.othersLifetime;
+    return entry->waitingTokens + (isRecent ? entry->othersTokens : 0);
+}
+
 std::uint64_t TargetBoard::weightsOf(const fleet::Target &target, const std::string &model) const
 {
     const auto registered = target.weights.find(model);
@@ -111,7 +135,21 @@
 void TargetBoard::learnWeights(const fleet::Target &target, const std::string &model,
                                std::uint64_t version)
 {
-    status(target).weights[model] = version;
+    TargetStatus &entry = status(target);
+    std::uint64_t &known = entry.weights[model];
+    if (version > known)
+        entry.loadingUntil = {};
+    known = version;
+}
+
+std::vector<TargetWork> TargetBoard::ownWork() const
+{
+    std::vector<TargetWork> work;
+    for (const auto &[id, status] : targets_) {
+        if (status.inFlight > 0)
+            work.push_back({ id, static_cast<double>(status.inFlight), status.waitingTokens });
+    }
+    return work;
 }
 
 void TargetBoard::retain(const std::vector<fleet::Target> &targets)
--- a/packages/entry/include/entry/entry_app.h
+++ b/packages/entry/include/entry/entry_app.h
@@ -46,6 +46,11 @@
     void serveDirectory(net::Exchange &exchange, const boost::asio::yield_context &yield);
     void serveMetrics(net::Exchange &exchange, const boost::asio::yield_context &yield);
     void published(const fleet::ViewPtr &view);
+    PeerHooks peerHooks();
+    void exchangeTraffic();
+    void weightsChanged(const peers::WeightsNotice &notice);
+    void noteOthers(const std::vector<dispatch::TargetWork> &work);
+    void noteWeights(const peers::WeightsNotice &notice);
     void waitForSignal();
     void startDrain();
     void drainStep();
--- a/packages/entry/include/entry/peer_mesh.h
+++ b/packages/entry/include/entry/peer_mesh.h
@@ -4,15 +4,19 @@
 #include "base/time_line.h"
 #include "control/control_system.h"
 #include "control/member_actor.h"
+#include "dispatch/placement.h"
 #include "entry/options.h"
 #include "entry/view_keeper.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "peers/hint_exchange.h"
+#include "peers/load_exchange.h"
 #include "peers/udp_transport.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -21,6 +25,21 @@
 
 namespace chervilfield::entry {
 
+/// What one instance tells the others about its traffic.
+struct TrafficDigest
+{
+    std::vector<dispatch::TargetWork> work;
+    std::vector<dispatch::PrefixHint> hints;
+};
+
+/// What the mesh hands to other parts of the instance, on the control I/O thread.
+struct PeerHooks
+{
+    std::function<void(std::vector<dispatch::TargetWork>)> othersWork;
+    std::function<void(std::vector<dispatch::PrefixHint>)> hints;
+    std::function<void(const peers::WeightsNotice &)> weights;
+};
+
 /// Connection of an entry instance with the others: membership over UDP, and over TCP the member
 /// table and the rows of the store, for an instance that the store does not answer.
 class PeerMesh
@@ -28,7 +47,7 @@
 public:
     /// The referenced objects outlive the mesh. `life` grows with each start of the process.
     PeerMesh(boost::asio::io_context &context, const EntryOptions &options, std::uint64_t life,
-             base::TimeLine &timeLine, base::EventLog &log, ViewKeeper &views);
+             base::TimeLine &timeLine, base::EventLog &log, ViewKeeper &views, PeerHooks hooks);
     /// Destroy it after `context` has stopped.
     ~PeerMesh();
     PeerMesh(const PeerMesh &) = delete;
@@ -43,6 +62,13 @@
     /// Returns the names of instances that take work, sorted.
     std::vector<std::string> liveInstances() const;
 
+    /// Tells the others about this instance's traffic, and reports theirs through the hooks. Call
+    /// it several times a second.
+    void exchange(const TrafficDigest &digest);
+
+    /// Tells all other instances about the weights of an engine.
+    void announce(const peers::WeightsNotice &notice);
+
     void setVersion(std::uint64_t version) { actor_->setRevision(version); }
     void leave() { actor_->leave(); }
     void exit() { actor_->exit(); }
@@ -55,6 +81,7 @@
     void fetchRows(const net::Address &peer, const boost::asio::yield_context &yield);
     void askPeers(const boost::asio::yield_context &yield);
     std::vector<net::Address> otherPeers() const;
+    void assignLoads();
 
     boost::asio::io_context &context_;
     const EntryOptions &options_;
@@ -62,6 +89,12 @@
     base::TimeLine &timeLine_;
     base::EventLog &log_;
     ViewKeeper &views_;
+    PeerHooks hooks_;
+    peers::LoadExchange loads_;
+    peers::HintExchange hints_;
+    // What the meeting points of the load exchange were computed from.
+    control::MemberSnapshotPtr assignedMembers_;
+    fleet::ViewPtr assignedView_;
     net::HttpClient client_;
     std::mt19937_64 random_;
     std::unique_ptr<net::HttpServer> server_;
--- a/packages/entry/include/entry/rollout.h
+++ b/packages/entry/include/entry/rollout.h
@@ -35,6 +35,7 @@
     std::chrono::milliseconds statePoll{ 250 };   ///< Of an engine that loads weights.
     std::chrono::milliseconds loadLimit{ 6000 };  ///< Then an engine is asked again later.
     std::chrono::milliseconds retryDelay{ 400 };  ///< Before an engine is tried again.
+    std::chrono::milliseconds leaseReadInterval{ 500 }; ///< While another instance holds it.
     /// The lease is given up after this time without an order, so that the next holder need not
     /// wait. Longer than the time within which two holders must not take turns.
     std::chrono::milliseconds releaseAfter{ 4000 };
@@ -45,7 +46,8 @@
 {
     fleet::Target target;
     std::string model;
-    std::uint64_t version = 0;
+    std::uint64_t present = 0; ///< Version that the engine has.
+    std::uint64_t version = 0; ///< Version that it should have.
 };
 
 /// Brings engines to the weights that the operator has named. One instance at a time gives orders,
@@ -72,7 +74,8 @@
 
     void run(const boost::asio::yield_context &yield);
     std::vector<LoadTask> tasks() const;
-    bool isMyTurn(Clock::time_point now);
+    void noteProgress(const std::vector<LoadTask> &open, Clock::time_point now);
+    bool isMyTurn(Clock::time_point now) const;
     bool holdsLease() const;
     bool ensureLease(const boost::asio::yield_context &yield);
     bool takeLease(const boost::asio::yield_context &yield);
@@ -94,7 +97,9 @@
 
     std::optional<leases::Holding> holding_;
     std::optional<leases::Observation> observed_;
-    std::optional<Clock::time_point> neededSince_;
+    std::optional<Clock::time_point> neededSince_; ///< Or since the last progress.
+    std::uint64_t openWork_ = 0;  ///< Hash of the open tasks, to notice progress of the holder.
+    Clock::time_point leaseReadAt_{};
     std::uint64_t fenceFloor_ = 0; ///< Highest fencing number that was refused.
     Clock::time_point lastOrder_{};
     /// Weights that engine runs were seen with, ahead of what they register.
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t kTimeLineEvents = 1024;
 constexpr milliseconds kDrainCheck{ 20 };
+constexpr milliseconds kExchangeInterval{ 50 }; ///< Of loads and placements with other instances.
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -60,11 +61,18 @@
       engines_(platform_.makeEngineControl(control_.get_executor())),
       views_(control_, *store_, platform_.documents, log_,
              { .published = [this](const fleet::ViewPtr &view) { published(view); } }),
-      peers_(control_, options_, life_, timeLine_, log_, views_),
+      peers_(control_, options_, life_, timeLine_, log_, views_, peerHooks()),
       rollout_(control_, *store_, *engines_, log_,
                { .view = [this] { return views_.view(); },
                  .liveInstances = [this] { return peers_.liveInstances(); },
-                 .progress = [](const LoadTask &, bool) {} },
+                 .progress =
+                         [this](const LoadTask &task, bool isDone) {
+                             weightsChanged({ .target = task.target.id,
+                                              .startedAt = task.target.startedAt,
+                                              .model = task.model,
+                                              .version = task.version,
+                                              .isLoading = !isDone });
+                         } },
                rolloutOptions(options_)),
       client_(traffic_.get_executor(), {}), placer_(options_.dataCentre, std::random_device{}()),
       relay_({ .codec = platform_.codec,
@@ -142,6 +150,7 @@
     views_.start();
     rollout_.start();
     waitForSignal();
+    exchangeTraffic();
     trafficThread_ = std::thread([this] { traffic_.run(); });
     control_.run();
     return 0;
@@ -150,6 +159,66 @@
 void EntryApp::published(const fleet::ViewPtr &view)
 {
     peers_.setVersion(view->storeVersion());
+    boost::asio::post(traffic_, [this, view] { placer_.board().retain(view->targets()); });
+}
+
+PeerHooks EntryApp::peerHooks()
+{
+    return { .othersWork =
+                     [this](std::vector<dispatch::TargetWork> work) {
+                         boost::asio::post(traffic_,
+                                           [this, work = std::move(work)] { noteOthers(work); });
+                     },
+             .hints =
+                     [this](std::vector<dispatch::PrefixHint> hints) {
+                         boost::asio::post(traffic_, [this, hints = std::move(hints)] {
+                             placer_.mergeHints(hints, Clock::now());
+                         });
+                     },
+             .weights = [this](const peers::WeightsNotice &notice) { noteWeights(notice); } };
+}
+
+void EntryApp::exchangeTraffic()
+{
+    TrafficDigest digest{ .work = placer_.board().ownWork(),
+                          .hints = placer_.takeHints(peers::HintExchange::kMaxHints) };
+    boost::asio::post(control_,
+                      [this, digest = std::move(digest)] { peers_.exchange(digest); });
+    auto timer = std::make_shared<boost::asio::steady_timer>(traffic_, kExchangeInterval);
+    timer->async_wait([this, timer](const auto &) { exchangeTraffic(); });
+}
+
+void EntryApp::noteOthers(const std::vector<dispatch::TargetWork> &work)
+{
+    const fleet::ViewPtr view = views_.view();
+    const auto now = Clock::now();
+    for (const dispatch::TargetWork &entry : work) {
+        const auto target = std::ranges::find(view->targets(), entry.target, &fleet::Target::id);
+        if (target != view->targets().end())
+            placer_.board().setOthers(*target, entry.requests, entry.waitingTokens, now);
+    }
+}
+
+void EntryApp::weightsChanged(const peers::WeightsNotice &notice)
+{
+    peers_.announce(notice);
+    noteWeights(notice);
+}
+
+void EntryApp::noteWeights(const peers::WeightsNotice &notice)
+{
+    boost::asio::post(traffic_, [this, notice] {
+        const fleet::ViewPtr view = views_.view();
+        const auto target = std::ranges::find(view->targets(), notice.target, &fleet::Target::id);
+        if (target == view->targets().end() || target->startedAt != notice.startedAt)
+            return;
+        log_.write("placement", notice.isLoading ? "target-loading" : "target-loaded",
+                   { { "target", notice.target }, { "weights", notice.version } });
+        if (notice.isLoading)
+            placer_.board().startLoad(*target, Clock::now());
+        else
+            placer_.board().learnWeights(*target, notice.model, notice.version);
+    });
 }
 
 void EntryApp::serveReady(net::Exchange &exchange, const yield_context &yield)
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -18,13 +18,30 @@
 constexpr milliseconds kPeerTimeout{ 300 };   ///< Several round trips between data centres.
 constexpr milliseconds kAskInterval{ 500 };   ///< While the store does not answer.
 
+// Finer than for a large fleet: each instance has few requests at a target, and 60 ms are a small
+// part of the shortest latency goals.
+constexpr membership::LoadOptions kLoadOptions{ .spacing = milliseconds(60),
+                                                .materialPrefillTokens = 512,
+                                                .materialRequests = 1 };
+// An entry instance has this many bytes per second for hints; see docs/CAPACITY.md.
+constexpr peers::HintExchangeOptions kHintOptions{ .bytesPerSecond = 6000, .burstBytes = 12000 };
+
 } // namespace
 
 PeerMesh::PeerMesh(boost::asio::io_context &context, const EntryOptions &options,
                    std::uint64_t life, base::TimeLine &timeLine, base::EventLog &log,
-                   ViewKeeper &views)
+                   ViewKeeper &views, PeerHooks hooks)
     : context_(context), options_(options), life_(life), timeLine_(timeLine), log_(log),
-      views_(views), client_(context.get_executor(), { .connectTimeout = kPeerTimeout }),
+      views_(views), hooks_(std::move(hooks)),
+      loads_(
+              options.instance, options.dataCentre, life,
+              [this](const std::string &to, const auto &datagram) { sendTo(to, datagram); },
+              kLoadOptions),
+      hints_(
+              options.instance, options.dataCentre,
+              [this](const std::string &to, const auto &datagram) { sendTo(to, datagram); },
+              kHintOptions),
+      client_(context.get_executor(), { .connectTimeout = kPeerTimeout }),
       random_(std::random_device{}())
 {
 }
@@ -103,8 +120,69 @@
 
 void PeerMesh::receive(const net::Address &from, peers::Datagram datagram)
 {
-    if (auto *packet = std::get_if<membership::Packet>(&datagram); packet && actor_)
-        actor_->receive(toString(from), std::move(*packet));
+    const auto now = std::chrono::steady_clock::now();
+    if (auto *packet = std::get_if<membership::Packet>(&datagram)) {
+        if (actor_)
+            actor_->receive(toString(from), std::move(*packet));
+    } else if (const auto *report = std::get_if<peers::LoadReport>(&datagram)) {
+        loads_.receive(toString(from), *report, now);
+    } else if (const auto *sums = std::get_if<peers::LoadSums>(&datagram)) {
+        loads_.receive(*sums, now);
+    } else if (const auto *hints = std::get_if<peers::PlacementHints>(&datagram)) {
+        std::vector<dispatch::PrefixHint> prefixes;
+        for (const peers::PlacementHint &hint : hints->hints)
+            prefixes.push_back({ hint.prefix, hint.target, hint.life });
+        hooks_.hints(std::move(prefixes));
+    } else if (const auto *notice = std::get_if<peers::WeightsNotice>(&datagram)) {
+        hooks_.weights(*notice);
+    }
+}
+
+void PeerMesh::assignLoads()
+{
+    const auto members = actor_->snapshot();
+    const auto view = views_.view();
+    if (members == assignedMembers_ && view == assignedView_)
+        return;
+    std::vector<membership::FollowedTarget> targets;
+    for (const fleet::Target &target : view->targets())
+        targets.push_back({ target.id, target.dataCentre });
+    loads_.assign(members->members, targets);
+    assignedMembers_ = members;
+    assignedView_ = view;
+}
+
+void PeerMesh::exchange(const TrafficDigest &digest)
+{
+    assignLoads();
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<peers::NamedLoad> own;
+    for (const dispatch::TargetWork &work : digest.work) {
+        peers::NamedLoad load{ .target = work.target, .load = {} };
+        load.load.classes[0] = { static_cast<std::uint32_t>(work.waitingTokens),
+                                 static_cast<std::uint32_t>(work.requests) };
+        own.push_back(std::move(load));
+    }
+    loads_.tick(own, now);
+    std::vector<dispatch::TargetWork> others;
+    for (const peers::NamedLoad &load : loads_.others(now)) {
+        const membership::ClassLoad &sum = load.load.classes[0];
+        others.push_back({ load.target, static_cast<double>(sum.requests),
+                           static_cast<double>(sum.prefillTokens) });
+    }
+    hooks_.othersWork(std::move(others));
+    peers::PlacementHints message;
+    for (const dispatch::PrefixHint &hint : digest.hints)
+        message.hints.push_back({ hint.prefix, hint.target, hint.startedAt });
+    hints_.send(assignedMembers_->members, message, now);
+}
+
+void PeerMesh::announce(const peers::WeightsNotice &notice)
+{
+    for (const membership::Member &member : actor_->snapshot()->members) {
+        if (member.name != options_.instance && member.state != membership::MemberState::Dead)
+            sendTo(member.peerAddress, notice);
+    }
 }
 
 void PeerMesh::exchangeTable(const std::string &address)
--- a/packages/entry/src/rollout.cpp
+++ b/packages/entry/src/rollout.cpp
@@ -1,5 +1,6 @@
 #include "entry/rollout.h"
 
+#include "base/hash.h"
 #include "base/result.h"
 #include "net/http_server.h"
 
@@ -64,16 +65,27 @@
                 present = std::max(present, seen->second.at(model));
             const std::uint64_t wanted = view->wantedWeights(model);
             if (present < wanted)
-                result.push_back({ target, model, wanted });
+                result.push_back({ target, model, present, wanted });
         }
     }
+    // Engines with the oldest weights first: versions may be named faster than they can be loaded,
+    // and no engine must stay behind for long.
+    std::ranges::stable_sort(result, {}, &LoadTask::present);
     return result;
 }
 
-bool Rollout::isMyTurn(Clock::time_point now)
+void Rollout::noteProgress(const std::vector<LoadTask> &open, Clock::time_point now)
 {
-    if (!neededSince_)
+    std::uint64_t work = 0;
+    for (const LoadTask &task : open)
+        work ^= base::hash64(task.target.id, task.present);
+    if (!neededSince_ || work != openWork_)
         neededSince_ = now;
+    openWork_ = work;
+}
+
+bool Rollout::isMyTurn(Clock::time_point now) const
+{
     if (holding_)
         return true;
     const auto live = hooks_.liveInstances();
@@ -123,6 +135,10 @@
 bool Rollout::takeLease(const yield_context &yield)
 {
     holding_.reset();
+    const auto now = Clock::now();
+    if (now - leaseReadAt_ < options_.leaseReadInterval)
+        return false;
+    leaseReadAt_ = now;
     std::error_code error;
     const auto rows = store_.readAll(kLeaseTable, yield, error);
     if (!rows)
@@ -180,7 +196,6 @@
 void Rollout::done(const LoadTask &task, std::string_view how)
 {
     seen_[{ task.target.id, task.target.startedAt }][task.model] = task.version;
-    neededSince_ = Clock::now();
     hooks_.progress(task, true);
     log_.write("rollout", "weights-in-place",
                { { "target", task.target.id },
@@ -277,6 +292,7 @@
                 releaseLease(yield);
             continue;
         }
+        noteProgress(open, now);
         if (isMyTurn(now) && ensureLease(yield))
             startLoads(open);
     }
--- a/packages/entry/src/view_keeper.cpp
+++ b/packages/entry/src/view_keeper.cpp
@@ -133,8 +133,9 @@
     std::error_code error;
     bool changed = false;
     std::optional<fleet::StoreRows> rows;
-    if (answered_.contains(table) && replica.version() > 0)
+    if (answered_.contains(table))
         rows = store_.changes(table, replica.version(), options_.feedWait, yield, error);
+    // After the first copy, only a lost history makes another one necessary.
     const bool needsAll = !rows && (!error || error == Result::NotFound);
     if (needsAll) {
         error.clear();
@@ -146,7 +147,7 @@
     }
     noteAnswer(table);
     changed = needsAll ? replica.replace(*rows) : replica.apply(*rows);
-    if (changed || needsAll)
+    if (changed)
         rebuild();
     return true;
 }
--- a/packages/peers/include/peers/datagram.h
+++ b/packages/peers/include/peers/datagram.h
@@ -53,8 +53,20 @@
     bool operator==(const PlacementHints &) const = default;
 };
 
+/// Tells which weights one run of an engine loads or has.
+struct WeightsNotice
+{
+    std::string target;
+    std::uint64_t startedAt = 0; ///< Of the run, in Unix milliseconds.
+    std::string model;
+    std::uint64_t version = 0;
+    bool isLoading = false; ///< The engine refuses work until it has these weights.
+    bool operator==(const WeightsNotice &) const = default;
+};
+
 /// Content of one datagram between daemons.
-using Datagram = std::variant<membership::Packet, LoadReport, LoadSums, PlacementHints>;
+using Datagram = std::variant<membership::Packet, LoadReport, LoadSums, PlacementHints,
+                              WeightsNotice>;
 
 /// Returns the datagram in the compact protocol of Thrift, or no value if it would exceed
 /// `kMaxDatagramBytes` or a limit that the decoder checks.
--- a/packages/daemon/include/daemon/hint_exchange.h
+++ b/packages/peers/include/peers/hint_exchange.h
@@ -2,7 +2,6 @@
 
 #include "membership/member.h"
 #include "peers/datagram.h"
-#include "routing/recent_placements.h"
 
 #include <chrono>
 #include <cstddef>
@@ -10,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace chervilfield::daemon {
+namespace chervilfield::peers {
 
 struct HintExchangeOptions
 {
@@ -27,17 +26,17 @@
 {
 public:
     using Clock = std::chrono::steady_clock;
-    using Send = std::function<void(const std::string &address, const peers::Datagram &)>;
+    using Send = std::function<void(const std::string &address, const Datagram &)>;
 
     HintExchange(std::string self, std::string dataCentre, Send send,
                  HintExchangeOptions options = {});
 
     /// Sends the hints to as many members as the budget allows.
     void send(const std::vector<membership::Member> &members,
-              const std::vector<routing::PlacementHint> &hints, Clock::time_point now);
+              const PlacementHints &hints, Clock::time_point now);
 
     /// Most hints that `send` takes at a time.
-    static constexpr std::size_t kMaxHints = peers::kMaxPlacementHints;
+    static constexpr std::size_t kMaxHints = kMaxPlacementHints;
 
 private:
     std::vector<std::string> receivers(const std::vector<membership::Member> &members);
@@ -51,7 +50,4 @@
     std::size_t rotation_ = 0;
 };
 
-/// Returns the hints of a datagram in the form of the routing package.
-std::vector<routing::PlacementHint> toRoutingHints(const peers::PlacementHints &hints);
-
-} // namespace chervilfield::daemon
+} // namespace chervilfield::peers
--- a/packages/daemon/include/daemon/load_exchange.h
+++ b/packages/peers/include/peers/load_exchange.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace chervilfield::daemon {
+namespace chervilfield::peers {
 
 /// Work in flight at one target, by the target's name.
 struct NamedLoad
@@ -24,17 +24,18 @@
 class LoadExchange
 {
 public:
-    using Send = std::function<void(const std::string &address, const peers::Datagram &)>;
+    using Send = std::function<void(const std::string &address, const Datagram &)>;
 
-    LoadExchange(std::string self, std::string dataCentre, std::uint64_t life, Send send);
+    LoadExchange(std::string self, std::string dataCentre, std::uint64_t life, Send send,
+                 membership::LoadOptions options = {});
 
     /// Replaces the members and the targets; each target's meeting point follows from them.
     void assign(const std::vector<membership::Member> &members,
                 const std::vector<membership::FollowedTarget> &targets);
 
-    void receive(const std::string &address, const peers::LoadReport &report,
+    void receive(const std::string &address, const LoadReport &report,
                  membership::TimePoint now);
-    void receive(const peers::LoadSums &sums, membership::TimePoint now);
+    void receive(const LoadSums &sums, membership::TimePoint now);
 
     /// Sends reports and sums that are due. Call it at least every 100 ms.
     void tick(const std::vector<NamedLoad> &own, membership::TimePoint now);
@@ -69,4 +70,4 @@
     membership::LoadView view_;
 };
 
-} // namespace chervilfield::daemon
+} // namespace chervilfield::peers
--- a/packages/peers/src/datagram.cpp
+++ b/packages/peers/src/datagram.cpp
@@ -167,6 +167,17 @@
     return result;
 }
 
+std::optional<Datagram> fromWire(const wire::WeightsNotice &message)
+{
+    if (!isPermitted(message.target) || !isPermitted(message.model) || message.version < 0)
+        return std::nullopt;
+    return WeightsNotice{ .target = message.target,
+                          .startedAt = static_cast<std::uint64_t>(message.startedAt),
+                          .model = message.model,
+                          .version = static_cast<std::uint64_t>(message.version),
+                          .isLoading = message.isLoading };
+}
+
 // Groups the hints by target and life, which are then sent once.
 wire::PlacementHints toWire(const PlacementHints &hints)
 {
@@ -214,6 +225,16 @@
     {
         message.__set_placementHints(toWire(hints));
     }
+    void operator()(const WeightsNotice &notice) const
+    {
+        wire::WeightsNotice body;
+        body.target = notice.target;
+        body.startedAt = static_cast<std::int64_t>(notice.startedAt);
+        body.model = notice.model;
+        body.version = static_cast<std::int64_t>(notice.version);
+        body.isLoading = notice.isLoading;
+        message.__set_weightsNotice(body);
+    }
 };
 
 } // namespace
@@ -237,7 +258,7 @@
         return std::nullopt;
     const auto &set = message.__isset;
     const int parts = int{ set.membership } + int{ set.loadReport } + int{ set.loadSums }
-                      + int{ set.placementHints };
+                      + int{ set.placementHints } + int{ set.weightsNotice };
     if (parts != 1)
         return std::nullopt;
     if (set.membership)
@@ -246,6 +267,8 @@
         return fromWire(message.loadReport);
     if (set.loadSums)
         return fromWire(message.loadSums);
+    if (set.weightsNotice)
+        return fromWire(message.weightsNotice);
     return fromWire(message.placementHints);
 }
 
--- a/packages/daemon/src/hint_exchange.cpp
+++ b/packages/peers/src/hint_exchange.cpp
@@ -1,24 +1,15 @@
-#include "daemon/hint_exchange.h"
+#include "peers/hint_exchange.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace chervilfield::daemon {
+namespace chervilfield::peers {
 
 namespace {
 
 // IP and UDP headers.
 constexpr double kHeaderBytes = 28;
 
-peers::PlacementHints toMessage(const std::vector<routing::PlacementHint> &hints)
-{
-    peers::PlacementHints message;
-    message.hints.reserve(hints.size());
-    for (const routing::PlacementHint &hint : hints)
-        message.hints.push_back({ hint.prefix, hint.target, hint.life });
-    return message;
-}
-
 } // namespace
 
 HintExchange::HintExchange(std::string self, std::string dataCentre, Send send,
@@ -29,14 +20,13 @@
 }
 
 void HintExchange::send(const std::vector<membership::Member> &members,
-                        const std::vector<routing::PlacementHint> &hints, Clock::time_point now)
+                        const PlacementHints &hints, Clock::time_point now)
 {
     const std::chrono::duration<double> elapsed = now - std::exchange(refilled_, now);
     budget_ = std::min(options_.burstBytes, budget_ + elapsed.count() * options_.bytesPerSecond);
-    if (hints.empty())
+    if (hints.hints.empty())
         return;
-    const peers::PlacementHints message = toMessage(hints);
-    const auto encoded = peers::encode(message);
+    const auto encoded = peers::encode(hints);
     if (!encoded.has_value())
         return;
     const double bytes = static_cast<double>(encoded->size()) + kHeaderBytes;
@@ -44,7 +34,7 @@
         if (budget_ < bytes)
             return;
         budget_ -= bytes;
-        send_(address, message);
+        send_(address, hints);
     }
 }
 
@@ -69,13 +59,4 @@
     return local;
 }
 
-std::vector<routing::PlacementHint> toRoutingHints(const peers::PlacementHints &hints)
-{
-    std::vector<routing::PlacementHint> result;
-    result.reserve(hints.hints.size());
-    for (const peers::PlacementHint &hint : hints.hints)
-        result.push_back({ .prefix = hint.prefix, .target = hint.target, .life = hint.life });
-    return result;
-}
-
-} // namespace chervilfield::daemon
+} // namespace chervilfield::peers
--- a/packages/daemon/src/load_exchange.cpp
+++ b/packages/peers/src/load_exchange.cpp
@@ -1,10 +1,10 @@
-#include "daemon/load_exchange.h"
+#include "peers/load_exchange.h"
 
 #include <algorithm>
 #include <set>
 #include <utility>
 
-namespace chervilfield::daemon {
+namespace chervilfield::peers {
 
 using membership::LoadEntry;
 using membership::TimePoint;
@@ -16,8 +16,8 @@
 void sendInParts(const LoadExchange::Send &send, const std::string &address, Message message,
                  const std::vector<LoadEntry> &entries)
 {
-    for (std::size_t start = 0; start < entries.size(); start += peers::kMaxLoadEntries) {
-        const std::size_t end = std::min(entries.size(), start + peers::kMaxLoadEntries);
+    for (std::size_t start = 0; start < entries.size(); start += kMaxLoadEntries) {
+        const std::size_t end = std::min(entries.size(), start + kMaxLoadEntries);
         message.loads.assign(entries.begin() + static_cast<std::ptrdiff_t>(start),
                              entries.begin() + static_cast<std::ptrdiff_t>(end));
         send(address, message);
@@ -26,9 +26,10 @@
 
 } // namespace
 
-LoadExchange::LoadExchange(std::string self, std::string dataCentre, std::uint64_t life, Send send)
+LoadExchange::LoadExchange(std::string self, std::string dataCentre, std::uint64_t life, Send send,
+                           membership::LoadOptions options)
     : self_(std::move(self)), dataCentre_(std::move(dataCentre)), life_(life),
-      send_(std::move(send))
+      send_(std::move(send)), options_(options)
 {
 }
 
@@ -63,14 +64,14 @@
     points_ = std::move(next);
 }
 
-void LoadExchange::receive(const std::string &address, const peers::LoadReport &report,
+void LoadExchange::receive(const std::string &address, const LoadReport &report,
                            TimePoint now)
 {
     reporterAddresses_[report.sender] = address;
     membership::recordReport(board_, report.sender, report.life, report.loads, now);
 }
 
-void LoadExchange::receive(const peers::LoadSums &sums, TimePoint now)
+void LoadExchange::receive(const LoadSums &sums, TimePoint now)
 {
     membership::mergeSums(view_, sums.loads, now);
 }
@@ -103,7 +104,7 @@
     if (changes.empty() && !mustAsk)
         return;
     point.lastReport = now;
-    const peers::LoadReport message{ .sender = self_, .life = life_ };
+    const LoadReport message{ .sender = self_, .life = life_ };
     if (mustAsk)
         send_(point.address, message);
     sendInParts(send_, point.address, message, changes);
@@ -114,7 +115,7 @@
     membership::mergeSums(view_, membership::takeSums(board_, self_, now, options_), now);
     for (const auto &[reporter, address] : reporterAddresses_) {
         const auto sums = membership::takeSums(board_, reporter, now, options_);
-        sendInParts(send_, address, peers::LoadSums{}, sums);
+        sendInParts(send_, address, LoadSums{}, sums);
     }
 }
 
@@ -130,4 +131,4 @@
     return result;
 }
 
-} // namespace chervilfield::daemon
+} // namespace chervilfield::peers
--- a/packages/daemon/test/hint_exchange_test.cpp
+++ b/packages/peers/test/hint_exchange_test.cpp
@@ -1,10 +1,10 @@
-#include "daemon/hint_exchange.h"
+#include "peers/hint_exchange.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <map>
 
-namespace chervilfield::daemon {
+namespace chervilfield::peers {
 
 using std::chrono::milliseconds;
 
@@ -35,7 +35,7 @@
             std::map<std::string, std::size_t> received;
             double bytes = 0;
             HintExchange exchange("entry-0", "leon",
-                                  [&](const std::string &to, const peers::Datagram &datagram) {
+                                  [&](const std::string &to, const Datagram &datagram) {
                                       ++received[to];
                                       bytes += static_cast<double>(peers::encode(datagram)->size());
                                   });
@@ -66,15 +66,15 @@
         return members;
     }
 
-    static std::vector<routing::PlacementHint> makeHints(std::uint64_t seed)
+    static PlacementHints makeHints(std::uint64_t seed)
     {
-        std::vector<routing::PlacementHint> hints;
+        PlacementHints hints;
         for (std::uint64_t i = 0; i < 8; ++i)
-            hints.push_back({ .prefix = ~(seed * 8 + i), .target = ~seed, .life = seed });
+            hints.hints.push_back({ .prefix = ~(seed * 8 + i), .target = ~seed, .life = seed });
         return hints;
     }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HintExchangeTest);
 
-} // namespace chervilfield::daemon
+} // namespace chervilfield::peers
--- a/packages/daemon/test/load_exchange_test.cpp
+++ b/packages/peers/test/load_exchange_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon/load_exchange.h"
+#include "peers/load_exchange.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -6,7 +6,7 @@
 #include <map>
 #include <memory>
 
-namespace chervilfield::daemon {
+namespace chervilfield::peers {
 
 using membership::TimePoint;
 using std::chrono::milliseconds;
@@ -24,7 +24,7 @@
             members_.push_back({ .name = name, .peerAddress = name, .dataCentre = "leon" });
             exchanges_[name] = std::make_unique<LoadExchange>(
                     name, "leon", 1,
-                    [this, name](const std::string &to, const peers::Datagram &datagram) {
+                    [this, name](const std::string &to, const Datagram &datagram) {
                         if (!losing)
                             queue_.push_back({ name, to, datagram });
                     });
@@ -62,7 +62,7 @@
     {
         std::string from;
         std::string to;
-        peers::Datagram datagram;
+        Datagram datagram;
     };
 
     void deliver()
@@ -70,9 +70,9 @@
         while (!queue_.empty()) {
             const Sent sent = queue_.front();
             queue_.pop_front();
-            if (const auto *report = std::get_if<peers::LoadReport>(&sent.datagram))
+            if (const auto *report = std::get_if<LoadReport>(&sent.datagram))
                 exchanges_[sent.to]->receive(sent.from, *report, now_);
-            else if (const auto *sums = std::get_if<peers::LoadSums>(&sent.datagram))
+            else if (const auto *sums = std::get_if<LoadSums>(&sent.datagram))
                 exchanges_[sent.to]->receive(*sums, now_);
         }
     }
@@ -123,4 +123,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LoadExchangeTest);
 
-} // namespace chervilfield::daemon
+} // namespace chervilfield::peers
--- a/packages/peers/thrift/peers.thrift
+++ b/packages/peers/thrift/peers.thrift
@@ -72,6 +72,15 @@
   1: list<TargetPlacements> targets
 }
 
+// Weights of one run of an engine, from the daemon that gives it orders.
+struct WeightsNotice {
+  1: string target
+  2: i64 startedAt
+  3: string model
+  4: i64 version
+  5: bool isLoading
+}
+
 // One UDP datagram; exactly one of the optional fields is set.
 struct Datagram {
   1: i8 version
@@ -80,6 +89,7 @@
   4: optional LoadSums loadSums
   // 5 was used for hot prefixes.
   6: optional PlacementHints placementHints
+  7: optional WeightsNotice weightsNotice
 }
 
 // Request and response of POST /peer/v1/members.
