Keep prefixes in the cache store of the deployment

Ruled out: a longer memory of holders; entries were found, their engines had evicted or lost them. Change: where no engine is known to hold a prefix, the request names the store as source, and the engine saves the prefix there after reading it.

--- a/packages/dispatch/include/dispatch/placement.h
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -41,6 +41,7 @@
     std::size_t target = 0;                  ///< Index into the targets of the view.
     std::uint64_t weights = 0;               ///< Version that the target has, 0 if unknown.
     std::optional<net::Address> cacheSource; ///< Another target that probably caches the prefix.
+    std::optional<net::Address> cacheStore;  ///< Store to save the prefix in once it is read.
     double uncachedTokens = 0;               ///< Expected prompt tokens to compute.
     Seconds expected{};                      ///< Expected time to the first event.
 };
@@ -127,6 +128,7 @@
                     Time now) const;
     void addHomeCost(std::vector<Candidate> &candidates, const WorkRequest &request,
                      const fleet::View &view) const;
+    static void useStore(Placement &placement, const fleet::View &view);
     const fleet::Target *liveHolder(const Holder &holder, const fleet::View &view, Time now) const;
 
     std::string dataCentre_;
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -226,9 +226,24 @@
                          .expected = best->expected };
     if (best->source != nullptr)
         placement.cacheSource = best->source->address;
+    else if (tokensOf(request, sharedParts(request)) - best->cached >= options_.worthSharing)
+        useStore(placement, view);
     return placement;
 }
 
+// A prefix that no engine is known to hold may still be in a store; if not, the engine that reads
+// it saves it there, so that it survives the engine and its eviction.
+void Placer::useStore(Placement &placement, const fleet::View &view)
+{
+    const auto &pools = view.configuration().pools;
+    const auto store = std::ranges::find_if(
+            pools, [](const fleet::Pool &pool) { return pool.store.has_value(); });
+    if (store == pools.end())
+        return;
+    placement.cacheSource = store->store->address;
+    placement.cacheStore = store->store->address;
+}
+
 void Placer::sent(const WorkRequest &request, const Placement &placement, const fleet::View &view,
                   Time now)
 {
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -81,6 +81,7 @@
 {
     seeds_ = seeds;
     std::vector<std::string> addresses;
+    addresses.reserve(seeds.size());
     for (const net::Address &seed : seeds)
         addresses.push_back(toString(seed));
     actor_->setSeeds(std::move(addresses));
--- a/packages/relay/include/relay/codec.h
+++ b/packages/relay/include/relay/codec.h
@@ -38,6 +38,7 @@
     std::string cacheKey;      ///< Requests with different keys share no cached prefix.
     std::uint64_t weights = 0; ///< The version that the target must have; 0 for any.
     std::optional<net::Address> cacheSource; ///< Target to fetch cached prefixes from.
+    std::optional<net::Address> cacheStore;  ///< Store to save prefixes in once they are read.
     int priority = 0;                        ///< 0 is served first.
     std::string lastEventId; ///< Event after which the target goes on; empty for all.
 };
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -188,6 +188,7 @@
                           .cacheKey = {},
                           .weights = placement.weights,
                           .cacheSource = placement.cacheSource,
+                          .cacheStore = placement.cacheStore,
                           .priority = route_->priority,
                           .lastEventId = caller_.lastEventId };
     if (customer_ != nullptr && customer_->priority)
@@ -234,6 +235,7 @@
 {
     target_ = &knowledge_.view->targets()[placement.target];
     waitingTokens_ = placement.uncachedTokens;
+    firstEventAt_.reset();
     const InFlight counted(context_.placer.board(), *target_, waitingTokens_);
     avoided_.push_back(target_->id);
     net::ExchangeOptions options = exchangeOptions();
@@ -375,6 +377,8 @@
            && response.read(bytes, left(), yield_, error)) {
         if (waitingTokens_ > 0)
             board.firstEvent(*target_, std::exchange(waitingTokens_, 0));
+        if (!firstEventAt_)
+            firstEventAt_ = Clock::now();
         splitter.feed(bytes);
         bytes.clear();
         callerIsThere = deliver(splitter, response);
@@ -477,7 +481,12 @@
                          { "target", target_->id },
                          { "weights", placement.weights },
                          { "expected_ms", placement.expected },
-                         { "uncached_tokens", placement.uncachedTokens },
+                         { "pool", pool_ },
+              { "prompt_tokens", caller_.promptTokens },
+              { "output_tokens", caller_.maxOutputTokens },
+              { "uncached_tokens", placement.uncachedTokens },
+              { "fetch", placement.cacheSource.has_value() },
+              { "queued_tokens", board.estimatedTokens(*target_, Clock::now()) },
                          { "in_flight", status == nullptr ? 0 : status->inFlight },
                          { "load", board.estimatedRequests(*target_, Clock::now()) },
                          { "load_age_ms", status == nullptr ? milliseconds(-1)
@@ -486,7 +495,9 @@
                          { "view", knowledge_.view->storeVersion() },
                          { "outcome", toString(outcome) },
                          { "result", base::resultInfo(result_).name },
-                         { "took_ms", Clock::now() - at } });
+                         { "first_ms", firstEventAt_ ? duration_cast<milliseconds>(*firstEventAt_ - at)
+                                          : milliseconds(-1) },
+              { "took_ms", Clock::now() - at } });
 }
 
 void Relay::Flow::run()
--- a/packages/targets/test/engine_client_test.cpp
+++ b/packages/targets/test/engine_client_test.cpp
@@ -22,6 +22,7 @@
 
     int status() const override { return 200; }
     const net::Headers &headers() const override { return headers_; }
+    void abort() override { bytes_.clear(); }
 
     bool read(std::string &out, milliseconds, yield_context, std::error_code &error) override
     {
