--- a/packages/dispatch/include/dispatch/placement.h
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -30,6 +30,7 @@
     std::string cacheScope; ///< Requests of different scopes share no cached prefix.
     std::span<const PromptPart> parts{};
     std::uint32_t promptTokens = 0;
+    std::uint32_t outputTokens = 0;      ///< At most.
     std::chrono::milliseconds goal{ 0 }; ///< Time to the answer or first event that is aimed at.
     std::chrono::milliseconds left{ 0 }; ///< Until the caller gives up.
     std::span<const std::string> excluded{}; ///< Ids of targets that were tried before.
@@ -65,6 +66,11 @@
     Seconds fetchPerToken{ 1e-6 };
     /// Cost of a target with older weights than the wanted ones, as a share of the latency goal.
     double staleWeightsShare = 0.4;
+    /// Prompts above this size are long work: half a chunk that engines read between two tokens.
+    double longPromptTokens = 2048;
+    /// Cost of long work for each request in progress, relative to the time to read the prompt:
+    /// each token of those requests waits for a chunk of it.
+    double slowedShare = 0.8;
     /// A target takes no work this long after the first newer version than its own was named.
     std::chrono::milliseconds staleWeightsLimit{ 8500 };
     /// Cost of a target in another data centre, beside the way there.
@@ -95,7 +101,7 @@
 public:
     Placer(std::string dataCentre, std::uint64_t seed, PlacementOptions options = {});
 
-    /// Chooses a target of `pool`, or refuses.
+    /// Chooses a target of `pool`, or refuses. Call it once for each send.
     std::variant<Placement, Refusal> place(const WorkRequest &request, const std::string &pool,
                                            const fleet::View &view, Time now);
 
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -130,6 +130,8 @@
     const Seconds running = options_.perRequest * board_.estimatedRequests(target, now) * slowness;
     candidate.expected = std::max(queue, candidate.prefixWait) + prefill + running
                          + options_.fetchPerToken * candidate.fetched;
+    if (request.promptTokens > options_.longPromptTokens)
+        candidate.cost += prefill * board_.estimatedRequests(target, now) * options_.slowedShare;
     if (candidate.isDuplicate && candidate.source == nullptr) {
         const double tokens = tokensOf(request, sharedParts(request));
         candidate.cost += Seconds(tokens / options_.prefillRate) * options_.duplicateShare;
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -156,6 +156,7 @@
                                                                             : std::string(),
              .parts = caller_.parts,
              .promptTokens = caller_.promptTokens,
+             .outputTokens = caller_.maxOutputTokens,
              .goal = route_->latencyGoal,
              .left = left(),
              .excluded = avoided_ };
@@ -475,27 +476,28 @@
 {
     const auto &board = context_.placer.board();
     const auto *status = board.find(*target_);
-    context_.log.write("relay", "sent",
-                       { { "request", caller_.requestId },
-                         { "attempt", avoided_.size() },
-                         { "target", target_->id },
-                         { "weights", placement.weights },
-                         { "expected_ms", placement.expected },
-                         { "pool", pool_ },
+    context_.log.write(
+            "relay", "sent",
+            { { "request", caller_.requestId },
+              { "attempt", avoided_.size() },
+              { "target", target_->id },
+              { "weights", placement.weights },
+              { "expected_ms", placement.expected },
+              { "pool", pool_ },
               { "prompt_tokens", caller_.promptTokens },
               { "output_tokens", caller_.maxOutputTokens },
               { "uncached_tokens", placement.uncachedTokens },
               { "fetch", placement.cacheSource.has_value() },
               { "queued_tokens", board.estimatedTokens(*target_, Clock::now()) },
-                         { "in_flight", status == nullptr ? 0 : status->inFlight },
-                         { "load", board.estimatedRequests(*target_, Clock::now()) },
-                         { "load_age_ms", status == nullptr ? milliseconds(-1)
-                                                            : duration_cast<milliseconds>(
-                                                                    at - status->reportedAt) },
-                         { "view", knowledge_.view->storeVersion() },
-                         { "outcome", toString(outcome) },
-                         { "result", base::resultInfo(result_).name },
-                         { "first_ms", firstEventAt_ ? duration_cast<milliseconds>(*firstEventAt_ - at)
+              { "in_flight", status == nullptr ? 0 : status->inFlight },
+              { "load", board.estimatedRequests(*target_, Clock::now()) },
+              { "load_age_ms", status == nullptr
+                                       ? milliseconds(-1)
+                                       : duration_cast<milliseconds>(at - status->reportedAt) },
+              { "view", knowledge_.view->storeVersion() },
+              { "outcome", toString(outcome) },
+              { "result", base::resultInfo(result_).name },
+              { "first_ms", firstEventAt_ ? duration_cast<milliseconds>(*firstEventAt_ - at)
                                           : milliseconds(-1) },
               { "took_ms", Clock::now() - at } });
 }
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -77,11 +77,11 @@
     Clock::time_point deadline_;
     net::Cancellation cancellation_;
 
-    std::vector<std::string> tried_;        ///< Targets that the request was sent to.
-    std::vector<std::string> avoided_;      ///< Those and the ones without a connection.
-    const fleet::Target *target_ = nullptr; ///< Of the send in progress.
+    std::vector<std::string> tried_;                ///< Targets that the request was sent to.
+    std::vector<std::string> avoided_;              ///< Those and the ones without a connection.
+    const fleet::Target *target_ = nullptr;         ///< Of the send in progress.
     std::optional<Clock::time_point> firstEventAt_; ///< Of the send in progress.
-    double waitingTokens_ = 0;              ///< Of the send in progress, until its first event.
+    double waitingTokens_ = 0; ///< Of the send in progress, until its first event.
     bool mayHaveRun_ = false;
     bool hasStarted_ = false; ///< The head of the answer was sent to the caller.
     bool isFinished_ = false;
