Read one long prompt at a time per engine; let long work wait briefly for an engine

Change: an engine takes a long prompt only while it has no other one to read, by the count of all instances; a request without such an engine waits up to 0.4 of its latency goal, then accepts one long prompt before it, and is otherwise refused with a time to return.

--- a/packages/dispatch/include/dispatch/placement.h
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -43,6 +43,7 @@
     std::uint64_t weights = 0;               ///< Version that the target has, 0 if unknown.
     std::optional<net::Address> cacheSource; ///< Another target that probably caches the prefix.
     std::optional<net::Address> cacheStore;  ///< Store to save the prefix in once it is read.
+    Flight flight{};                         ///< Counted at the target by `sent`.
     double uncachedTokens = 0;               ///< Expected prompt tokens to compute.
     Seconds expected{};                      ///< Expected time to the first event.
 };
@@ -52,6 +53,13 @@
 {
     base::Result code = base::Result::Overloaded;
     std::chrono::milliseconds retryAfter{ 0 };
+    bool mayWait = false; ///< A target may have room for the request soon.
+};
+
+/// What a request accepts.
+enum class Acceptance {
+    InTime, ///< Only a target that is expected to meet the latency goal.
+    Late,   ///< Also one that answers later, but before the caller gives up.
 };
 
 struct PlacementOptions
@@ -91,6 +99,22 @@
     double readFactor = 1.5;
     /// Time after which a prefix that another instance told of is expected to be read.
     std::chrono::milliseconds hintDelay{ 500 };
+    /// Expected time to the first event that counts as in time, as a multiple of the latency goal.
+    double inTimeGoals = 1.0;
+    /// The same for late work, as a share of the time that the caller still waits. The rest is for
+    /// the events after the first one.
+    double lateShare = 0.6;
+    /// Unread prompt tokens at an engine with which it takes a further long prompt. Streams of the
+    /// engine get a token per chunk of about 4,096 tokens while it reads, so that two long prompts
+    /// in a row make a pause that callers count as late.
+    double inTimeBacklog = 2048;
+    /// The same for work that is late in any case: one long prompt.
+    double lateBacklog = 20'000;
+    /// Share of an engine's memory that requests in progress may take. The rest keeps prefixes that
+    /// would otherwise be computed again.
+    double memoryShare = 0.6;
+    /// Retry-After of a refusal for lack of room: what is in progress takes about this long.
+    std::chrono::milliseconds busyRetry{ 800 };
     /// Retry-After of a refusal because no target is available.
     std::chrono::milliseconds noTargetRetry{ 500 };
 };
@@ -103,7 +127,8 @@
 
     /// Chooses a target of `pool`, or refuses. Call it once for each send.
     std::variant<Placement, Refusal> place(const WorkRequest &request, const std::string &pool,
-                                           const fleet::View &view, Time now);
+                                           const fleet::View &view, Acceptance acceptance,
+                                           Time now);
 
     /// Records that the request was sent to its place.
     void sent(const WorkRequest &request, const Placement &placement, const fleet::View &view,
@@ -121,6 +146,8 @@
 private:
     struct Candidate;
 
+    bool accepts(const Candidate &candidate, const WorkRequest &request, const fleet::Pool *pool,
+                 const fleet::View &view, Acceptance acceptance, Time now) const;
     std::vector<Candidate> candidates(const WorkRequest &request, const std::string &pool,
                                       const fleet::View &view, Time now) const;
     bool isTooStale(const WorkRequest &request, std::uint64_t weights, const fleet::View &view,
--- a/packages/dispatch/include/dispatch/target_board.h
+++ b/packages/dispatch/include/dispatch/target_board.h
@@ -30,9 +30,11 @@
     std::uint64_t startedAt = 0; ///< Of the run that all of this is about.
     std::uint32_t inFlight = 0;  ///< Requests of this instance without a complete answer.
     double waitingTokens = 0;    ///< Prompt tokens of those without a first event.
+    double memoryTokens = 0;     ///< Memory that those take, in tokens.
     LoadReport report;
     double othersRequests = 0;     ///< In flight of all other instances, as they tell.
     double othersTokens = 0;       ///< Their prompt tokens without a first event.
+    double othersMemory = 0;       ///< Memory that they take, in tokens.
     Time othersAt{};               ///< When the others last told; `Time{}` if never.
     std::uint32_t ownAtReport = 0; ///< Of `report`, what was this instance's own.
     Time reportedAt{};
@@ -49,6 +51,14 @@
     std::string target; ///< Id.
     double requests = 0;
     double waitingTokens = 0; ///< Prompt tokens of requests without a first event.
+    double memoryTokens = 0;  ///< Memory that the requests take, in tokens.
+};
+
+/// One request in flight. Keep it with the request.
+struct Flight
+{
+    double waitingTokens = 0; ///< Prompt tokens to compute; 0 after the first event.
+    double memoryTokens = 0;  ///< Tokens of the prompt and of the longest answer.
 };
 
 /// Why a target did not answer a request.
@@ -89,17 +99,16 @@
     /// Returns the status, or null if nothing is known of the run.
     const TargetStatus *find(const fleet::Target &target) const;
 
-    void start(const fleet::Target &target, double tokens);
-    void firstEvent(const fleet::Target &target, double tokens);
-    /// Ends a request; `tokens` as passed to `start`, zero after `firstEvent`.
-    void end(const fleet::Target &target, double tokens);
+    void start(const fleet::Target &target, const Flight &flight);
+    void firstEvent(const fleet::Target &target, Flight &flight);
+    void end(const fleet::Target &target, const Flight &flight);
 
     void report(const fleet::Target &target, const LoadReport &report, Time now);
     void fault(const fleet::Target &target, Fault fault, Time now);
     void success(const fleet::Target &target, Time now);
 
     /// Takes what the other instances have in flight at the target.
-    void setOthers(const fleet::Target &target, double requests, double tokens, Time now);
+    void setOthers(const fleet::Target &target, const TargetWork &work, Time now);
 
     /// Returns the estimated requests of all instances at the target.
     double estimatedRequests(const fleet::Target &target, Time now) const;
@@ -107,6 +116,9 @@
     /// Returns the estimated prompt tokens of all instances that wait at the target.
     double estimatedTokens(const fleet::Target &target, Time now) const;
 
+    /// Returns the estimated memory of all instances' requests at the target, in tokens.
+    double estimatedMemory(const fleet::Target &target, Time now) const;
+
     /// Records that the target loads weights and refuses work until then.
     void startLoad(const fleet::Target &target, Time now);
 
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -23,6 +23,11 @@
     return tokens;
 }
 
+double memoryTokens(const WorkRequest &request)
+{
+    return static_cast<double>(request.promptTokens) + request.outputTokens;
+}
+
 std::uint64_t hashOf(const fleet::Target &target)
 {
     return base::hash64(target.id);
@@ -208,14 +213,46 @@
     }
 }
 
+bool Placer::accepts(const Candidate &candidate, const WorkRequest &request,
+                     const fleet::Pool *pool, const fleet::View &view, Acceptance acceptance,
+                     Time now) const
+{
+    if (request.model.empty() || pool == nullptr || !pool->engine)
+        return true;
+    const fleet::Target &target = view.targets()[candidate.index];
+    if (board_.estimatedRequests(target, now) < 1)
+        return true;
+    const bool isInTime = acceptance == Acceptance::InTime;
+    const Seconds limit = isInTime ? Seconds(request.goal) * options_.inTimeGoals
+                                   : Seconds(request.left) * options_.lateShare;
+    if (candidate.expected > limit)
+        return false;
+    if (candidate.uncached(request) <= options_.longPromptTokens)
+        return true;
+    const double backlog = board_.estimatedTokens(target, now);
+    if (backlog > (isInTime ? options_.inTimeBacklog : options_.lateBacklog))
+        return false;
+    const double memory = board_.estimatedMemory(target, now) + memoryTokens(request);
+    return memory <= options_.memoryShare * static_cast<double>(pool->engine->cacheTokens);
+}
+
 std::variant<Placement, Refusal> Placer::place(const WorkRequest &request, const std::string &pool,
-                                               const fleet::View &view, Time now)
+                                               const fleet::View &view, Acceptance acceptance,
+                                               Time now)
 {
     std::vector<Candidate> all = candidates(request, pool, view, now);
     if (all.empty())
         return Refusal{ .code = base::Result::NoTarget, .retryAfter = options_.noTargetRetry };
     if (std::ranges::any_of(all, [](const auto &c) { return !c.avoided; }))
         std::erase_if(all, [](const Candidate &c) { return c.avoided; });
+    const fleet::Pool *description = view.findPool(pool);
+    std::erase_if(all, [&](const Candidate &c) {
+        return !accepts(c, request, description, view, acceptance, now);
+    });
+    if (all.empty())
+        return Refusal{ .code = base::Result::Overloaded,
+                        .retryAfter = options_.busyRetry,
+                        .mayWait = acceptance == Acceptance::InTime };
     addHomeCost(all, request, view);
     // Instances see nearly the same costs; the draw keeps them from choosing the same target.
     constexpr double kNearEqual = 0.002;
@@ -224,6 +261,7 @@
     const auto best = std::ranges::min_element(all, {}, &Candidate::cost);
     Placement placement{ .target = best->index,
                          .weights = best->weights,
+                         .flight = { best->uncached(request), memoryTokens(request) },
                          .uncachedTokens = best->uncached(request),
                          .expected = best->expected };
     if (best->source != nullptr)
@@ -250,7 +288,7 @@
                   Time now)
 {
     const fleet::Target &target = view.targets()[placement.target];
-    board_.start(target, placement.uncachedTokens);
+    board_.start(target, placement.flight);
     const auto readTime =
             std::chrono::duration_cast<Time::duration>(placement.expected * options_.readFactor);
     const Holder holder{ .target = hashOf(target),
--- a/packages/dispatch/src/target_board.cpp
+++ b/packages/dispatch/src/target_board.cpp
@@ -12,7 +12,9 @@
     if (status.startedAt != target.startedAt) {
         // Requests in flight at the ended run are still counted by their own ends.
         const std::uint32_t inFlight = status.inFlight;
-        status = { .startedAt = target.startedAt, .inFlight = inFlight };
+        status = {};
+        status.startedAt = target.startedAt;
+        status.inFlight = inFlight;
     }
     return status;
 }
@@ -24,24 +26,27 @@
     return isSameRun ? &found->second : nullptr;
 }
 
-void TargetBoard::start(const fleet::Target &target, double tokens)
+void TargetBoard::start(const fleet::Target &target, const Flight &flight)
 {
     TargetStatus &entry = status(target);
     ++entry.inFlight;
-    entry.waitingTokens += tokens;
+    entry.waitingTokens += flight.waitingTokens;
+    entry.memoryTokens += flight.memoryTokens;
 }
 
-void TargetBoard::firstEvent(const fleet::Target &target, double tokens)
+void TargetBoard::firstEvent(const fleet::Target &target, Flight &flight)
 {
     TargetStatus &entry = status(target);
-    entry.waitingTokens = std::max(0.0, entry.waitingTokens - tokens);
+    entry.waitingTokens = std::max(0.0, entry.waitingTokens - flight.waitingTokens);
+    flight.waitingTokens = 0;
 }
 
-void TargetBoard::end(const fleet::Target &target, double tokens)
+void TargetBoard::end(const fleet::Target &target, const Flight &flight)
 {
     TargetStatus &entry = status(target);
     entry.inFlight -= entry.inFlight > 0 ? 1 : 0;
-    entry.waitingTokens = std::max(0.0, entry.waitingTokens - tokens);
+    entry.waitingTokens = std::max(0.0, entry.waitingTokens - flight.waitingTokens);
+    entry.memoryTokens = std::max(0.0, entry.memoryTokens - flight.memoryTokens);
 }
 
 void TargetBoard::report(const fleet::Target &target, const LoadReport &report, Time now)
@@ -84,11 +89,12 @@
     entry.avoidUntil = {};
 }
 
-void TargetBoard::setOthers(const fleet::Target &target, double requests, double tokens, Time now)
+void TargetBoard::setOthers(const fleet::Target &target, const TargetWork &work, Time now)
 {
     TargetStatus &entry = status(target);
-    entry.othersRequests = requests;
-    entry.othersTokens = tokens;
+    entry.othersRequests = work.requests;
+    entry.othersTokens = work.waitingTokens;
+    entry.othersMemory = work.memoryTokens;
     entry.othersAt = now;
 }
 
@@ -119,6 +125,15 @@
     return entry->waitingTokens + (isRecent ? entry->othersTokens : 0);
 }
 
+double TargetBoard::estimatedMemory(const fleet::Target &target, Time now) const
+{
+    const TargetStatus *entry = find(target);
+    if (entry == nullptr)
+        return 0;
+    const bool isRecent = now - entry->othersAt < options_.othersLifetime;
+    return entry->memoryTokens + (isRecent ? entry->othersMemory : 0);
+}
+
 std::uint64_t TargetBoard::weightsOf(const fleet::Target &target, const std::string &model) const
 {
     const auto registered = target.weights.find(model);
@@ -146,7 +161,8 @@
     std::vector<TargetWork> work;
     for (const auto &[id, status] : targets_) {
         if (status.inFlight > 0)
-            work.push_back({ id, static_cast<double>(status.inFlight), status.waitingTokens });
+            work.push_back({ id, static_cast<double>(status.inFlight), status.waitingTokens,
+                             status.memoryTokens });
     }
     return work;
 }
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -211,7 +211,7 @@
     for (const dispatch::TargetWork &entry : work) {
         const auto target = std::ranges::find(view->targets(), entry.target, &fleet::Target::id);
         if (target != view->targets().end())
-            placer_.board().setOthers(*target, entry.requests, entry.waitingTokens, now);
+            placer_.board().setOthers(*target, entry, now);
     }
 }
 
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -23,6 +23,10 @@
 constexpr membership::LoadOptions kLoadOptions{ .spacing = milliseconds(60),
                                                 .materialPrefillTokens = 512,
                                                 .materialRequests = 1 };
+// Entry instances tell the work in flight in the first entry of a load and the tokens of memory
+// that it takes in the second one.
+constexpr std::size_t kWorkEntry = 0;
+constexpr std::size_t kMemoryEntry = 1;
 // An entry instance has this many bytes per second for hints; see docs/CAPACITY.md.
 constexpr peers::HintExchangeOptions kHintOptions{ .bytesPerSecond = 6000, .burstBytes = 12000 };
 
@@ -166,16 +170,18 @@
     std::vector<peers::NamedLoad> own;
     for (const dispatch::TargetWork &work : digest.work) {
         peers::NamedLoad load{ .target = work.target, .load = {} };
-        load.load.classes[0] = { static_cast<std::uint32_t>(work.waitingTokens),
-                                 static_cast<std::uint32_t>(work.requests) };
+        load.load.classes[kWorkEntry] = { static_cast<std::uint32_t>(work.waitingTokens),
+                                          static_cast<std::uint32_t>(work.requests) };
+        load.load.classes[kMemoryEntry] = { static_cast<std::uint32_t>(work.memoryTokens), 0 };
         own.push_back(std::move(load));
     }
     loads_.tick(own, now);
     std::vector<dispatch::TargetWork> others;
     for (const peers::NamedLoad &load : loads_.others(now)) {
-        const membership::ClassLoad &sum = load.load.classes[0];
-        others.push_back({ load.target, static_cast<double>(sum.requests),
-                           static_cast<double>(sum.prefillTokens) });
+        const auto &sums = load.load.classes;
+        others.push_back({ load.target, static_cast<double>(sums[kWorkEntry].requests),
+                           static_cast<double>(sums[kWorkEntry].prefillTokens),
+                           static_cast<double>(sums[kMemoryEntry].prefillTokens) });
     }
     hooks_.othersWork(std::move(others));
     peers::PlacementHints message;
--- a/packages/relay/include/relay/relay.h
+++ b/packages/relay/include/relay/relay.h
@@ -36,6 +36,9 @@
     /// Time after which the head of an answer is overdue at a target, if the request may run again,
     /// as a multiple of the latency goal.
     double overdueGoals = 1.0;
+    /// Longest wait for a target that answers in time, as a multiple of the latency goal.
+    double waitGoals = 0.4;
+    std::chrono::milliseconds waitPoll{ 15 }; ///< Between two looks for such a target.
     /// An idle connection is reused for this part of the time that the target keeps it open.
     double keepAliveShare = 0.5;
     /// Reuse of a connection whose target states no time.
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -2,6 +2,8 @@
 
 #include "base/hash.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -52,18 +54,18 @@
 class InFlight
 {
 public:
-    InFlight(dispatch::TargetBoard &board, const fleet::Target &target, double &waitingTokens)
-        : board_(board), target_(target), waitingTokens_(waitingTokens)
+    InFlight(dispatch::TargetBoard &board, const fleet::Target &target, dispatch::Flight &flight)
+        : board_(board), target_(target), flight_(flight)
     {
     }
-    ~InFlight() { board_.end(target_, std::exchange(waitingTokens_, 0)); }
+    ~InFlight() { board_.end(target_, flight_); }
     InFlight(const InFlight &) = delete;
     InFlight &operator=(const InFlight &) = delete;
 
 private:
     dispatch::TargetBoard &board_;
     const fleet::Target &target_;
-    double &waitingTokens_;
+    dispatch::Flight &flight_;
 };
 
 } // namespace
@@ -164,9 +166,18 @@
 
 std::optional<dispatch::Placement> Relay::Flow::place()
 {
-    const auto now = Clock::now();
-    const dispatch::WorkRequest work = workRequest();
-    auto result = context_.placer.place(work, pool_, *knowledge_.view, now);
+    auto acceptance = dispatch::Acceptance::InTime;
+    auto result = tryPlace(acceptance);
+    const auto waitUntil = waitLimit();
+    while (const auto *refusal = std::get_if<dispatch::Refusal>(&result)) {
+        if (!refusal->mayWait || cancellation_.cancelled())
+            break;
+        if (Clock::now() < waitUntil)
+            waitForRoom();
+        else
+            acceptance = dispatch::Acceptance::Late;
+        result = tryPlace(acceptance);
+    }
     if (const auto *refusal = std::get_if<dispatch::Refusal>(&result)) {
         if (!mayHaveRun_ && !hasStarted_ && !targetFailure_)
             fail(refusal->code, WorkStatus::NotRun, refusal->retryAfter);
@@ -175,10 +186,31 @@
         return std::nullopt;
     }
     auto placement = std::get<dispatch::Placement>(result);
-    context_.placer.sent(work, placement, *knowledge_.view, now);
+    context_.placer.sent(workRequest(), placement, *knowledge_.view, Clock::now());
     return placement;
 }
 
+std::variant<dispatch::Placement, dispatch::Refusal>
+Relay::Flow::tryPlace(dispatch::Acceptance acceptance)
+{
+    return context_.placer.place(workRequest(), pool_, *knowledge_.view, acceptance, Clock::now());
+}
+
+Relay::Flow::Clock::time_point Relay::Flow::waitLimit() const
+{
+    const auto share = duration_cast<milliseconds>(
+            std::chrono::duration<double, std::milli>(route_->latencyGoal)
+            * context_.options.waitGoals);
+    return std::min(started_ + share, deadline_);
+}
+
+void Relay::Flow::waitForRoom()
+{
+    boost::asio::steady_timer timer(yield_.get_executor(), context_.options.waitPoll);
+    boost::system::error_code ignored;
+    timer.async_wait(yield_[ignored]);
+}
+
 net::Request Relay::Flow::forwardedRequest(const dispatch::Placement &placement) const
 {
     const net::Request &original = exchange_.request();
@@ -235,9 +267,9 @@
 SendOutcome Relay::Flow::send(const dispatch::Placement &placement)
 {
     target_ = &knowledge_.view->targets()[placement.target];
-    waitingTokens_ = placement.uncachedTokens;
+    flight_ = placement.flight;
     firstEventAt_.reset();
-    const InFlight counted(context_.placer.board(), *target_, waitingTokens_);
+    const InFlight counted(context_.placer.board(), *target_, flight_);
     avoided_.push_back(target_->id);
     net::ExchangeOptions options = exchangeOptions();
     if (route_->kind != fleet::WorkKind::NonIdempotent)
@@ -376,8 +408,8 @@
     bool callerIsThere = true;
     while (callerIsThere && left() > milliseconds::zero()
            && response.read(bytes, left(), yield_, error)) {
-        if (waitingTokens_ > 0)
-            board.firstEvent(*target_, std::exchange(waitingTokens_, 0));
+        if (flight_.waitingTokens > 0)
+            board.firstEvent(*target_, flight_);
         if (!firstEventAt_)
             firstEventAt_ = Clock::now();
         splitter.feed(bytes);
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -38,6 +38,10 @@
     void choosePool();
     dispatch::WorkRequest workRequest() const;
     std::optional<dispatch::Placement> place();
+    std::variant<dispatch::Placement, dispatch::Refusal> tryPlace(dispatch::Acceptance acceptance);
+    /// Returns when the request stops to wait for a target that answers in time.
+    Clock::time_point waitLimit() const;
+    void waitForRoom();
     /// Sends the request to its next target.
     SendOutcome send(const dispatch::Placement &placement);
     net::Request forwardedRequest(const dispatch::Placement &placement) const;
@@ -81,7 +85,7 @@
     std::vector<std::string> avoided_;              ///< Those and the ones without a connection.
     const fleet::Target *target_ = nullptr;         ///< Of the send in progress.
     std::optional<Clock::time_point> firstEventAt_; ///< Of the send in progress.
-    double waitingTokens_ = 0; ///< Of the send in progress, until its first event.
+    dispatch::Flight flight_;                       ///< Of the send in progress.
     bool mayHaveRun_ = false;
     bool hasStarted_ = false; ///< The head of the answer was sent to the caller.
     bool isFinished_ = false;
