Scale weight loads, engine choice and store calls with the deployment

Ruled out: slow notices between instances; refusals followed the loaded engines, not the loading ones. Change: a fifth of a pool's engines, at least two, load at a time; the wait for a slot is part of an engine's cost; at most twelve engines beside home and holders are compared; a refusal pauses an engine for 100 ms; after a change of targets the next question waits two fifths of the drain time; targets are found by key instead of by search.

--- a/packages/daemon/include/daemon/settings.h
+++ b/packages/daemon/include/daemon/settings.h
@@ -22,10 +22,11 @@
     bool enginesCheckFences = false;             ///< `entry.engines_check_fences`
     std::chrono::milliseconds leaseTime{ 3000 }; ///< `entry.lease_ms`
     std::chrono::milliseconds grace{ 8000 };     ///< `entry.grace_s`, from the signal to the kill
-    std::chrono::milliseconds weightsLimit{ 10000 };          ///< `entry.weights_limit_ms`
-    double retryRatio = 0.2;                                  ///< `entry.retry_ratio`
-    double retryBurst = 50;                                   ///< `entry.retry_burst`
-    std::chrono::milliseconds retryWindow{ 10000 };           ///< `entry.retry_window_s`
+    std::chrono::milliseconds weightsLimit{ 10000 }; ///< `entry.weights_limit_ms`
+    std::chrono::milliseconds drainTime{ 2000 };     ///< `entry.drain_ms`, of targets that leave
+    double retryRatio = 0.2;                         ///< `entry.retry_ratio`
+    double retryBurst = 50;                          ///< `entry.retry_burst`
+    std::chrono::milliseconds retryWindow{ 10000 };  ///< `entry.retry_window_s`
     std::chrono::milliseconds longestAddressLifetime{ 5000 }; ///< `entry.address_lifetime_s`
 };
 
--- a/packages/daemon/src/entry_options.cpp
+++ b/packages/daemon/src/entry_options.cpp
@@ -34,6 +34,7 @@
                                  .leaseDuration = entry.leaseTime,
                                  .enginesCheckFences = entry.enginesCheckFences,
                                  .weightsLimit = entry.weightsLimit,
+                                 .targetDrainTime = entry.drainTime,
                                  .retryRatio = entry.retryRatio * kRetryShare,
                                  .retryBurst = entry.retryBurst * kRetryShare,
                                  .retryWindow = entry.retryWindow };
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -208,6 +208,7 @@
         { "entry", "lease_ms", false, kNumber, entryTime(&E::leaseTime, kMillisecond) },
         { "entry", "grace_s", false, kNumber, entryTime(&E::grace, kSecond) },
         { "entry", "weights_limit_ms", false, kNumber, entryTime(&E::weightsLimit, kMillisecond) },
+        { "entry", "drain_ms", false, kNumber, entryTime(&E::drainTime, kMillisecond) },
         { "entry", "retry_ratio", false, kNumber, entryNumber(&E::retryRatio) },
         { "entry", "retry_burst", false, kNumber, entryNumber(&E::retryBurst) },
         { "entry", "retry_window_s", false, kNumber, entryTime(&E::retryWindow, kSecond) },
--- a/packages/dispatch/include/dispatch/placement.h
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -68,6 +68,8 @@
     double prefillRate = 40'000;
     /// Time that each running request at an engine adds to the first event of the next one.
     Seconds perRequest{ 0.003 };
+    /// Time that a request keeps a slot of an engine.
+    Seconds residence{ 0.6 };
     /// Time that a request takes one slot of a plain service.
     Seconds serviceTime{ 0.06 };
     /// Time to fetch a cached token from another engine, at the links of today.
@@ -89,6 +91,9 @@
     /// Cost of a target other than the home of a prefix that nobody holds, relative to the time to
     /// compute it. Other instances expect it at its home.
     double awayShare = 0.5;
+    /// Targets that are compared for a request, beside those that hold its prefix or are its home.
+    /// With few compared, instances that know the same do not all choose the same target.
+    std::size_t compared = 12;
     /// Cost of one recent fault of a target: about the time that it lost.
     Seconds perFault{ 0.1 };
     /// Time for which an unused prefix is expected to stay cached.
@@ -148,11 +153,14 @@
 
     bool accepts(const Candidate &candidate, const WorkRequest &request, const fleet::Pool *pool,
                  const fleet::View &view, Acceptance acceptance, Time now) const;
+    std::vector<std::size_t> sample(const WorkRequest &request, std::span<const std::size_t> ready,
+                                    const fleet::View &view);
     std::vector<Candidate> candidates(const WorkRequest &request, const std::string &pool,
-                                      const fleet::View &view, Time now) const;
+                                      const fleet::View &view, Time now);
     bool isTooStale(const WorkRequest &request, std::uint64_t weights, const fleet::View &view,
                     Time now) const;
     void addServiceCost(Candidate &candidate, const fleet::Target &target, Time now) const;
+    Seconds slotWait(const fleet::Target &target, Time now) const;
     void addEngineCost(Candidate &candidate, const WorkRequest &request,
                        const fleet::Target &target, Time now) const;
     void addCommonCost(Candidate &candidate, const WorkRequest &request, const fleet::View &view,
--- a/packages/dispatch/include/dispatch/target_board.h
+++ b/packages/dispatch/include/dispatch/target_board.h
@@ -78,6 +78,8 @@
     /// Pause after an unreachable target or one that did not answer, times the recent faults.
     std::chrono::milliseconds pause{ 400 };
     std::chrono::milliseconds maxPause{ 3000 };
+    /// Pause after a target refused a request for lack of room.
+    std::chrono::milliseconds refusedPause{ 100 };
     /// Age at which half of a load report counts; answers arrive several times a second.
     std::chrono::milliseconds reportHalfLife{ 700 };
     /// Age at which what the others told no longer counts; they repeat it more often.
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace chervilfield::dispatch {
@@ -28,11 +29,6 @@
     return static_cast<double>(request.promptTokens) + request.outputTokens;
 }
 
-std::uint64_t hashOf(const fleet::Target &target)
-{
-    return base::hash64(target.id);
-}
-
 } // namespace
 
 struct Placer::Candidate
@@ -73,10 +69,8 @@
 {
     if (holder.target == 0 || now - holder.usedAt > options_.cacheLifetime)
         return nullptr;
-    const auto found = std::ranges::find_if(view.targets(), [&holder](const auto &target) {
-        return target.startedAt == holder.startedAt && hashOf(target) == holder.target;
-    });
-    return found == view.targets().end() ? nullptr : &*found;
+    const fleet::Target *target = view.findTarget(holder.target);
+    return target != nullptr && target->startedAt == holder.startedAt ? target : nullptr;
 }
 
 // Finds the longest prefix that the candidate holds, and where it can fetch a longer one.
@@ -124,6 +118,14 @@
     candidate.expected = options_.serviceTime * slowness * (1 + occupied * occupied);
 }
 
+// Requests beyond the slots wait until one of those before them ends.
+Seconds Placer::slotWait(const fleet::Target &target, Time now) const
+{
+    const double slots = std::max<std::uint32_t>(1, target.slots);
+    const double before = board_.estimatedRequests(target, now) + 1 - slots;
+    return options_.residence * (std::max(0.0, before) / slots);
+}
+
 void Placer::addEngineCost(Candidate &candidate, const WorkRequest &request,
                            const fleet::Target &target, Time now) const
 {
@@ -134,6 +136,7 @@
     const Seconds prefill = Seconds(candidate.uncached(request) / options_.prefillRate) * slowness;
     const Seconds running = options_.perRequest * board_.estimatedRequests(target, now) * slowness;
     candidate.expected = std::max(queue, candidate.prefixWait) + prefill + running
+                         + slotWait(target, now) * slowness
                          + options_.fetchPerToken * candidate.fetched;
     if (request.promptTokens > options_.longPromptTokens)
         candidate.cost += prefill * board_.estimatedRequests(target, now) * options_.slowedShare;
@@ -165,12 +168,43 @@
     return replacedAt && now - *replacedAt > options_.staleWeightsLimit;
 }
 
+std::vector<std::size_t> Placer::sample(const WorkRequest &request,
+                                        std::span<const std::size_t> ready, const fleet::View &view)
+{
+    std::vector<std::size_t> result(ready.begin(), ready.end());
+    if (result.size() <= options_.compared)
+        return result;
+    const std::uint64_t home = prefixHash(request, 1, 0);
+    const bool hasHome = sharedParts(request) > 0;
+    const auto isWanted = [&](std::size_t index) {
+        const fleet::Target &target = view.targets()[index];
+        const auto weights = request.model.empty() ? 0 : board_.weightsOf(target, request.model);
+        return hasHome
+               && std::ranges::any_of(
+                       memory_.holders(prefixHash(request, sharedParts(request), weights)),
+                       [&](const Holder &holder) { return holder.target == target.key; });
+    };
+    auto kept = std::partition(result.begin(), result.end(), isWanted);
+    if (hasHome && kept != result.end()) {
+        const auto rank = [&](std::size_t index) {
+            return base::combineHash(home, view.targets()[index].key);
+        };
+        std::iter_swap(kept, std::max_element(kept, result.end(),
+                                              [&](auto a, auto b) { return rank(a) < rank(b); }));
+        ++kept;
+    }
+    std::shuffle(kept, result.end(), random_);
+    const auto wanted = static_cast<std::size_t>(kept - result.begin());
+    result.resize(std::min(result.size(), wanted + options_.compared));
+    return result;
+}
+
 std::vector<Placer::Candidate> Placer::candidates(const WorkRequest &request,
                                                   const std::string &pool, const fleet::View &view,
-                                                  Time now) const
+                                                  Time now)
 {
     std::vector<Candidate> result;
-    for (const std::size_t index : view.readyTargets(pool)) {
+    for (const std::size_t index : sample(request, view.readyTargets(pool), view)) {
         const fleet::Target &target = view.targets()[index];
         if (std::ranges::find(request.excluded, target.id) != request.excluded.end())
             continue;
@@ -200,15 +234,17 @@
                        * options_.awayShare);
     const std::uint64_t key = prefixHash(request, 1, 0);
     const auto rank = [&](const Candidate &candidate) {
-        return base::combineHash(key, hashOf(view.targets()[candidate.index]));
+        return base::combineHash(key, view.targets()[candidate.index].key);
     };
     // Each version of the weights has a home of its own.
+    std::map<std::uint64_t, std::uint64_t> highest;
+    for (const Candidate &candidate : candidates) {
+        std::uint64_t &known = highest[candidate.weights];
+        known = std::max(known, rank(candidate));
+    }
     for (Candidate &candidate : candidates) {
         const bool isKnown = candidate.cached > 0 || candidate.source != nullptr;
-        const bool isHome = std::ranges::none_of(candidates, [&](const Candidate &other) {
-            return other.weights == candidate.weights && rank(other) > rank(candidate);
-        });
-        if (!isKnown && !isHome)
+        if (!isKnown && rank(candidate) != highest[candidate.weights])
             candidate.cost += away;
     }
 }
@@ -291,7 +327,7 @@
     board_.start(target, placement.flight);
     const auto readTime =
             std::chrono::duration_cast<Time::duration>(placement.expected * options_.readFactor);
-    const Holder holder{ .target = hashOf(target),
+    const Holder holder{ .target = target.key,
                          .startedAt = target.startedAt,
                          .readyAt = now + readTime,
                          .usedAt = now };
--- a/packages/dispatch/src/target_board.cpp
+++ b/packages/dispatch/src/target_board.cpp
@@ -73,6 +73,8 @@
     entry.failuresAt = now;
     const bool hasPause = fault == Fault::Unreachable || fault == Fault::Silent
                           || (fault == Fault::Broken && entry.failures > 1);
+    if (fault == Fault::Refused)
+        entry.avoidUntil = std::max(entry.avoidUntil, now + options_.refusedPause);
     if (!hasPause)
         return;
     const auto pause =
--- a/packages/entry/include/entry/options.h
+++ b/packages/entry/include/entry/options.h
@@ -34,6 +34,8 @@
     bool enginesCheckFences = false; ///< Whether engines refuse an old fencing number.
     /// From the naming of weights to the moment at which no request may begin on older ones.
     std::chrono::milliseconds weightsLimit{ 10'000 };
+    /// For which a target that leaves still takes work.
+    std::chrono::milliseconds targetDrainTime{ 2000 };
     /// Requests that may be sent once more, per request and in addition over the whole deployment.
     double retryRatio = 0.1;
     double retryBurst = 10;
--- a/packages/entry/include/entry/rollout.h
+++ b/packages/entry/include/entry/rollout.h
@@ -27,8 +27,10 @@
     leases::LeaseTimes lease{ .duration = std::chrono::milliseconds(3000),
                               .orderLifetime = std::chrono::milliseconds(600) };
     leases::FenceCheck fences = leases::FenceCheck::Checked;
-    /// Engines that load weights at the same time; a load takes longer beyond two.
-    std::size_t parallelLoads = 2;
+    /// Share of a pool's engines that load weights at the same time. The others carry its traffic,
+    /// and loads take longer beyond about a fifth.
+    double parallelShare = 0.2;
+    std::size_t leastParallel = 2;
     std::chrono::milliseconds tick{ 100 };
     /// Time that an instance waits for those before it in the order of names to act.
     std::chrono::milliseconds standbyDelay{ 1500 };
@@ -81,6 +83,7 @@
     bool takeLease(const boost::asio::yield_context &yield);
     void renewLease(const boost::asio::yield_context &yield);
     void releaseLease(const boost::asio::yield_context &yield);
+    std::size_t parallelLoads() const;
     void startLoads(const std::vector<LoadTask> &tasks);
     void load(const LoadTask &task, const boost::asio::yield_context &yield);
     bool awaitLoad(const LoadTask &task, const boost::asio::yield_context &yield);
--- a/packages/entry/include/entry/view_keeper.h
+++ b/packages/entry/include/entry/view_keeper.h
@@ -22,11 +22,14 @@
 struct ViewKeeperOptions
 {
     /// Longest wait of one question for changes. An answer also shows that the store is there.
-    std::chrono::milliseconds feedWait{ 3000 };
+    std::chrono::milliseconds feedWait{ 6000 };
+    /// Pause after a change of the targets before the next question. Many targets change at once,
+    /// each answer costs a call of every instance, and a leaving target still serves for longer.
+    std::chrono::milliseconds feedPause{ 800 };
     std::chrono::milliseconds leastBackoff{ 100 };
     std::chrono::milliseconds mostBackoff{ 1000 };
     /// Time without an answer after which the view is not known to be up to date.
-    std::chrono::milliseconds freshFor{ 4500 };
+    std::chrono::milliseconds freshFor{ 8000 };
     /// Registrations that ran out while the store was away return within this time.
     std::chrono::milliseconds returnTime{ 2000 };
     /// Weights that were named before this instance started count as named this long before. The
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -62,7 +62,8 @@
 
 ViewKeeperOptions viewOptions(const EntryOptions &options)
 {
-    return { .weightsAgeAtStart = options.weightsLimit - kQueueMargin - kSettleTime };
+    return { .feedPause = options.targetDrainTime * 2 / 5,
+             .weightsAgeAtStart = options.weightsLimit - kQueueMargin - kSettleTime };
 }
 
 } // namespace
--- a/packages/entry/src/rollout.cpp
+++ b/packages/entry/src/rollout.cpp
@@ -261,12 +261,23 @@
     }
 }
 
+std::size_t Rollout::parallelLoads() const
+{
+    const fleet::ViewPtr view = hooks_.view();
+    const auto engines = std::ranges::count_if(
+            view->targets(), [](const fleet::Target &target) { return !target.weights.empty(); });
+    return std::max(
+            options_.leastParallel,
+            static_cast<std::size_t>(options_.parallelShare * static_cast<double>(engines)));
+}
+
 void Rollout::startLoads(const std::vector<LoadTask> &tasks)
 {
+    const std::size_t limit = parallelLoads();
     const auto now = Clock::now();
     for (const LoadTask &task : tasks) {
         const std::string &id = task.target.id;
-        if (loading_.size() >= options_.parallelLoads)
+        if (loading_.size() >= limit)
             return;
         if (loading_.contains(id) || retryAt_[id] > now)
             continue;
--- a/packages/entry/src/view_keeper.cpp
+++ b/packages/entry/src/view_keeper.cpp
@@ -156,12 +156,17 @@
     milliseconds backoff = options_.leastBackoff;
     boost::asio::steady_timer timer(context_);
     while (true) {
+        const std::uint64_t before = tables_[table].version();
+        boost::system::error_code ignored;
         if (step(table, yield)) {
             backoff = options_.leastBackoff;
+            if (table == documents_.targetTable && tables_[table].version() != before) {
+                timer.expires_after(options_.feedPause);
+                timer.async_wait(yield[ignored]);
+            }
             continue;
         }
         timer.expires_after(backoff);
-        boost::system::error_code ignored;
         timer.async_wait(yield[ignored]);
         backoff = std::min(options_.mostBackoff, backoff * 2);
     }
--- a/packages/fleet/include/fleet/configuration.h
+++ b/packages/fleet/include/fleet/configuration.h
@@ -101,6 +101,7 @@
 struct Target
 {
     std::string id;
+    std::uint64_t key = 0; ///< Hash of `id`, set by the view.
     std::string pool;
     net::Address address;
     std::string dataCentre;
--- a/packages/fleet/include/fleet/documents.h
+++ b/packages/fleet/include/fleet/documents.h
@@ -35,6 +35,7 @@
 struct Documents
 {
     std::vector<std::string> tables; ///< Those that describe the deployment.
+    std::string targetTable;         ///< The one in which targets register.
     std::function<Deployment(const Tables &)> read;
 };
 
--- a/packages/fleet/include/fleet/view.h
+++ b/packages/fleet/include/fleet/view.h
@@ -53,6 +53,9 @@
 
     const std::vector<Target> &targets() const { return targets_; }
 
+    /// Returns the target whose id has the hash `key`, or null.
+    const Target *findTarget(std::uint64_t key) const;
+
     /// Returns indexes into `targets()` of the ready targets of a pool.
     std::span<const std::size_t> readyTargets(const std::string &pool) const;
 
@@ -73,6 +76,7 @@
     std::unordered_map<std::string, std::vector<const Route *>> routesByHost_; ///< Longest first.
     std::unordered_map<std::string_view, const Customer *> customersByKey_;
     std::unordered_map<std::string, std::vector<std::size_t>> readyByPool_;
+    std::unordered_map<std::uint64_t, std::size_t> targetsByKey_;
 };
 
 using ViewPtr = std::shared_ptr<const View>;
--- a/packages/fleet/src/view.cpp
+++ b/packages/fleet/src/view.cpp
@@ -1,5 +1,7 @@
 #include "fleet/view.h"
 
+#include "base/hash.h"
+
 #include <algorithm>
 #include <cctype>
 #include <utility>
@@ -24,6 +26,8 @@
       weights_(std::move(weights)), storeVersion_(storeVersion)
 {
     for (std::size_t i = 0; i < targets_.size(); ++i) {
+        targets_[i].key = base::hash64(targets_[i].id);
+        targetsByKey_.emplace(targets_[i].key, i);
         if (targets_[i].state == TargetState::Ready)
             readyByPool_[targets_[i].pool].push_back(i);
     }
@@ -41,6 +45,12 @@
     }
 }
 
+const Target *View::findTarget(std::uint64_t key) const
+{
+    const auto found = targetsByKey_.find(key);
+    return found == targetsByKey_.end() ? nullptr : &targets_[found->second];
+}
+
 const Route *View::findRoute(std::string_view host, std::string_view path) const
 {
     const auto routes = routesByHost_.find(normalizedHost(host));
