Follow targets through three instances; end without unwinding requests

Change: three instances, chosen by a hash of the names, follow the targets in the store, the others ask one of them; an answer says whether the store answers that instance; connections are probed so that a silent one is found within three seconds; the process ends without destructors after the drain, and only 200 ms after the last request.

--- a/packages/daemon/main/main.cpp
+++ b/packages/daemon/main/main.cpp
@@ -7,6 +7,7 @@
 #include <getopt.h>
 #include <glog/logging.h>
 
+#include <cstdlib>
 #include <iostream>
 #include <optional>
 #include <string>
@@ -73,9 +74,11 @@
             return std::nullopt;
         return entryOptions(changed);
     };
-    return chervilfield::entry::EntryApp(entryOptions(settings),
-                                         chervilfield::platform_adapter::makePlatform(), reload)
-            .run();
+    chervilfield::entry::EntryApp app(entryOptions(settings),
+                                      chervilfield::platform_adapter::makePlatform(), reload);
+    // Requests that outlast the drain end with the process. Unwinding their coroutines would use
+    // parts of the daemon that are destroyed before them.
+    std::quick_exit(app.run());
 }
 
 } // namespace
--- a/packages/entry/include/entry/peer_mesh.h
+++ b/packages/entry/include/entry/peer_mesh.h
@@ -72,6 +72,10 @@
     /// Replaces the addresses to join through.
     void setSeeds(const std::vector<net::Address> &seeds);
 
+    /// Asks one of the few instances that follow the targets in the store for changes. Returns
+    /// false if this instance is one of them, or if the one asked does not know more.
+    bool askFollower(const boost::asio::yield_context &yield);
+
     void setVersion(std::uint64_t version) { actor_->setRevision(version); }
     void leave() { actor_->leave(); }
     void exit() { actor_->exit(); }
@@ -81,7 +85,7 @@
     void sendTo(const std::string &address, const peers::Datagram &datagram);
     void receive(const net::Address &from, peers::Datagram datagram);
     void exchangeTable(const std::string &address);
-    void fetchRows(const net::Address &peer, const boost::asio::yield_context &yield);
+    bool fetchRows(const net::Address &peer, const boost::asio::yield_context &yield);
     void askPeers(const boost::asio::yield_context &yield);
     std::vector<net::Address> otherPeers() const;
     void assignLoads();
--- a/packages/entry/include/entry/view_keeper.h
+++ b/packages/entry/include/entry/view_keeper.h
@@ -22,14 +22,14 @@
 struct ViewKeeperOptions
 {
     /// Longest wait of one question for changes. An answer also shows that the store is there.
-    std::chrono::milliseconds feedWait{ 6000 };
+    std::chrono::milliseconds feedWait{ 10'000 };
     /// Pause after a change of the targets before the next question. Many targets change at once,
     /// each answer costs a call of every instance, and a leaving target still serves for longer.
     std::chrono::milliseconds feedPause{ 800 };
     std::chrono::milliseconds leastBackoff{ 100 };
     std::chrono::milliseconds mostBackoff{ 1000 };
     /// Time without an answer after which the view is not known to be up to date.
-    std::chrono::milliseconds freshFor{ 8000 };
+    std::chrono::milliseconds freshFor{ 12'000 };
     /// Registrations that ran out while the store was away return within this time.
     std::chrono::milliseconds returnTime{ 2000 };
     /// Weights that were named before this instance started count as named this long before. The
@@ -50,6 +50,9 @@
     struct Hooks
     {
         std::function<void(const fleet::ViewPtr &)> published;
+        /// Asks another instance for the targets, if that one is meant to follow them in the store.
+        /// Returns false if this instance has to ask the store itself.
+        std::function<bool(const boost::asio::yield_context &)> askFollower;
     };
 
     /// `store`, `documents` and `log` outlive the object.
@@ -72,8 +75,9 @@
     /// Returns what changed after a version of the store, for a peer.
     peers::ConfigurationEntries entriesAfter(std::uint64_t version) const;
 
-    /// Takes what a peer knows.
-    void merge(const peers::ConfigurationEntries &entries);
+    /// Takes what a peer knows. Returns true if the store answers the peer, so that what it knows
+    /// is up to date.
+    bool merge(const peers::ConfigurationEntries &entries);
 
     /// Returns the version up to which every table is known.
     std::uint64_t version() const;
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t kTimeLineEvents = 1024;
 constexpr milliseconds kDrainCheck{ 20 };
+constexpr milliseconds kExitIdle{ 200 };        ///< Several round trips to callers.
 constexpr milliseconds kExchangeInterval{ 50 }; ///< Of loads and placements with other instances.
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
@@ -76,7 +77,9 @@
       store_(platform_.makeStore(control_.get_executor(), options_.store)),
       engines_(platform_.makeEngineControl(control_.get_executor())),
       views_(control_, *store_, platform_.documents, log_,
-             { .published = [this](const fleet::ViewPtr &view) { published(view); } },
+             { .published = [this](const fleet::ViewPtr &view) { published(view); },
+               .askFollower =
+                       [this](const yield_context &yield) { return peers_.askFollower(yield); } },
              viewOptions(options_)),
       peers_(control_, options_, life_, timeLine_, log_, views_, peerHooks()),
       rollout_(control_, *store_, *engines_, log_,
@@ -314,7 +317,10 @@
     const auto passed = Clock::now() - drainStarted_;
     if (passed > options_.drainAnnounce)
         callers_->stopAccepting();
-    const bool isIdle = passed > options_.drainAnnounce && callers_->activeRequests() == 0;
+    if (callers_->activeRequests() > 0 || passed <= options_.drainAnnounce)
+        lastActive_ = Clock::now();
+    // A request may be on its way over a connection that is still open.
+    const bool isIdle = Clock::now() - lastActive_ > kExitIdle;
     if (isIdle || passed > options_.drainLimit) {
         log_.write("entry", "stopped", { { "active", callers_->activeRequests() } });
         peers_.exit();
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -1,5 +1,6 @@
 #include "entry/peer_mesh.h"
 
+#include "base/hash.h"
 #include "peers/exchange.h"
 
 #include <boost/asio/post.hpp>
@@ -16,6 +17,9 @@
 namespace {
 
 constexpr milliseconds kPeerTimeout{ 300 }; ///< Several round trips between data centres.
+/// Instances that follow the targets in the store. Each question there is billed; with three, one
+/// of them answers while another fails and the third is cut off.
+constexpr std::ptrdiff_t kFollowers = 3;
 constexpr milliseconds kAskInterval{ 500 }; ///< While the store does not answer.
 
 // Finer than for a large fleet: each instance has few requests at a target, and 60 ms are a small
@@ -212,13 +216,37 @@
     });
 }
 
-void PeerMesh::fetchRows(const net::Address &peer, const yield_context &yield)
+bool PeerMesh::fetchRows(const net::Address &peer, const yield_context &yield)
 {
     std::error_code error;
     const auto entries =
             peers::fetchEntries(client_, peer, views_.version(), kPeerTimeout, yield, error);
-    if (entries)
-        views_.merge(*entries);
+    return entries && views_.merge(*entries);
+}
+
+bool PeerMesh::askFollower(const yield_context &yield)
+{
+    if (actor_ == nullptr)
+        return false;
+    const auto snapshot = actor_->snapshot();
+    std::vector<const membership::Member *> live;
+    for (const membership::Member &member : snapshot->members) {
+        if (membership::takesWork(member))
+            live.push_back(&member);
+    }
+    if (std::ssize(live) <= kFollowers)
+        return false;
+    // All instances agree on the followers as far as they agree on the members.
+    const auto rank = [](const membership::Member *member) { return base::hash64(member->name); };
+    std::ranges::nth_element(live, live.begin() + kFollowers, {}, rank);
+    const auto last = live.begin() + kFollowers;
+    const bool isFollower = std::any_of(live.begin(), last, [this](const auto *member) {
+        return member->name == options_.instance;
+    });
+    if (isFollower)
+        return false;
+    const auto peer = net::parseAddress(live[random_() % kFollowers]->peerAddress);
+    return peer && fetchRows(*peer, yield);
 }
 
 std::vector<net::Address> PeerMesh::otherPeers() const
--- a/packages/entry/src/view_keeper.cpp
+++ b/packages/entry/src/view_keeper.cpp
@@ -158,6 +158,12 @@
     while (true) {
         const std::uint64_t before = tables_[table].version();
         boost::system::error_code ignored;
+        const bool mayAskPeer = table == documents_.targetTable && answered_.contains(table);
+        if (mayAskPeer && hooks_.askFollower && hooks_.askFollower(yield)) {
+            timer.expires_after(options_.feedPause);
+            timer.async_wait(yield[ignored]);
+            continue;
+        }
         if (step(table, yield)) {
             backoff = options_.leastBackoff;
             if (table == documents_.targetTable && tables_[table].version() != before) {
@@ -257,13 +263,15 @@
         for (const fleet::StoreRow &row : rows.rows)
             byVersion[row.version].push_back(&row);
     }
-    peers::ConfigurationEntries entries{ .revisionInForce = this->version(), .entries = {} };
+    // 0 tells that the rows may be out of date.
+    peers::ConfigurationEntries entries{ .revisionInForce = storeAnswers() ? this->version() : 0,
+                                         .entries = {} };
     for (const auto &[rowVersion, rows] : byVersion)
         entries.entries.push_back({ rowVersion, encodeRows(rows) });
     return entries;
 }
 
-void ViewKeeper::merge(const peers::ConfigurationEntries &entries)
+bool ViewKeeper::merge(const peers::ConfigurationEntries &entries)
 {
     std::map<std::string, fleet::StoreRows> byTable;
     for (const peers::ConfigurationEntry &entry : entries.entries) {
@@ -277,10 +285,11 @@
         changed = table.apply(rows) || changed;
     }
     peerAnswered_ = Clock::now();
-    if (!changed)
-        return;
-    log_.write("view", "taken-from-peer", { { "version", entries.revisionInForce } });
-    rebuild();
+    if (changed) {
+        log_.write("view", "taken-from-peer", { { "version", entries.revisionInForce } });
+        rebuild();
+    }
+    return entries.revisionInForce > 0;
 }
 
 } // namespace chervilfield::entry
--- a/packages/entry/test/view_keeper_test.cpp
+++ b/packages/entry/test/view_keeper_test.cpp
@@ -34,7 +34,8 @@
 struct Fixture
 {
     Fixture()
-        : keeper(context, store, documents, log, { .published = [](const auto &) {} },
+        : keeper(context, store, documents, log,
+                 { .published = [](const auto &) {}, .askFollower = {} },
                  { .feedWait = milliseconds(20),
                    .feedPause = milliseconds(1),
                    .leastBackoff = milliseconds(5),
@@ -170,7 +171,7 @@
         Fixture f;
         int published = 0;
         ViewKeeper keeper(f.context, f.store, f.documents, f.log,
-                          { .published = [&](const auto &) { ++published; } },
+                          { .published = [&](const auto &) { ++published; }, .askFollower = {} },
                           { .feedWait = milliseconds(20) });
         keeper.start();
         f.context.run_for(milliseconds(100));
--- a/packages/net/include/net/http_client.h
+++ b/packages/net/include/net/http_client.h
@@ -22,6 +22,9 @@
     std::chrono::milliseconds connectTimeout{ 1000 };
     std::size_t maxBodyBytes = 64U << 20U;
     std::size_t maxIdlePerAddress = 64; ///< Kept-alive connections per endpoint.
+    /// A connection whose other end acknowledges nothing for about this long is closed. Probes find
+    /// the ones that went silent for good while a response is awaited.
+    std::chrono::seconds deadAfter{ 3 };
 };
 
 /// Body of a response that is read while it arrives. Destroying it closes the connection unless
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -11,6 +11,9 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <netinet/tcp.h>
+
+#include <algorithm>
 #include <array>
 #include <map>
 #include <utility>
@@ -106,6 +109,19 @@
 // Servers close idle connections sooner; a connection that was closed is found stale.
 constexpr milliseconds kMaxIdle{ 3'600'000 };
 
+// Makes the kernel probe an idle connection each second. Failures only mean no detection.
+void probeWhileIdle(asio::ip::tcp::socket &socket, std::chrono::seconds deadAfter)
+{
+    using boost::asio::detail::socket_option::integer;
+    const int seconds = static_cast<int>(deadAfter.count());
+    error_code ignored;
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(1), ignored);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(1), ignored);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(std::max(1, seconds - 1)), ignored);
+    socket.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(seconds * 1000), ignored);
+}
+
 // Lets a cancellation close the connection while an operation is in progress.
 class AbortScope
 {
@@ -170,6 +186,7 @@
         return nullptr;
     }
     connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
+    probeWhileIdle(connection->stream.socket(), options_.deadAfter);
     return connection;
 }
 
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -64,26 +64,20 @@
         const std::string id(net::findHeader(headers, "Id").value_or(""));
         const net::Headers own{ { "Id", id }, { "Signed", "1" } };
         std::error_code error;
-        switch (behaviour_) {
-        case Behaviour::Answers:
-            return exchange.respond({ .headers = own, .body = "whole" }, yield, error);
-        case Behaviour::Fails:
-            return exchange.respond({ .status = 500, .headers = own, .body = "bad" }, yield, error);
-        case Behaviour::Refuses:
-            return exchange.respond({ .status = 503, .headers = { { "Not-Run", "1" } } }, yield,
-                                    error);
-        case Behaviour::Unsigned:
-            return exchange.respond({ .headers = { { "Id", id } }, .body = "x" }, yield, error);
-        case Behaviour::Breaks:
-            exchange.startStream(200, {}, yield, error); // Left unfinished below.
-            return;
-        case Behaviour::Silent:
-            return wait(yield);
-        case Behaviour::StreamsAll:
-        case Behaviour::StreamsHalf:
-        case Behaviour::StreamsNothing:
-            return stream(exchange, own, yield);
-        }
+        if (behaviour_ == Behaviour::Answers)
+            exchange.respond({ .headers = own, .body = "whole" }, yield, error);
+        else if (behaviour_ == Behaviour::Fails)
+            exchange.respond({ .status = 500, .headers = own, .body = "bad" }, yield, error);
+        else if (behaviour_ == Behaviour::Refuses)
+            exchange.respond({ .status = 503, .headers = { { "Not-Run", "1" } } }, yield, error);
+        else if (behaviour_ == Behaviour::Unsigned)
+            exchange.respond({ .headers = { { "Id", id } }, .body = "x" }, yield, error);
+        else if (behaviour_ == Behaviour::Breaks)
+            exchange.startStream(200, {}, yield, error); // Never finished.
+        else if (behaviour_ == Behaviour::Silent)
+            wait(yield);
+        else
+            stream(exchange, own, yield);
     }
 
     static void wait(asio::yield_context yield)
