--- a/packages/dispatch/include/dispatch/prefix_memory.h
+++ b/packages/dispatch/include/dispatch/prefix_memory.h
@@ -43,9 +43,6 @@
     /// Returns the latest holders of the prefix.
     Holders holders(std::uint64_t prefix) const;
 
-    /// Forgets that the target holds the prefix, after it was not found there.
-    void forget(std::uint64_t prefix, std::uint64_t target);
-
 private:
     struct Entry
     {
--- a/packages/dispatch/src/prefix_memory.cpp
+++ b/packages/dispatch/src/prefix_memory.cpp
@@ -44,15 +44,4 @@
     return found == entries_.end() ? Holders{} : found->second.holders;
 }
 
-void PrefixMemory::forget(std::uint64_t prefix, std::uint64_t target)
-{
-    const auto found = entries_.find(prefix);
-    if (found == entries_.end())
-        return;
-    for (Holder &holder : found->second.holders) {
-        if (holder.target == target)
-            holder = {};
-    }
-}
-
 } // namespace chervilfield::dispatch
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -280,7 +280,7 @@
                                                    options, yield_, error);
     if (response != nullptr) {
         tried_.push_back(target_->id);
-        return receive(*response, placement);
+        return receive(*response);
     }
     auto &board = context_.placer.board();
     result_ = base::toResult(error);
@@ -307,6 +307,10 @@
     if (fields.weights && !caller_.model.empty())
         board.learnWeights(*target_, caller_.model, *fields.weights);
     if (fields.keepAlive) {
+        // Targets come and go under new ids; forgetting a time only costs a new connection.
+        constexpr std::size_t kMostTargets = 4096;
+        if (relay_.reuse_.size() > kMostTargets)
+            relay_.reuse_.clear();
         relay_.reuse_[target_->id] = duration_cast<milliseconds>(
                 std::chrono::duration<double, std::milli>(*fields.keepAlive)
                 * context_.options.keepAliveShare);
@@ -317,8 +321,7 @@
         board.fault(*target_, dispatch::Fault::Failed, now);
 }
 
-SendOutcome Relay::Flow::receive(net::ResponseStream &response,
-                                 const dispatch::Placement &placement)
+SendOutcome Relay::Flow::receive(net::ResponseStream &response)
 {
     const AnswerFields fields = context_.codec.decodeAnswer(response.headers());
     learn(fields, response.status());
@@ -332,7 +335,7 @@
         return SendOutcome::NotRun;
     }
     if (isSuccess(response.status()) && isEventStream(response.headers()))
-        return receiveStream(response, fields, placement);
+        return receiveStream(response, fields);
     return receiveWhole(response, fields);
 }
 
@@ -393,8 +396,7 @@
     return true;
 }
 
-SendOutcome Relay::Flow::receiveStream(net::ResponseStream &response, const AnswerFields &fields,
-                                       const dispatch::Placement &)
+SendOutcome Relay::Flow::receiveStream(net::ResponseStream &response, const AnswerFields &fields)
 {
     auto &board = context_.placer.board();
     if (!fields.isSigned) {
@@ -551,52 +553,59 @@
               { "took_ms", Clock::now() - at } });
 }
 
+void Relay::Flow::sendUntilAnswered()
+{
+    const auto now = Clock::now();
+    admission::earn(admission::budgetOf(relay_.poolRetries_, base::hash64(pool_),
+                                        context_.options.retries, now),
+                    context_.options.retries, now);
+    while (!cancellation_.cancelled()) {
+        const auto placement = place();
+        if (!placement)
+            return;
+        const auto sentAt = Clock::now();
+        const SendOutcome outcome = send(*placement);
+        logSend(*placement, outcome, sentAt);
+        context_.metrics.countSend(pool_, result_);
+        mayHaveRun_ =
+                mayHaveRun_ || outcome == SendOutcome::Unknown || outcome == SendOutcome::Failed;
+        if (outcome == SendOutcome::Answered || outcome == SendOutcome::Cancelled)
+            return;
+        if (!mayRepeat(outcome))
+            return answerFailure(outcome);
+        if (hasStarted_)
+            context_.metrics.countResume();
+    }
+}
+
+void Relay::Flow::logAnswer()
+{
+    const bool isKnown = knowledge_.view && knowledge_.view->isComplete();
+    context_.log.write(
+            "relay", "answered",
+            { { "request", caller_.requestId },
+              { "route", route_ == nullptr ? std::string() : route_->name },
+              { "customer", customer_ == nullptr ? std::string() : customer_->name },
+              { "configuration", isKnown ? knowledge_.view->configuration().version : 0 },
+              { "fresh", knowledge_.isFresh },
+              { "sends", avoided_.size() },
+              { "complete", isFinished_ },
+              { "result", base::resultInfo(result_).name },
+              { "took_ms", elapsed() } });
+}
+
 void Relay::Flow::run()
 {
     context_.metrics.requestStarted();
     exchange_.watchPeer([this] { cancellation_.cancel(); });
-    if (admit()) {
-        const auto now = Clock::now();
-        admission::earn(admission::budgetOf(relay_.poolRetries_, base::hash64(pool_),
-                                            context_.options.retries, now),
-                        context_.options.retries, now);
-        while (!cancellation_.cancelled()) {
-            const auto placement = place();
-            if (!placement)
-                break;
-            const auto sentAt = Clock::now();
-            const SendOutcome outcome = send(*placement);
-            logSend(*placement, outcome, sentAt);
-            context_.metrics.countSend(pool_, result_);
-            mayHaveRun_ = mayHaveRun_ || outcome == SendOutcome::Unknown
-                          || outcome == SendOutcome::Failed;
-            if (outcome == SendOutcome::Answered || outcome == SendOutcome::Cancelled)
-                break;
-            if (!mayRepeat(outcome)) {
-                answerFailure(outcome);
-                break;
-            }
-            if (hasStarted_)
-                context_.metrics.countResume();
-        }
-    }
+    if (admit())
+        sendUntilAnswered();
     if (cancellation_.cancelled() && !isFinished_)
         result_ = Result::RequestCancelled;
     context_.metrics.observeWhole(pool_, Clock::now() - started_);
     context_.metrics.countAnswer(result_);
     context_.metrics.requestEnded();
-    context_.log.write("relay", "answered",
-                       { { "request", caller_.requestId },
-                         { "route", route_ == nullptr ? std::string() : route_->name },
-                         { "customer", customer_ == nullptr ? std::string() : customer_->name },
-                         { "configuration", knowledge_.view && knowledge_.view->isComplete()
-                                                    ? knowledge_.view->configuration().version
-                                                    : 0 },
-                         { "fresh", knowledge_.isFresh },
-                         { "sends", avoided_.size() },
-                         { "complete", isFinished_ },
-                         { "result", base::resultInfo(result_).name },
-                         { "took_ms", elapsed() } });
+    logAnswer();
 }
 
 Relay::Relay(RelayContext context) : context_(std::move(context)), random_(std::random_device{}())
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -47,10 +47,9 @@
     net::Request forwardedRequest(const dispatch::Placement &placement) const;
     net::ExchangeOptions exchangeOptions() const;
     std::chrono::milliseconds headTimeout() const;
-    SendOutcome receive(net::ResponseStream &response, const dispatch::Placement &placement);
+    SendOutcome receive(net::ResponseStream &response);
     SendOutcome receiveWhole(net::ResponseStream &response, const AnswerFields &fields);
-    SendOutcome receiveStream(net::ResponseStream &response, const AnswerFields &fields,
-                              const dispatch::Placement &placement);
+    SendOutcome receiveStream(net::ResponseStream &response, const AnswerFields &fields);
     /// Sends complete events to the caller. Returns false if the stream cannot go on.
     bool deliver(EventSplitter &splitter, const net::ResponseStream &response);
     SendOutcome endStream(bool isComplete, const EventSplitter &splitter);
@@ -62,6 +61,8 @@
     void answerFailure(SendOutcome last);
     void fail(base::Result code, base::WorkStatus work,
               std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0));
+    void sendUntilAnswered();
+    void logAnswer();
     void logRefusal(const dispatch::Refusal &refusal);
     void logSend(const dispatch::Placement &placement, SendOutcome outcome, Clock::time_point at);
 
@@ -91,8 +92,7 @@
     bool hasStarted_ = false; ///< The head of the answer was sent to the caller.
     bool isFinished_ = false;
     std::optional<std::uint64_t> lastEvent_;
-    base::Result result_ = base::Result::Ok; ///< For the log and the metrics.
-    std::string failureReason_;
+    base::Result result_ = base::Result::Ok;     ///< For the log and the metrics.
     std::optional<net::Response> targetFailure_; ///< A target's own error, to pass on if need be.
 };
 
