Find a silent store soon; tell peers the revision of the configuration

The others could not tell it of the new configuration: they announced the least version over all tables, which a change of the configuration alone does not raise. Change: while a table has no answer, questions do not wait; the revision that instances tell each other is that of the newest row other than a target; questions wait 5 s.

--- a/packages/entry/include/entry/peer_mesh.h
+++ b/packages/entry/include/entry/peer_mesh.h
@@ -76,7 +76,8 @@
     /// false if this instance is one of them, or if the one asked does not know more.
     bool askFollower(const boost::asio::yield_context &yield);
 
-    void setVersion(std::uint64_t version) { actor_->setRevision(version); }
+    /// Tells the others the revision of the view.
+    void setRevision(std::uint64_t revision) { actor_->setRevision(revision); }
     void leave() { actor_->leave(); }
     void exit() { actor_->exit(); }
 
--- a/packages/entry/include/entry/view_keeper.h
+++ b/packages/entry/include/entry/view_keeper.h
@@ -22,14 +22,14 @@
 struct ViewKeeperOptions
 {
     /// Longest wait of one question for changes. An answer also shows that the store is there.
-    std::chrono::milliseconds feedWait{ 10'000 };
+    std::chrono::milliseconds feedWait{ 5'000 };
     /// Pause after a change of the targets before the next question. Many targets change at once,
     /// each answer costs a call of every instance, and a leaving target still serves for longer.
     std::chrono::milliseconds feedPause{ 800 };
     std::chrono::milliseconds leastBackoff{ 100 };
     std::chrono::milliseconds mostBackoff{ 1000 };
     /// Time without an answer after which the view is not known to be up to date.
-    std::chrono::milliseconds freshFor{ 12'000 };
+    std::chrono::milliseconds freshFor{ 7'000 };
     /// Registrations that ran out while the store was away return within this time.
     std::chrono::milliseconds returnTime{ 2000 };
     /// Weights that were named before this instance started count as named this long before. The
@@ -72,6 +72,13 @@
     /// Returns true if the store has answered lately.
     bool storeAnswers() const;
 
+    /// Returns true if the last question for the table got no answer.
+    bool isFailing(const std::string &table) const;
+
+    /// Returns the version of the newest row other than a target. Instances tell it to each other,
+    /// so that one that missed a change learns of it.
+    std::uint64_t revision() const;
+
     /// Returns what changed after a version of the store, for a peer.
     peers::ConfigurationEntries entriesAfter(std::uint64_t version) const;
 
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -179,7 +179,7 @@
 
 void EntryApp::published(const fleet::ViewPtr &view)
 {
-    peers_.setVersion(view->storeVersion());
+    peers_.setRevision(views_.revision());
     boost::asio::post(traffic_, [this, view] { placer_.board().retain(view->targets()); });
 }
 
--- a/packages/entry/src/view_keeper.cpp
+++ b/packages/entry/src/view_keeper.cpp
@@ -99,6 +99,22 @@
     return least;
 }
 
+bool ViewKeeper::isFailing(const std::string &table) const
+{
+    const auto found = failing_.find(table);
+    return found != failing_.end() && found->second;
+}
+
+std::uint64_t ViewKeeper::revision() const
+{
+    std::uint64_t newest = 0;
+    for (const auto &[name, table] : tables_) {
+        if (name != documents_.targetTable)
+            newest = std::max(newest, table.newestRow());
+    }
+    return newest;
+}
+
 void ViewKeeper::noteAnswer(const std::string &table)
 {
     const auto now = Clock::now();
@@ -132,8 +148,11 @@
     std::error_code error;
     bool changed = false;
     std::optional<fleet::StoreRows> rows;
+    // A store that has just failed may be silent, and a question that waits there would be found
+    // unanswered long after the store is back.
+    const auto wait = isFailing(table) ? milliseconds(0) : options_.feedWait;
     if (answered_.contains(table))
-        rows = store_.changes(table, replica.version(), options_.feedWait, yield, error);
+        rows = store_.changes(table, replica.version(), wait, yield, error);
     // After the first copy, only a lost history makes another one necessary.
     const bool needsAll = !rows && (!error || error == Result::NotFound);
     if (needsAll) {
--- a/packages/entry/test/fake_store.h
+++ b/packages/entry/test/fake_store.h
@@ -18,7 +18,8 @@
 class FakeStore : public fleet::Store
 {
 public:
-    bool isAway = false;         ///< Calls get no answer.
+    bool isAway = false;         ///< Calls are refused.
+    bool isSilent = false;       ///< Calls get no answer, also when the store is back meanwhile.
     bool hasLostHistory = false; ///< The next question for changes finds no history.
     bool losesAnswers = false;   ///< Writes take effect and get no answer.
     int copies = 0;              ///< Questions for a whole table.
@@ -56,6 +57,12 @@
                                             std::error_code &error) override
     {
         const auto until = std::chrono::steady_clock::now() + wait;
+        if (isSilent) {
+            while (std::chrono::steady_clock::now() < until)
+                pause(yield);
+            error = base::Result::StoreUnavailable;
+            return std::nullopt;
+        }
         while (true) {
             if (isAway)
                 error = base::Result::StoreUnavailable;
--- a/packages/entry/test/view_keeper_test.cpp
+++ b/packages/entry/test/view_keeper_test.cpp
@@ -33,16 +33,15 @@
 
 struct Fixture
 {
-    Fixture()
+    explicit Fixture(ViewKeeperOptions options = { .feedWait = milliseconds(20),
+                                                   .feedPause = milliseconds(1),
+                                                   .leastBackoff = milliseconds(5),
+                                                   .mostBackoff = milliseconds(5),
+                                                   .freshFor = milliseconds(200),
+                                                   .returnTime = milliseconds(200),
+                                                   .outage = milliseconds(50) })
         : keeper(context, store, documents, log,
-                 { .published = [](const auto &) {}, .askFollower = {} },
-                 { .feedWait = milliseconds(20),
-                   .feedPause = milliseconds(1),
-                   .leastBackoff = milliseconds(5),
-                   .mostBackoff = milliseconds(5),
-                   .freshFor = milliseconds(200),
-                   .returnTime = milliseconds(200),
-                   .outage = milliseconds(50) })
+                 { .published = [](const auto &) {}, .askFollower = {} }, options)
     {
     }
 
@@ -75,6 +74,8 @@
     CPPUNIT_TEST(lostHistoryIsReadAgain);
     CPPUNIT_TEST(targetsOutliveAnOutage);
     CPPUNIT_TEST(peersStandInForTheStore);
+    CPPUNIT_TEST(silentStoreIsNotAwaitedForLong);
+    CPPUNIT_TEST(revisionTellsOfConfigurations);
     CPPUNIT_TEST(emptyStoreIsNotAskedInALoop);
     CPPUNIT_TEST_SUITE_END();
 
@@ -164,6 +165,51 @@
         CPPUNIT_ASSERT(!f.hasTarget("t1"));
     }
 
+    // Guards against a question that waits for a silent store long after the store is back.
+    void silentStoreIsNotAwaitedForLong()
+    {
+        constexpr milliseconds kLongWait{ 2000 };
+        Fixture f({ .feedWait = kLongWait,
+                    .feedPause = milliseconds(1),
+                    .leastBackoff = milliseconds(5),
+                    .mostBackoff = milliseconds(5) });
+        f.store.put("deployment", "version", "1");
+        f.keeper.start();
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.configuration() == 1; }));
+        // The questions in progress fail; those after them meet a silent store.
+        f.store.isAway = true;
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.keeper.isFailing("deployment"); }));
+        f.store.isAway = false;
+        f.store.isSilent = true;
+        f.context.run_for(milliseconds(50));
+        f.store.isSilent = false;
+        f.store.put("deployment", "version", "2");
+        const auto returned = std::chrono::steady_clock::now();
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.configuration() == 2; }));
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - returned < kLongWait / 2);
+    }
+
+    // Guards against a new configuration that peers do not tell of, because a table that did not
+    // change is older.
+    void revisionTellsOfConfigurations()
+    {
+        // The other table is not asked again while the test runs.
+        Fixture f({ .feedWait = milliseconds(5000), .feedPause = milliseconds(1) });
+        f.store.put("targets", "t1", "p");
+        f.store.put("deployment", "version", "1");
+        f.keeper.start();
+        CPPUNIT_ASSERT(
+                runUntil(f.context, [&] { return f.configuration() == 1 && f.hasTarget("t1"); }));
+        const std::uint64_t before = f.keeper.revision();
+        f.store.put("deployment", "version", "2");
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.configuration() == 2; }));
+        const std::uint64_t after = f.keeper.revision();
+        CPPUNIT_ASSERT(after > before);
+        f.store.put("targets", "t2", "p");
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.hasTarget("t2"); }));
+        CPPUNIT_ASSERT_EQUAL(after, f.keeper.revision());
+    }
+
     // Guards against reading a whole table again and again while it is empty: each call is billed.
     void emptyStoreIsNotAskedInALoop()
     {
--- a/packages/fleet/include/fleet/replica.h
+++ b/packages/fleet/include/fleet/replica.h
@@ -28,6 +28,9 @@
     /// Returns the version that the copy is complete up to; 0 before the first copy.
     std::uint64_t version() const { return version_; }
 
+    /// Returns the version of the newest row or deletion; 0 if there is none.
+    std::uint64_t newestRow() const { return newestRow_; }
+
     /// Returns the rows that exist, by key.
     const std::map<std::string, StoreRow> &rows() const { return rows_; }
 
@@ -38,6 +41,7 @@
     /// Versions of deleted rows, so that a late copy does not bring them back.
     std::map<std::string, StoreRow> deleted_;
     std::uint64_t version_ = 0;
+    std::uint64_t newestRow_ = 0;
 };
 
 } // namespace chervilfield::fleet
--- a/packages/fleet/src/replica.cpp
+++ b/packages/fleet/src/replica.cpp
@@ -12,6 +12,7 @@
                                          gone == deleted_.end() ? 0 : gone->second.version);
     if (row.version <= known)
         return false;
+    newestRow_ = std::max(newestRow_, row.version);
     if (row.isDeleted) {
         rows_.erase(row.key);
         deleted_[row.key] = row;
