Refuse at a leaving instance what its exit would cut off

Change: from 2.5 s after the signal, when callers that keep an answer for its lifetime have left, only requests are taken whose caller gives up before the exit. Others get 503 not run, with a Retry-After of 10 ms, and have all of their time at another instance. Measured: the new row of relay_test fails without the change.

--- a/packages/daemon/src/entry_options.cpp
+++ b/packages/daemon/src/entry_options.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds kExitMargin{ 400 };
 // Requests in progress have this long once no more connections are accepted.
 constexpr milliseconds kFinishTime{ 1400 };
+// Requests that callers sent just before they asked for addresses again arrive within this time.
+constexpr milliseconds kLastArrivals{ 500 };
 
 } // namespace
 
@@ -41,6 +43,7 @@
     options.addressLifetime = std::min(settings.entriesTtl, entry.longestAddressLifetime);
     options.drainLimit = entry.grace - kExitMargin;
     options.drainAnnounce = options.drainLimit - kFinishTime;
+    options.drainOpen = std::min(options.addressLifetime + kLastArrivals, options.drainLimit / 2);
     return options;
 }
 
--- a/packages/entry/include/entry/entry_app.h
+++ b/packages/entry/include/entry/entry_app.h
@@ -60,6 +60,7 @@
     void startDrain();
     void drainStep();
     bool isReady() const;
+    std::optional<relay::Departure> departure() const;
 
     const EntryOptions options_;
     const Platform platform_;
@@ -68,7 +69,7 @@
     base::HybridClock clock_;
     base::TimeLine timeLine_;
     std::atomic<bool> draining_{ false };
-    Clock::time_point drainStarted_{};
+    Clock::time_point drainStarted_{}; ///< Set before `draining_`.
     Clock::time_point lastActive_{}; ///< While draining: when a request was last in progress.
 
     boost::asio::io_context control_{ 1 };
--- a/packages/entry/include/entry/options.h
+++ b/packages/entry/include/entry/options.h
@@ -24,6 +24,9 @@
     std::vector<net::Address> seeds; ///< Peer addresses to join through.
 
     std::chrono::milliseconds addressLifetime{ 2000 }; ///< For which callers may keep an answer.
+    /// From the signal to the moment after which only requests are taken that end before the exit:
+    /// callers that keep an answer for its lifetime have left.
+    std::chrono::milliseconds drainOpen{ 2500 };
     /// From the signal to the moment at which no more connections are accepted. Some callers keep
     /// an answer for three times its lifetime.
     std::chrono::milliseconds drainAnnounce{ 6200 };
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -104,7 +104,8 @@
                .knowledge =
                        [this] {
                            return relay::Knowledge{ .view = views_.view(),
-                                                    .isFresh = views_.isFresh() };
+                                                    .isFresh = views_.isFresh(),
+                                                    .departure = departure() };
                        },
                .options = relayOptions(options_) })
 {
@@ -122,6 +123,14 @@
     return !draining_ && views_.view()->isComplete();
 }
 
+std::optional<relay::Departure> EntryApp::departure() const
+{
+    if (!draining_)
+        return std::nullopt;
+    return relay::Departure{ .openUntil = drainStarted_ + options_.drainOpen,
+                             .exitAt = drainStarted_ + options_.drainLimit };
+}
+
 void EntryApp::listen(std::error_code &error)
 {
     const auto serve = [&](std::unique_ptr<net::HttpServer> &server,
@@ -304,8 +313,8 @@
 
 void EntryApp::startDrain()
 {
-    draining_ = true;
     drainStarted_ = Clock::now();
+    draining_ = true;
     log_.write("entry", "draining", { { "active", callers_->activeRequests() } });
     peers_.leave();
     callers_->closeAfterResponses();
--- a/packages/relay/include/relay/relay.h
+++ b/packages/relay/include/relay/relay.h
@@ -16,11 +16,25 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
 namespace chervilfield::relay {
 
+/// The end of this instance, once it has been asked to stop.
+struct Departure
+{
+    /// Until then all requests are taken; nearly all of them end long before the exit.
+    std::chrono::steady_clock::time_point openUntil;
+    std::chrono::steady_clock::time_point exitAt;
+};
+
+/// Returns true if a request whose caller waits for `patience` is not cut off by the exit. One that
+/// would be is better refused: at another instance it has all of its time.
+bool canTake(const Departure &departure, std::chrono::milliseconds patience,
+             std::chrono::steady_clock::time_point now);
+
 /// The deployment as the control thread last published it.
 struct Knowledge
 {
@@ -28,6 +42,7 @@
     /// False while neither the store nor a peer has confirmed the view lately, so that a route or
     /// a key that it lacks may exist.
     bool isFresh = false;
+    std::optional<Departure> departure{}; ///< Set while this instance leaves.
 };
 
 struct RelayOptions
@@ -46,6 +61,8 @@
     std::size_t maxAnswerBytes = 4U << 20U; ///< Largest answer that is not a stream.
     /// Retry-After while this instance knows no configuration.
     std::chrono::milliseconds notReadyRetry{ 400 };
+    /// Retry-After while this instance leaves; others take the request at once.
+    std::chrono::milliseconds departureRetry{ 10 };
     /// Additional sends per request and at once, for this instance's part of the deployment.
     admission::ExtraBudgetOptions retries = admission::kRetryBudget;
 };
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -83,6 +83,10 @@
     if (route_->timeout > milliseconds::zero())
         patience = std::min(patience, route_->timeout);
     deadline_ = started_ + patience;
+    if (knowledge_.departure && !canTake(*knowledge_.departure, patience, started_)) {
+        fail(Result::ShuttingDown, WorkStatus::NotRun, context_.options.departureRetry);
+        return false;
+    }
     if (patience <= milliseconds::zero()) {
         fail(Result::DeadlineUnreachable, WorkStatus::NotRun);
         return false;
@@ -365,6 +369,12 @@
     logAnswer();
 }
 
+bool canTake(const Departure &departure, milliseconds patience,
+             std::chrono::steady_clock::time_point now)
+{
+    return now <= departure.openUntil || now + patience <= departure.exitAt;
+}
+
 Relay::Relay(RelayContext context) : context_(std::move(context)), random_(std::random_device{}())
 {
 }
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -172,6 +172,9 @@
     std::uint32_t maxTargets = 2;
     bool isResumable = false;
     std::string key = "good";
+    /// Time until this instance takes only what it can finish, and until it exits; 0 if it stays.
+    milliseconds openFor{ 0 };
+    milliseconds exitIn{ 0 };
 };
 
 fleet::ViewPtr makeView(const Scenario &scenario,
@@ -201,6 +204,15 @@
     return std::make_shared<const fleet::View>(configuration, entries, fleet::WeightsHistory{}, 1);
 }
 
+Knowledge knowledge(const Scenario &scenario, const fleet::ViewPtr &view)
+{
+    Knowledge result{ .view = view, .isFresh = true };
+    const auto now = std::chrono::steady_clock::now();
+    if (scenario.exitIn > milliseconds(0))
+        result.departure = { .openUntil = now + scenario.openFor, .exitAt = now + scenario.exitIn };
+    return result;
+}
+
 Outcome play(const Scenario &scenario)
 {
     asio::io_context context;
@@ -218,7 +230,7 @@
                   .placer = placer,
                   .metrics = metrics,
                   .log = log,
-                  .knowledge = [&view] { return Knowledge{ .view = view, .isFresh = true }; },
+                  .knowledge = [&] { return knowledge(scenario, view); },
                   .options = {} });
     const net::Handler handler = [&relay](net::Exchange &exchange, asio::yield_context yield) {
         relay.serve(exchange, yield);
@@ -281,6 +293,7 @@
     CPPUNIT_TEST_SUITE(RelayTest);
     CPPUNIT_TEST(answersAreTrue);
     CPPUNIT_TEST(streamsAreWholeOrVisiblyBroken);
+    CPPUNIT_TEST(leavingInstanceTakesOnlyWhatItCanFinish);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -374,6 +387,28 @@
                   { 1, 0 } },
         });
     }
+
+    // Guards against requests that a leaving instance takes and cuts off. Callers wait for 1.5 s.
+    void leavingInstanceTakesOnlyWhatItCanFinish()
+    {
+        using enum Behaviour;
+        const auto row = [](const std::string &name, milliseconds openFor, milliseconds exitIn,
+                            bool isTaken) {
+            return Row{ { .name = name,
+                          .targets = { Answers },
+                          .openFor = openFor,
+                          .exitIn = exitIn },
+                        isTaken ? 200 : 503,
+                        isTaken ? "whole" : "shutting-down",
+                        true,
+                        { isTaken ? 1U : 0U } };
+        };
+        check({
+                row("just asked to leave", seconds(1), seconds(1), true),
+                row("time for the whole request", milliseconds(-100), seconds(5), true),
+                row("exit before the caller gives up", milliseconds(-100), seconds(1), false),
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
