Let a peer that the store answers confirm that a target left

Ruled out: late exchange with the peer; the deleted row came 0.33 s after the store had it. Change: targets are unconfirmed from a failure of their table until the store, or a peer that the store answers, tells of them; then the return time runs once. A peer whose own question for targets fails no longer calls its rows up to date, and such an answer no longer makes the view fresh.

--- a/packages/entry/include/entry/entry_app.h
+++ b/packages/entry/include/entry/entry_app.h
@@ -70,7 +70,7 @@
     base::TimeLine timeLine_;
     std::atomic<bool> draining_{ false };
     Clock::time_point drainStarted_{}; ///< Set before `draining_`.
-    Clock::time_point lastActive_{}; ///< While draining: when a request was last in progress.
+    Clock::time_point lastActive_{};   ///< While draining: when a request was last in progress.
 
     boost::asio::io_context control_{ 1 };
     boost::asio::io_context traffic_{ 1 };
--- a/packages/entry/include/entry/view_keeper.h
+++ b/packages/entry/include/entry/view_keeper.h
@@ -93,6 +93,7 @@
     void follow(const std::string &table, const boost::asio::yield_context &yield);
     bool step(const std::string &table, const boost::asio::yield_context &yield);
     void noteAnswer(const std::string &table);
+    void noteReturn();
     void noteFailure(const std::string &table, const std::error_code &error);
     void rebuild();
     void keepMissing(std::vector<fleet::Target> &targets);
@@ -108,7 +109,10 @@
     fleet::Tables tables_;
     std::map<std::string, Clock::time_point> answered_; ///< Last answer by table.
     std::map<std::string, bool> failing_;               ///< By table.
-    Clock::time_point storeReturned_{};                 ///< End of the last outage.
+    /// Neither the store nor a peer that the store answers has told of the targets since the last
+    /// failure, so that one without a row may still serve.
+    bool targetsUnconfirmed_ = false;
+    Clock::time_point storeReturned_{}; ///< End of the last outage.
     fleet::WeightsHistory weights_;
     std::map<std::string, std::string> reported_; ///< Reason by rejected row, to log it once.
     std::atomic<fleet::ViewPtr> view_;
--- a/packages/entry/src/view_keeper.cpp
+++ b/packages/entry/src/view_keeper.cpp
@@ -123,16 +123,26 @@
                          || (last != answered_.end()
                              && now - last->second > options_.feedWait + options_.outage);
     if (wasAway) {
-        storeReturned_ = now;
+        noteReturn();
         log_.write("store", "regained", { { "table", table }, { "version", version() } });
     }
     failing_[table] = false;
+    if (table == documents_.targetTable)
+        targetsUnconfirmed_ = false;
     answered_[table] = now;
     storeAnswered_ = now;
 }
 
+void ViewKeeper::noteReturn()
+{
+    storeReturned_ = Clock::now();
+    scheduleRebuild(options_.returnTime + milliseconds(1));
+}
+
 void ViewKeeper::noteFailure(const std::string &table, const std::error_code &error)
 {
+    if (table == documents_.targetTable)
+        targetsUnconfirmed_ = true;
     if (failing_[table])
         return;
     failing_[table] = true;
@@ -199,10 +209,9 @@
 
 void ViewKeeper::keepMissing(std::vector<fleet::Target> &targets)
 {
-    const auto until = storeReturned_ + options_.returnTime;
-    const auto now = Clock::now();
-    const bool isAway = std::ranges::any_of(failing_, [](const auto &f) { return f.second; });
-    if (storeReturned_ == Clock::time_point{} || (now >= until && !isAway))
+    const bool isSettled = storeReturned_ == Clock::time_point{}
+                           || Clock::now() - storeReturned_ >= options_.returnTime;
+    if (isSettled && !targetsUnconfirmed_)
         return;
     std::size_t kept = 0;
     for (const fleet::Target &known : view()->targets()) {
@@ -213,10 +222,9 @@
         targets.push_back(known);
         ++kept;
     }
-    if (kept == 0)
-        return;
-    log_.write("store", "registrations-kept", { { "targets", kept } });
-    scheduleRebuild(std::chrono::duration_cast<milliseconds>(until - now) + milliseconds(1));
+    if (kept > 0)
+        log_.write("store", "registrations-kept",
+                   { { "targets", kept }, { "unconfirmed", targetsUnconfirmed_ } });
 }
 
 void ViewKeeper::noteWeights(const std::map<std::string, std::uint64_t> &weights)
@@ -283,7 +291,8 @@
             byVersion[row.version].push_back(&row);
     }
     // 0 tells that the rows may be out of date.
-    peers::ConfigurationEntries entries{ .revisionInForce = storeAnswers() ? this->version() : 0,
+    const bool isUpToDate = storeAnswers() && !isFailing(documents_.targetTable);
+    peers::ConfigurationEntries entries{ .revisionInForce = isUpToDate ? this->version() : 0,
                                          .entries = {} };
     for (const auto &[rowVersion, rows] : byVersion)
         entries.entries.push_back({ rowVersion, encodeRows(rows) });
@@ -303,12 +312,19 @@
         rows.version = entries.revisionInForce;
         changed = table.apply(rows) || changed;
     }
-    peerAnswered_ = Clock::now();
+    const bool isUpToDate = entries.revisionInForce > 0;
+    if (isUpToDate) {
+        peerAnswered_ = Clock::now();
+        if (std::exchange(targetsUnconfirmed_, false)) {
+            noteReturn();
+            log_.write("store", "confirmed-by-peer", { { "version", entries.revisionInForce } });
+        }
+    }
     if (changed) {
         log_.write("view", "taken-from-peer", { { "version", entries.revisionInForce } });
         rebuild();
     }
-    return entries.revisionInForce > 0;
+    return isUpToDate;
 }
 
 } // namespace chervilfield::entry
--- a/packages/entry/test/view_keeper_test.cpp
+++ b/packages/entry/test/view_keeper_test.cpp
@@ -41,7 +41,9 @@
                                                    .returnTime = milliseconds(200),
                                                    .outage = milliseconds(50) })
         : keeper(context, store, documents, log,
-                 { .published = [](const auto &) {}, .askFollower = {} }, options)
+                 { .published = [this](const auto &) { ++published; },
+                   .askFollower = [this](const auto &) { return follower && follower(); } },
+                 options)
     {
     }
 
@@ -57,6 +59,8 @@
     }
 
     boost::asio::io_context context;
+    int published = 0;
+    std::function<bool()> follower; ///< Asks a peer; returns true if the store answers the peer.
     FakeStore store;
     fleet::Documents documents{ .tables = { "deployment", "targets" },
                                 .targetTable = "targets",
@@ -74,6 +78,7 @@
     CPPUNIT_TEST(lostHistoryIsReadAgain);
     CPPUNIT_TEST(targetsOutliveAnOutage);
     CPPUNIT_TEST(peersStandInForTheStore);
+    CPPUNIT_TEST(peersTellOfTargetsThatLeft);
     CPPUNIT_TEST(silentStoreIsNotAwaitedForLong);
     CPPUNIT_TEST(revisionTellsOfConfigurations);
     CPPUNIT_TEST(emptyStoreIsNotAskedInALoop);
@@ -165,6 +170,36 @@
         CPPUNIT_ASSERT(!f.hasTarget("t1"));
     }
 
+    // Guards against a target that left and is kept for as long as this instance does not reach the
+    // store, and against views that are made again and again meanwhile.
+    void peersTellOfTargetsThatLeft()
+    {
+        Fixture peer;
+        Fixture f;
+        for (Fixture *each : { &peer, &f }) {
+            each->store.put("deployment", "version", "1");
+            each->store.put("targets", "t1", "p");
+            each->keeper.start();
+            CPPUNIT_ASSERT(runUntil(each->context, [&] { return each->hasTarget("t1"); }));
+        }
+        f.store.isAway = true;
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.keeper.isFailing("targets"); }));
+        f.follower = [&] {
+            peer.context.run_for(milliseconds(1));
+            return f.keeper.merge(peer.keeper.entriesAfter(f.keeper.version()));
+        };
+        f.context.run_for(milliseconds(50)); // From here on, targets come from the peer alone.
+        f.store.isAway = false;
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return !f.keeper.isFailing("deployment"); }));
+        peer.store.erase("targets", "t1");
+        CPPUNIT_ASSERT(runUntil(peer.context, [&] { return !peer.hasTarget("t1"); }));
+        const int before = f.published;
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return !f.hasTarget("t1"); }));
+        // The row is deleted; the store and the peer have each been back for the return time.
+        constexpr int kViews = 3;
+        CPPUNIT_ASSERT(f.published - before <= kViews);
+    }
+
     // Guards against a question that waits for a silent store long after the store is back.
     void silentStoreIsNotAwaitedForLong()
     {
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -394,14 +394,13 @@
         using enum Behaviour;
         const auto row = [](const std::string &name, milliseconds openFor, milliseconds exitIn,
                             bool isTaken) {
-            return Row{ { .name = name,
-                          .targets = { Answers },
-                          .openFor = openFor,
-                          .exitIn = exitIn },
-                        isTaken ? 200 : 503,
-                        isTaken ? "whole" : "shutting-down",
-                        true,
-                        { isTaken ? 1U : 0U } };
+            return Row{
+                { .name = name, .targets = { Answers }, .openFor = openFor, .exitIn = exitIn },
+                isTaken ? 200 : 503,
+                isTaken ? "whole" : "shutting-down",
+                true,
+                { isTaken ? 1U : 0U }
+            };
         };
         check({
                 row("just asked to leave", seconds(1), seconds(1), true),
