Take no answer that does not say which request it answers

Ruled out: answers with the id of an earlier request; they were skipped as they should be. Change: an answer belongs to a request only if it repeats its id. Measured: the new rows of relay_test fail without the change; the stand-in there repeats the id in its refusals now, as targets do.

--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -231,8 +231,8 @@
         .reuseWithin = reuse == relay_.reuse_.end() ? context_.options.defaultReuse : reuse->second
     };
     options.belongs = [this](const net::Headers &headers) {
-        const AnswerFields fields = context_.codec.decodeAnswer(headers);
-        return fields.requestId.empty() || fields.requestId == caller_.requestId;
+        // Targets repeat the id in each answer; one without it answers no request.
+        return context_.codec.decodeAnswer(headers).requestId == caller_.requestId;
     };
     return options;
 }
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -26,6 +26,7 @@
     Breaks,         ///< Closes the connection without an answer.
     Silent,         ///< Never answers.
     Unsigned,       ///< 200 without a signature.
+    Nameless,       ///< 200 that does not say which request it answers.
     StreamsAll,     ///< Three events.
     StreamsHalf,    ///< One event and half of the next one, then the connection ends.
     StreamsNothing, ///< Ends before the first event.
@@ -69,9 +70,12 @@
         else if (behaviour_ == Behaviour::Fails)
             exchange.respond({ .status = 500, .headers = own, .body = "bad" }, yield, error);
         else if (behaviour_ == Behaviour::Refuses)
-            exchange.respond({ .status = 503, .headers = { { "Not-Run", "1" } } }, yield, error);
+            exchange.respond({ .status = 503, .headers = { { "Id", id }, { "Not-Run", "1" } } },
+                             yield, error);
         else if (behaviour_ == Behaviour::Unsigned)
             exchange.respond({ .headers = { { "Id", id } }, .body = "x" }, yield, error);
+        else if (behaviour_ == Behaviour::Nameless)
+            exchange.respond({ .headers = { { "Signed", "1" } }, .body = "y" }, yield, error);
         else if (behaviour_ == Behaviour::Breaks)
             exchange.startStream(200, {}, yield, error); // Never finished.
         else if (behaviour_ == Behaviour::Silent)
@@ -348,6 +352,16 @@
                   "overloaded",
                   true,
                   { 1, 0 } },
+                { { "answer to no request", WorkKind::Idempotent, { Nameless, Answers } },
+                  200,
+                  "whole",
+                  true,
+                  { 1, 1 } },
+                { { "order, answer to no request", WorkKind::NonIdempotent, { Nameless } },
+                  502,
+                  "route-timeout",
+                  true,
+                  { 1 } },
                 { { "no signature", WorkKind::NonIdempotent, { Unsigned, Answers } },
                   502,
                   "target-failed",
