Measure an outage for targets from their last confirmation

With one short failure after another, each confirmation began the time for which targets are kept anew. Ruled out: that the row arrived late; the view that kept the target has the version that deleted it. Change: the store counts as away for targets from the first question without an answer since the store or a peer that it answers last told of them; only a silence above 1.5 s keeps targets without a row. Followers are asked by turns, the next one at once if one is not up to date; a question to the store in their place does not wait; the pause between questions is a quarter of the time for which a leaving target serves (two fifths before).

--- a/packages/entry/include/entry/peer_mesh.h
+++ b/packages/entry/include/entry/peer_mesh.h
@@ -72,9 +72,9 @@
     /// Replaces the addresses to join through.
     void setSeeds(const std::vector<net::Address> &seeds);
 
-    /// Asks one of the few instances that follow the targets in the store for changes. Returns
-    /// false if this instance is one of them, or if the one asked does not know more.
-    bool askFollower(const boost::asio::yield_context &yield);
+    /// Asks the few instances that follow the targets in the store for changes, until one of them
+    /// is up to date.
+    FollowerAnswer askFollower(const boost::asio::yield_context &yield);
 
     /// Tells the others the revision of the view.
     void setRevision(std::uint64_t revision) { actor_->setRevision(revision); }
@@ -86,6 +86,9 @@
     void sendTo(const std::string &address, const peers::Datagram &datagram);
     void receive(const net::Address &from, peers::Datagram datagram);
     void exchangeTable(const std::string &address);
+    /// Returns the peer addresses of the instances that follow the targets in the store; none if
+    /// this is one of them or if there are few instances.
+    std::vector<net::Address> followers() const;
     bool fetchRows(const net::Address &peer, const boost::asio::yield_context &yield);
     void askPeers(const boost::asio::yield_context &yield);
     std::vector<net::Address> otherPeers() const;
@@ -106,6 +109,7 @@
     std::vector<net::Address> seeds_;
     net::HttpClient client_;
     std::mt19937_64 random_;
+    std::size_t followerTurn_ = 0; ///< The follower to ask first, modulo their number.
     std::unique_ptr<net::HttpServer> server_;
     std::unique_ptr<peers::UdpTransport> transport_;
     std::unique_ptr<control::MemberActor> actor_;
--- a/packages/entry/include/entry/view_keeper.h
+++ b/packages/entry/include/entry/view_keeper.h
@@ -14,7 +14,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <system_error>
 #include <vector>
 
 namespace chervilfield::entry {
@@ -25,7 +28,7 @@
     std::chrono::milliseconds feedWait{ 5'000 };
     /// Pause after a change of the targets before the next question. Many targets change at once,
     /// each answer costs a call of every instance, and a leaving target still serves for longer.
-    std::chrono::milliseconds feedPause{ 800 };
+    std::chrono::milliseconds feedPause{ 500 };
     std::chrono::milliseconds leastBackoff{ 100 };
     std::chrono::milliseconds mostBackoff{ 1000 };
     /// Time without an answer after which the view is not known to be up to date.
@@ -39,6 +42,13 @@
     std::chrono::milliseconds outage{ 1500 };
 };
 
+/// What became of a question to the instances that follow the targets in the store.
+enum class FollowerAnswer {
+    NotAsked, ///< This instance has to follow them itself.
+    UpToDate, ///< The rows were taken from one that the store answers.
+    Failed,   ///< The store answers none of them, or they do not answer.
+};
+
 /// Keeps a copy of the tables that describe the deployment, by following the store and by asking
 /// peers while the store does not answer, and publishes views of it. Runs on the control I/O
 /// thread, except for `view()` and `isFresh()`.
@@ -50,9 +60,8 @@
     struct Hooks
     {
         std::function<void(const fleet::ViewPtr &)> published;
-        /// Asks another instance for the targets, if that one is meant to follow them in the store.
-        /// Returns false if this instance has to ask the store itself.
-        std::function<bool(const boost::asio::yield_context &)> askFollower;
+        /// Asks instances that follow the targets in the store, unless this one does so itself.
+        std::function<FollowerAnswer(const boost::asio::yield_context &)> askFollower;
     };
 
     /// `store`, `documents` and `log` outlive the object.
@@ -91,10 +100,14 @@
 
 private:
     void follow(const std::string &table, const boost::asio::yield_context &yield);
-    bool step(const std::string &table, const boost::asio::yield_context &yield);
+    /// Asks the store for changes, which may wait for one. Returns false if it does not answer.
+    bool step(const std::string &table, std::chrono::milliseconds wait,
+              const boost::asio::yield_context &yield);
     void noteAnswer(const std::string &table);
-    void noteReturn();
-    void noteFailure(const std::string &table, const std::error_code &error);
+    /// Records that the store, or a peer that it answers, has told of the targets.
+    void confirmTargets();
+    void noteFailure(const std::string &table, Clock::time_point asked,
+                     const std::error_code &error);
     void rebuild();
     void keepMissing(std::vector<fleet::Target> &targets);
     void noteWeights(const std::map<std::string, std::uint64_t> &weights);
@@ -107,11 +120,12 @@
     Hooks hooks_;
     ViewKeeperOptions options_;
     fleet::Tables tables_;
-    std::map<std::string, Clock::time_point> answered_; ///< Last answer by table.
-    std::map<std::string, bool> failing_;               ///< By table.
-    /// Neither the store nor a peer that the store answers has told of the targets since the last
-    /// failure, so that one without a row may still serve.
-    bool targetsUnconfirmed_ = false;
+    std::set<std::string> answered_;      ///< Tables for which the store has answered.
+    std::map<std::string, bool> failing_; ///< By table.
+    Clock::time_point targetsConfirmed_{};
+    /// Start of the first question for targets without an answer since they were last confirmed. A
+    /// target without a row may serve all the same.
+    std::optional<Clock::time_point> unconfirmedSince_;
     Clock::time_point storeReturned_{}; ///< End of the last outage.
     fleet::WeightsHistory weights_;
     std::map<std::string, std::string> reported_; ///< Reason by rejected row, to log it once.
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -63,7 +63,7 @@
 
 ViewKeeperOptions viewOptions(const EntryOptions &options)
 {
-    return { .feedPause = options.targetDrainTime * 2 / 5,
+    return { .feedPause = options.targetDrainTime / 4,
              .weightsAgeAtStart = options.weightsLimit - kQueueMargin - kSettleTime };
 }
 
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -224,10 +224,8 @@
     return entries && views_.merge(*entries);
 }
 
-bool PeerMesh::askFollower(const yield_context &yield)
+std::vector<net::Address> PeerMesh::followers() const
 {
-    if (actor_ == nullptr)
-        return false;
     const auto snapshot = actor_->snapshot();
     std::vector<const membership::Member *> live;
     for (const membership::Member &member : snapshot->members) {
@@ -235,18 +233,33 @@
             live.push_back(&member);
     }
     if (std::ssize(live) <= kFollowers)
-        return false;
+        return {};
     // All instances agree on the followers as far as they agree on the members.
     const auto rank = [](const membership::Member *member) { return base::hash64(member->name); };
-    std::ranges::nth_element(live, live.begin() + kFollowers, {}, rank);
-    const auto last = live.begin() + kFollowers;
-    const bool isFollower = std::any_of(live.begin(), last, [this](const auto *member) {
-        return member->name == options_.instance;
-    });
-    if (isFollower)
-        return false;
-    const auto peer = net::parseAddress(live[random_() % kFollowers]->peerAddress);
-    return peer && fetchRows(*peer, yield);
+    std::ranges::partial_sort(live, live.begin() + kFollowers, {}, rank);
+    live.resize(kFollowers);
+    std::vector<net::Address> addresses;
+    for (const membership::Member *member : live) {
+        if (member->name == options_.instance)
+            return {};
+        if (const auto address = net::parseAddress(member->peerAddress))
+            addresses.push_back(*address);
+    }
+    return addresses;
+}
+
+FollowerAnswer PeerMesh::askFollower(const yield_context &yield)
+{
+    const auto addresses = actor_ == nullptr ? std::vector<net::Address>() : followers();
+    if (addresses.empty())
+        return FollowerAnswer::NotAsked;
+    // By turns, because one that a silent store leaves without an answer does not know it yet.
+    ++followerTurn_;
+    for (std::size_t i = 0; i < addresses.size(); ++i) {
+        if (fetchRows(addresses[(followerTurn_ + i) % addresses.size()], yield))
+            return FollowerAnswer::UpToDate;
+    }
+    return FollowerAnswer::Failed;
 }
 
 std::vector<net::Address> PeerMesh::otherPeers() const
--- a/packages/entry/src/view_keeper.cpp
+++ b/packages/entry/src/view_keeper.cpp
@@ -117,32 +117,35 @@
 
 void ViewKeeper::noteAnswer(const std::string &table)
 {
-    const auto now = Clock::now();
-    const auto last = answered_.find(table);
-    const bool wasAway = failing_[table]
-                         || (last != answered_.end()
-                             && now - last->second > options_.feedWait + options_.outage);
-    if (wasAway) {
-        noteReturn();
+    if (std::exchange(failing_[table], false))
         log_.write("store", "regained", { { "table", table }, { "version", version() } });
-    }
-    failing_[table] = false;
     if (table == documents_.targetTable)
-        targetsUnconfirmed_ = false;
-    answered_[table] = now;
-    storeAnswered_ = now;
+        confirmTargets();
+    answered_.insert(table);
+    storeAnswered_ = Clock::now();
 }
 
-void ViewKeeper::noteReturn()
+void ViewKeeper::confirmTargets()
 {
-    storeReturned_ = Clock::now();
+    const auto now = Clock::now();
+    // Without a failure, a question may have waited all the time.
+    const auto silence = now - unconfirmedSince_.value_or(targetsConfirmed_ + options_.feedWait);
+    const bool isFirst = targetsConfirmed_ == Clock::time_point{};
+    unconfirmedSince_.reset();
+    targetsConfirmed_ = now;
+    if (isFirst || silence <= options_.outage)
+        return;
+    storeReturned_ = now;
     scheduleRebuild(options_.returnTime + milliseconds(1));
+    log_.write("store", "targets-confirmed",
+               { { "silent_ms", std::chrono::duration_cast<milliseconds>(silence) } });
 }
 
-void ViewKeeper::noteFailure(const std::string &table, const std::error_code &error)
+void ViewKeeper::noteFailure(const std::string &table, Clock::time_point asked,
+                             const std::error_code &error)
 {
-    if (table == documents_.targetTable)
-        targetsUnconfirmed_ = true;
+    if (table == documents_.targetTable && !unconfirmedSince_)
+        unconfirmedSince_ = asked;
     if (failing_[table])
         return;
     failing_[table] = true;
@@ -152,15 +155,13 @@
                  { "result", base::resultInfo(base::toResult(error)).name } });
 }
 
-bool ViewKeeper::step(const std::string &table, const yield_context &yield)
+bool ViewKeeper::step(const std::string &table, milliseconds wait, const yield_context &yield)
 {
+    const auto asked = Clock::now();
     fleet::TableReplica &replica = tables_[table];
     std::error_code error;
     bool changed = false;
     std::optional<fleet::StoreRows> rows;
-    // A store that has just failed may be silent, and a question that waits there would be found
-    // unanswered long after the store is back.
-    const auto wait = isFailing(table) ? milliseconds(0) : options_.feedWait;
     if (answered_.contains(table))
         rows = store_.changes(table, replica.version(), wait, yield, error);
     // After the first copy, only a lost history makes another one necessary.
@@ -170,7 +171,7 @@
         rows = store_.readAll(table, yield, error);
     }
     if (!rows) {
-        noteFailure(table, error);
+        noteFailure(table, asked, error);
         return false;
     }
     noteAnswer(table);
@@ -188,12 +189,17 @@
         const std::uint64_t before = tables_[table].version();
         boost::system::error_code ignored;
         const bool mayAskPeer = table == documents_.targetTable && answered_.contains(table);
-        if (mayAskPeer && hooks_.askFollower && hooks_.askFollower(yield)) {
+        const auto follower = mayAskPeer && hooks_.askFollower ? hooks_.askFollower(yield)
+                                                               : FollowerAnswer::NotAsked;
+        if (follower == FollowerAnswer::UpToDate) {
             timer.expires_after(options_.feedPause);
             timer.async_wait(yield[ignored]);
             continue;
         }
-        if (step(table, yield)) {
+        // A store that has just failed may be silent, and a question that waits there would be
+        // found unanswered long after the store is back, or a follower.
+        const bool mayWait = follower == FollowerAnswer::NotAsked && !isFailing(table);
+        if (step(table, mayWait ? options_.feedWait : milliseconds(0), yield)) {
             backoff = options_.leastBackoff;
             if (table == documents_.targetTable && tables_[table].version() != before) {
                 timer.expires_after(options_.feedPause);
@@ -211,7 +217,7 @@
 {
     const bool isSettled = storeReturned_ == Clock::time_point{}
                            || Clock::now() - storeReturned_ >= options_.returnTime;
-    if (isSettled && !targetsUnconfirmed_)
+    if (isSettled && !unconfirmedSince_)
         return;
     std::size_t kept = 0;
     for (const fleet::Target &known : view()->targets()) {
@@ -224,7 +230,7 @@
     }
     if (kept > 0)
         log_.write("store", "registrations-kept",
-                   { { "targets", kept }, { "unconfirmed", targetsUnconfirmed_ } });
+                   { { "targets", kept }, { "unconfirmed", unconfirmedSince_.has_value() } });
 }
 
 void ViewKeeper::noteWeights(const std::map<std::string, std::uint64_t> &weights)
@@ -291,7 +297,7 @@
             byVersion[row.version].push_back(&row);
     }
     // 0 tells that the rows may be out of date.
-    const bool isUpToDate = storeAnswers() && !isFailing(documents_.targetTable);
+    const bool isUpToDate = storeAnswers() && !unconfirmedSince_;
     peers::ConfigurationEntries entries{ .revisionInForce = isUpToDate ? this->version() : 0,
                                          .entries = {} };
     for (const auto &[rowVersion, rows] : byVersion)
@@ -315,10 +321,7 @@
     const bool isUpToDate = entries.revisionInForce > 0;
     if (isUpToDate) {
         peerAnswered_ = Clock::now();
-        if (std::exchange(targetsUnconfirmed_, false)) {
-            noteReturn();
-            log_.write("store", "confirmed-by-peer", { { "version", entries.revisionInForce } });
-        }
+        confirmTargets();
     }
     if (changed) {
         log_.write("view", "taken-from-peer", { { "version", entries.revisionInForce } });
--- a/packages/entry/test/view_keeper_test.cpp
+++ b/packages/entry/test/view_keeper_test.cpp
@@ -42,11 +42,17 @@
                                                    .outage = milliseconds(50) })
         : keeper(context, store, documents, log,
                  { .published = [this](const auto &) { ++published; },
-                   .askFollower = [this](const auto &) { return follower && follower(); } },
+                   .askFollower = [this](const auto &) { return askFollower(); } },
                  options)
     {
     }
 
+    FollowerAnswer askFollower() const
+    {
+        if (!follower)
+            return FollowerAnswer::NotAsked;
+        return follower() ? FollowerAnswer::UpToDate : FollowerAnswer::Failed;
+    }
     bool hasTarget(const std::string &id) const
     {
         const auto view = keeper.view();
@@ -79,6 +85,7 @@
     CPPUNIT_TEST(targetsOutliveAnOutage);
     CPPUNIT_TEST(peersStandInForTheStore);
     CPPUNIT_TEST(peersTellOfTargetsThatLeft);
+    CPPUNIT_TEST(targetsThatLeaveAreNotKeptWithoutAnOutage);
     CPPUNIT_TEST(silentStoreIsNotAwaitedForLong);
     CPPUNIT_TEST(revisionTellsOfConfigurations);
     CPPUNIT_TEST(emptyStoreIsNotAskedInALoop);
@@ -200,6 +207,50 @@
         CPPUNIT_ASSERT(f.published - before <= kViews);
     }
 
+    // Guards against a target that left and is kept as if the store had been away, when only this
+    // instance did not ask it, or for a moment got no answer.
+    void targetsThatLeaveAreNotKeptWithoutAnOutage()
+    {
+        struct Case
+        {
+            std::string name;
+            bool refuses; ///< The store refuses this instance for a moment.
+            milliseconds peerOnly;
+        };
+        constexpr milliseconds kOutage{ 200 };
+        constexpr milliseconds kReturnTime{ 2000 };
+        for (const Case &each : { Case{ "peers only", false, kOutage * 2 },
+                                  Case{ "refused", true, milliseconds(20) } }) {
+            Fixture f({ .feedWait = milliseconds(20),
+                        .feedPause = milliseconds(1),
+                        .leastBackoff = milliseconds(5),
+                        .mostBackoff = milliseconds(5),
+                        .returnTime = kReturnTime,
+                        .outage = kOutage });
+            f.store.put("deployment", "version", "1");
+            f.store.put("targets", "t1", "p");
+            f.keeper.start();
+            CPPUNIT_ASSERT_MESSAGE(each.name,
+                                   runUntil(f.context, [&] { return f.hasTarget("t1"); }));
+            f.store.isAway = each.refuses;
+            CPPUNIT_ASSERT_MESSAGE(each.name, runUntil(f.context, [&] {
+                                       return f.keeper.isFailing("targets") == each.refuses;
+                                   }));
+            f.follower = [&] {
+                return f.keeper.merge({ .revisionInForce = f.keeper.version(), .entries = {} });
+            };
+            f.context.run_for(each.peerOnly);
+            f.store.isAway = false;
+            f.store.erase("targets", "t1");
+            f.follower = {};
+            const auto left = std::chrono::steady_clock::now();
+            CPPUNIT_ASSERT_MESSAGE(each.name,
+                                   runUntil(f.context, [&] { return !f.hasTarget("t1"); }));
+            CPPUNIT_ASSERT_MESSAGE(each.name,
+                                   std::chrono::steady_clock::now() - left < kReturnTime / 2);
+        }
+    }
+
     // Guards against a question that waits for a silent store long after the store is back.
     void silentStoreIsNotAwaitedForLong()
     {
