Call rows up to date only while the store answers; follow all tables through two instances

Ruled out: the pause between questions to followers; they were asked every 0.5 s. Change: an instance calls its rows up to date only if the store has told of every table within half of the time for which a leaving target serves; its questions wait for less than that. To pay for the shorter wait, two instances instead of three follow the store, and they do so for all tables: the others asked the store for the configuration themselves until now. A view counts as fresh for 3 s (7 s before).

--- a/packages/entry/include/entry/view_keeper.h
+++ b/packages/entry/include/entry/view_keeper.h
@@ -24,15 +24,19 @@
 
 struct ViewKeeperOptions
 {
-    /// Longest wait of one question for changes. An answer also shows that the store is there.
-    std::chrono::milliseconds feedWait{ 5'000 };
-    /// Pause after a change of the targets before the next question. Many targets change at once,
-    /// each answer costs a call of every instance, and a leaving target still serves for longer.
-    std::chrono::milliseconds feedPause{ 500 };
+    /// Longest wait of one question for changes. An answer also shows that the store is there; a
+    /// silent store is found after this time.
+    std::chrono::milliseconds feedWait{ 700 };
+    /// Pause between questions to instances that follow the store, and after a change of the
+    /// targets before the next question: many of them change at once, and each answer is billed.
+    std::chrono::milliseconds feedPause{ 400 };
+    /// Age of the store's last answers up to which rows are called up to date. With `feedPause`,
+    /// less than the time for which a target that leaves takes work.
+    std::chrono::milliseconds currentFor{ 1'000 };
     std::chrono::milliseconds leastBackoff{ 100 };
     std::chrono::milliseconds mostBackoff{ 1000 };
     /// Time without an answer after which the view is not known to be up to date.
-    std::chrono::milliseconds freshFor{ 7'000 };
+    std::chrono::milliseconds freshFor{ 3'000 };
     /// Registrations that ran out while the store was away return within this time.
     std::chrono::milliseconds returnTime{ 2000 };
     /// Weights that were named before this instance started count as named this long before. The
@@ -78,9 +82,12 @@
     /// Returns true if the store or a peer has confirmed the view lately. Safe from any thread.
     bool isFresh() const;
 
-    /// Returns true if the store has answered lately.
+    /// Returns true if the store has told of all tables lately.
     bool storeAnswers() const;
 
+    /// Returns true if the store, or a peer that it answers, has told of all tables lately.
+    bool isCurrent() const { return age() < options_.currentFor; }
+
     /// Returns true if the last question for the table got no answer.
     bool isFailing(const std::string &table) const;
 
@@ -99,6 +106,10 @@
     std::uint64_t version() const;
 
 private:
+    /// Returns the time since all tables were last known to be up to date.
+    Clock::duration age() const { return Clock::now() - confirmed_.load(); }
+    /// Notes that the store has told of the table, or a peer of all tables.
+    void noteConfirmed();
     void follow(const std::string &table, const boost::asio::yield_context &yield);
     /// Asks the store for changes, which may wait for one. Returns false if it does not answer.
     bool step(const std::string &table, std::chrono::milliseconds wait,
@@ -120,8 +131,10 @@
     Hooks hooks_;
     ViewKeeperOptions options_;
     fleet::Tables tables_;
-    std::set<std::string> answered_;      ///< Tables for which the store has answered.
-    std::map<std::string, bool> failing_; ///< By table.
+    std::map<std::string, Clock::time_point> answered_; ///< The store's last answer by table.
+    Clock::time_point peerAnswered_{}; ///< Last answer of a peer that the store answers.
+    FollowerAnswer follower_ = FollowerAnswer::NotAsked; ///< Last answer.
+    std::map<std::string, bool> failing_;                ///< By table.
     Clock::time_point targetsConfirmed_{};
     /// Start of the first question for targets without an answer since they were last confirmed. A
     /// target without a row may serve all the same.
@@ -130,8 +143,8 @@
     fleet::WeightsHistory weights_;
     std::map<std::string, std::string> reported_; ///< Reason by rejected row, to log it once.
     std::atomic<fleet::ViewPtr> view_;
-    std::atomic<Clock::time_point> storeAnswered_{ Clock::time_point{} };
-    std::atomic<Clock::time_point> peerAnswered_{ Clock::time_point{} };
+    /// Oldest confirmation of a table, by the store or by a peer that it answers.
+    std::atomic<Clock::time_point> confirmed_{ Clock::time_point{} };
 };
 
 } // namespace chervilfield::entry
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -63,7 +63,12 @@
 
 ViewKeeperOptions viewOptions(const EntryOptions &options)
 {
-    return { .feedPause = options.targetDrainTime / 4,
+    // A target that leaves is known everywhere after `currentFor` and `feedPause`, even if the
+    // instance that others ask hears nothing from the store.
+    const milliseconds drain = options.targetDrainTime;
+    return { .feedWait = drain * 7 / 20,
+             .feedPause = drain / 5,
+             .currentFor = drain / 2,
              .weightsAgeAtStart = options.weightsLimit - kQueueMargin - kSettleTime };
 }
 
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -17,10 +17,10 @@
 namespace {
 
 constexpr milliseconds kPeerTimeout{ 300 }; ///< Several round trips between data centres.
-/// Instances that follow the targets in the store. Each question there is billed; with three, one
-/// of them answers while another fails and the third is cut off.
-constexpr std::ptrdiff_t kFollowers = 3;
-constexpr milliseconds kAskInterval{ 500 }; ///< While the store does not answer.
+/// Instances that follow the store. Each question there is billed; with two, one of them answers
+/// while the other restarts. The rest ask the store themselves if neither is up to date.
+constexpr std::ptrdiff_t kFollowers = 2;
+constexpr milliseconds kAskInterval{ 500 }; ///< While neither the store nor a follower answers.
 
 // Finer than for a large fleet: each instance has few requests at a target, and 60 ms are a small
 // part of the shortest latency goals.
@@ -282,7 +282,7 @@
         timer.expires_after(kAskInterval);
         boost::system::error_code ignored;
         timer.async_wait(yield[ignored]);
-        if (views_.storeAnswers())
+        if (views_.isCurrent())
             continue;
         const auto peers = otherPeers();
         if (!peers.empty())
--- a/packages/entry/src/view_keeper.cpp
+++ b/packages/entry/src/view_keeper.cpp
@@ -83,12 +83,27 @@
 
 bool ViewKeeper::storeAnswers() const
 {
-    return Clock::now() - storeAnswered_.load() < options_.freshFor;
+    const auto now = Clock::now();
+    return std::ranges::all_of(documents_.tables, [&](const std::string &table) {
+        const auto found = answered_.find(table);
+        return found != answered_.end() && now - found->second < options_.currentFor;
+    });
 }
 
 bool ViewKeeper::isFresh() const
 {
-    return storeAnswers() || Clock::now() - peerAnswered_.load() < options_.freshFor;
+    return age() < options_.freshFor;
+}
+
+void ViewKeeper::noteConfirmed()
+{
+    auto oldest = Clock::now();
+    for (const std::string &table : documents_.tables) {
+        const auto found = answered_.find(table);
+        const auto own = found == answered_.end() ? Clock::time_point{} : found->second;
+        oldest = std::min(oldest, std::max(own, peerAnswered_));
+    }
+    confirmed_ = oldest;
 }
 
 std::uint64_t ViewKeeper::version() const
@@ -121,8 +136,8 @@
         log_.write("store", "regained", { { "table", table }, { "version", version() } });
     if (table == documents_.targetTable)
         confirmTargets();
-    answered_.insert(table);
-    storeAnswered_ = Clock::now();
+    answered_[table] = Clock::now();
+    noteConfirmed();
 }
 
 void ViewKeeper::confirmTargets()
@@ -188,20 +203,23 @@
     while (true) {
         const std::uint64_t before = tables_[table].version();
         boost::system::error_code ignored;
-        const bool mayAskPeer = table == documents_.targetTable && answered_.contains(table);
-        const auto follower = mayAskPeer && hooks_.askFollower ? hooks_.askFollower(yield)
-                                                               : FollowerAnswer::NotAsked;
-        if (follower == FollowerAnswer::UpToDate) {
+        const bool mayAskPeer = answered_.contains(table) && hooks_.askFollower;
+        // One question to a peer is about all tables.
+        if (mayAskPeer && table == documents_.targetTable)
+            follower_ = hooks_.askFollower(yield);
+        if (mayAskPeer && follower_ == FollowerAnswer::UpToDate) {
             timer.expires_after(options_.feedPause);
             timer.async_wait(yield[ignored]);
             continue;
         }
         // A store that has just failed may be silent, and a question that waits there would be
         // found unanswered long after the store is back, or a follower.
-        const bool mayWait = follower == FollowerAnswer::NotAsked && !isFailing(table);
+        const bool mayWait = follower_ == FollowerAnswer::NotAsked && !isFailing(table);
         if (step(table, mayWait ? options_.feedWait : milliseconds(0), yield)) {
             backoff = options_.leastBackoff;
-            if (table == documents_.targetTable && tables_[table].version() != before) {
+            const bool hasNewTargets =
+                    table == documents_.targetTable && tables_[table].version() != before;
+            if (hasNewTargets || !mayWait) {
                 timer.expires_after(options_.feedPause);
                 timer.async_wait(yield[ignored]);
             }
@@ -321,6 +339,7 @@
     const bool isUpToDate = entries.revisionInForce > 0;
     if (isUpToDate) {
         peerAnswered_ = Clock::now();
+        noteConfirmed();
         confirmTargets();
     }
     if (changed) {
--- a/packages/entry/test/view_keeper_test.cpp
+++ b/packages/entry/test/view_keeper_test.cpp
@@ -35,6 +35,7 @@
 {
     explicit Fixture(ViewKeeperOptions options = { .feedWait = milliseconds(20),
                                                    .feedPause = milliseconds(1),
+                                                   .currentFor = milliseconds(200),
                                                    .leastBackoff = milliseconds(5),
                                                    .mostBackoff = milliseconds(5),
                                                    .freshFor = milliseconds(200),
@@ -86,6 +87,7 @@
     CPPUNIT_TEST(peersStandInForTheStore);
     CPPUNIT_TEST(peersTellOfTargetsThatLeft);
     CPPUNIT_TEST(targetsThatLeaveAreNotKeptWithoutAnOutage);
+    CPPUNIT_TEST(unansweredFollowerIsNotUpToDate);
     CPPUNIT_TEST(silentStoreIsNotAwaitedForLong);
     CPPUNIT_TEST(revisionTellsOfConfigurations);
     CPPUNIT_TEST(emptyStoreIsNotAskedInALoop);
@@ -189,15 +191,18 @@
             each->keeper.start();
             CPPUNIT_ASSERT(runUntil(each->context, [&] { return each->hasTarget("t1"); }));
         }
-        f.store.isAway = true;
-        CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.keeper.isFailing("targets"); }));
+        for (const bool isAway : { true, false, true }) {
+            f.store.isAway = isAway;
+            CPPUNIT_ASSERT(runUntil(f.context, [&] {
+                return f.keeper.isFailing("targets") == isAway
+                       && f.keeper.isFailing("deployment") == isAway;
+            }));
+        }
         f.follower = [&] {
             peer.context.run_for(milliseconds(1));
             return f.keeper.merge(peer.keeper.entriesAfter(f.keeper.version()));
         };
-        f.context.run_for(milliseconds(50)); // From here on, targets come from the peer alone.
-        f.store.isAway = false;
-        CPPUNIT_ASSERT(runUntil(f.context, [&] { return !f.keeper.isFailing("deployment"); }));
+        f.context.run_for(milliseconds(50)); // From here on, all rows come from the peer alone.
         peer.store.erase("targets", "t1");
         CPPUNIT_ASSERT(runUntil(peer.context, [&] { return !peer.hasTarget("t1"); }));
         const int before = f.published;
@@ -251,6 +256,22 @@
         }
     }
 
+    // Guards against a target that left and keeps its work, because the instance that others ask
+    // has itself heard nothing from the store for a while.
+    void unansweredFollowerIsNotUpToDate()
+    {
+        Fixture f({ .feedWait = milliseconds(2000), .currentFor = milliseconds(100) });
+        f.store.put("deployment", "version", "1");
+        f.store.put("targets", "t1", "p");
+        f.keeper.start();
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.keeper.isCurrent(); }));
+        CPPUNIT_ASSERT(f.keeper.entriesAfter(0).revisionInForce > 0);
+        f.store.isSilent = true;
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return !f.keeper.isCurrent(); }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), f.keeper.entriesAfter(0).revisionInForce);
+        CPPUNIT_ASSERT(!f.keeper.isFailing("targets"));
+    }
+
     // Guards against a question that waits for a silent store long after the store is back.
     void silentStoreIsNotAwaitedForLong()
     {
