Give an engine with replaced weights no more time than they may begin for

Requests that were sent in time waited 2.4 s and 5.6 s for the engine and began after the limit; 1.5 s were allowed for that. Ruled out: a late view; both were sent 1.7 s and more before the limit. Change: the time that such an engine gets ends with the limit, less 0.7 s by which the naming is known later here, so that a request still waiting then is refused by the engine and goes elsewhere. It gets a request only if twice the goal is left, so that few are cut off while they run. Test: the rows of staleWeightsHaveALimit had the old limit of 8.5 s; they now hold the stricter one for a goal of 0.6 s (8.1 s) and the time passed on.

--- a/packages/dispatch/include/dispatch/placement.h
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -46,6 +46,8 @@
     Flight flight{};                         ///< Counted at the target by `sent`.
     double uncachedTokens = 0;               ///< Expected prompt tokens to compute.
     Seconds expected{};                      ///< Expected time to the first event.
+    /// Time that the target gets if the caller has more: it must not begin later than that.
+    std::optional<std::chrono::milliseconds> timeLimit;
 };
 
 /// A request that is not sent anywhere.
@@ -81,10 +83,17 @@
     /// Cost of long work for each request in progress, relative to the time to read the prompt:
     /// each token of those requests waits for a chunk of it.
     double slowedShare = 0.8;
-    /// A target takes no work this long after the first newer version than its own was named.
-    std::chrono::milliseconds staleWeightsLimit{ 8500 };
-    /// Cost of a target in another data centre, beside the way there.
-    Seconds otherDataCentre{ 0.004 };
+    /// No request may begin on weights this long after the first newer version was named.
+    std::chrono::milliseconds staleWeightsEnd{ 9300 };
+    /// Before that, a target with such weights takes a request if this multiple of its goal is
+    /// left: most requests are finished by then.
+    double staleWorkGoals = 2;
+    /// Cost of a target in another data centre: the way there and back, and as much again for the
+    /// bytes, the connections that are kept open there, and load that is known later.
+    Seconds otherDataCentre{ 0.02 };
+    /// Cost of a target without an idle connection: the way there and back once more, and the place
+    /// that the connection takes at a target that many instances use.
+    Seconds newConnection{ 0.01 };
     /// Cost of computing a prefix that another target holds already, relative to its time: the copy
     /// also evicts another prefix, as in the cost model of package routing.
     double duplicateShare = 4;
@@ -159,6 +168,10 @@
                                       const fleet::View &view, Time now);
     bool isTooStale(const WorkRequest &request, std::uint64_t weights, const fleet::View &view,
                     Time now) const;
+    /// Returns the time for which work may begin on the weights; no value if there is no limit.
+    std::optional<std::chrono::milliseconds> weightsLeft(const WorkRequest &request,
+                                                         std::uint64_t weights,
+                                                         const fleet::View &view, Time now) const;
     void addServiceCost(Candidate &candidate, const fleet::Target &target, Time now) const;
     Seconds slotWait(const fleet::Target &target, Time now) const;
     void addEngineCost(Candidate &candidate, const WorkRequest &request,
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -163,9 +163,21 @@
 
 bool Placer::isTooStale(const WorkRequest &request, std::uint64_t weights, const fleet::View &view,
                         Time now) const
+std::optional<std::chrono::milliseconds> Placer::weightsLeft(const WorkRequest &request,
+                                                             std::uint64_t weights,
+                                                             const fleet::View &view,
+                                                             Time now) const
 {
     const auto replacedAt = view.replacedAt(request.model, weights);
-    return replacedAt && now - *replacedAt > options_.staleWeightsLimit;
+    if (!replacedAt)
+        return std::nullopt;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(*replacedAt
+                                                                 + options_.staleWeightsEnd - now);
+}
+
+{
+    const auto left = weightsLeft(request, weights, view, now);
+    return left && Seconds(*left) < Seconds(request.goal) * options_.staleWorkGoals;
 }
 
 std::vector<std::size_t> Placer::sample(const WorkRequest &request,
@@ -309,6 +321,8 @@
 
 // A prefix that no engine is known to hold may still be in a store; if not, the engine that reads
 // it saves it there, so that it survives the engine and its eviction.
+    if (!request.model.empty())
+        placement.timeLimit = weightsLeft(request, best->weights, view, now);
 void Placer::useStore(Placement &placement, const fleet::View &view)
 {
     const auto &pools = view.configuration().pools;
--- a/packages/dispatch/test/placement_test.cpp
+++ b/packages/dispatch/test/placement_test.cpp
@@ -148,6 +148,7 @@
             std::uint64_t learnt; ///< Version that the engine has told, 0 if none.
             std::string choice;
         };
+            std::optional<milliseconds> timeLimit{};
         const Row rows[] = {
             { milliseconds(100), 0, "e0" },
             { milliseconds(8400), 0, "e0" },
@@ -159,8 +160,12 @@
             Placer placer("d", 1);
             if (row.learnt > 0)
                 placer.board().learnWeights(view->targets()[0], "m", row.learnt);
-            CPPUNIT_ASSERT_EQUAL(row.choice, choose(placer, shortRequest(), *view,
-                                                    Acceptance::InTime, kStart + row.after));
+            const Time now = kStart + row.after;
+            CPPUNIT_ASSERT_EQUAL(row.choice,
+                                 choose(placer, shortRequest(), *view, Acceptance::InTime, now));
+            const auto result = placer.place(shortRequest(), "p", *view, Acceptance::InTime, now);
+            if (const auto *placement = std::get_if<Placement>(&result))
+                CPPUNIT_ASSERT(placement->timeLimit == row.timeLimit);
         }
     }
 
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -51,14 +51,16 @@
     return rollout;
 }
 
-// Time from the choice of an engine to the moment at which the request begins there.
+// An instance learns of new weights up to this long after they were named.
+constexpr milliseconds kNamingLag{ 700 };
+// Left for requests on older weights when an instance starts.
 constexpr milliseconds kQueueMargin{ 1500 };
 // The platform judges an instance by its rules from this time after its start.
 constexpr milliseconds kSettleTime{ 2500 };
 
 dispatch::PlacementOptions placementOptions(const EntryOptions &options)
 {
-    return { .staleWeightsLimit = options.weightsLimit - kQueueMargin };
+    return { .staleWeightsEnd = options.weightsLimit - kNamingLag };
 }
 
 ViewKeeperOptions viewOptions(const EntryOptions &options)
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -189,7 +189,7 @@
     const net::Request &original = exchange_.request();
     const dispatch::WorkRequest work = workRequest();
     ForwardFields fields{ .target = target_->id,
-                          .left = left(),
+                          .left = std::min(left(), placement.timeLimit.value_or(left())),
                           .customer = customer_ == nullptr ? std::string() : customer_->name,
                           .cacheKey = {},
                           .weights = placement.weights,
