Prefer near engines and those with an open connection

Ruled out: a longer reuse of connections; targets drop idle ones sooner than they say. Load still leaves a data centre that is busy.

--- a/packages/dispatch/include/dispatch/placement.h
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -103,6 +103,8 @@
     /// Targets that are compared for a request, beside those that hold its prefix or are its home.
     /// With few compared, instances that know the same do not all choose the same target.
     std::size_t compared = 12;
+    /// Of those, targets in other data centres.
+    std::size_t comparedElsewhere = 4;
     /// Cost of one recent fault of a target: about the time that it lost.
     Seconds perFault{ 0.1 };
     /// Time for which an unused prefix is expected to stay cached.
@@ -163,15 +165,15 @@
     bool accepts(const Candidate &candidate, const WorkRequest &request, const fleet::Pool *pool,
                  const fleet::View &view, Acceptance acceptance, Time now) const;
     std::vector<std::size_t> sample(const WorkRequest &request, std::span<const std::size_t> ready,
-                                    const fleet::View &view);
+                                    const fleet::View &view, Time now);
     std::vector<Candidate> candidates(const WorkRequest &request, const std::string &pool,
                                       const fleet::View &view, Time now);
-    bool isTooStale(const WorkRequest &request, std::uint64_t weights, const fleet::View &view,
-                    Time now) const;
     /// Returns the time for which work may begin on the weights; no value if there is no limit.
     std::optional<std::chrono::milliseconds> weightsLeft(const WorkRequest &request,
                                                          std::uint64_t weights,
                                                          const fleet::View &view, Time now) const;
+    bool isTooStale(const WorkRequest &request, std::uint64_t weights, const fleet::View &view,
+                    Time now) const;
     void addServiceCost(Candidate &candidate, const fleet::Target &target, Time now) const;
     Seconds slotWait(const fleet::Target &target, Time now) const;
     void addEngineCost(Candidate &candidate, const WorkRequest &request,
--- a/packages/dispatch/include/dispatch/target_board.h
+++ b/packages/dispatch/include/dispatch/target_board.h
@@ -31,6 +31,8 @@
     std::uint32_t inFlight = 0;  ///< Requests of this instance without a complete answer.
     double waitingTokens = 0;    ///< Prompt tokens of those without a first event.
     double memoryTokens = 0;     ///< Memory that those take, in tokens.
+    std::uint32_t idle = 0;      ///< Connections that ended requests have left open.
+    Time idleSince{};            ///< When the latest of those requests ended.
     LoadReport report;
     double othersRequests = 0;     ///< In flight of all other instances, as they tell.
     double othersTokens = 0;       ///< Their prompt tokens without a first event.
@@ -84,6 +86,8 @@
     std::chrono::milliseconds reportHalfLife{ 700 };
     /// Age at which what the others told no longer counts; they repeat it more often.
     std::chrono::milliseconds othersLifetime{ 3000 };
+    /// Time for which an idle connection is expected to be usable; see the reuse of the relay.
+    std::chrono::milliseconds idleLifetime{ 4000 };
     /// Longest time for which a target counts as loading; a load takes one to three seconds.
     std::chrono::milliseconds loadTime{ 3000 };
 };
@@ -103,7 +107,10 @@
 
     void start(const fleet::Target &target, const Flight &flight);
     void firstEvent(const fleet::Target &target, Flight &flight);
-    void end(const fleet::Target &target, const Flight &flight);
+    void end(const fleet::Target &target, const Flight &flight, Time now);
+
+    /// Returns true if a request can probably go over a connection that is open already.
+    bool hasIdleConnection(const fleet::Target &target, Time now) const;
 
     void report(const fleet::Target &target, const LoadReport &report, Time now);
     void fault(const fleet::Target &target, Fault fault, Time now);
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -153,6 +153,8 @@
     candidate.cost += candidate.expected;
     if (target.dataCentre != dataCentre_)
         candidate.cost += options_.otherDataCentre;
+    if (!board_.hasIdleConnection(target, now))
+        candidate.cost += options_.newConnection;
     if (const TargetStatus *status = board_.find(target)) {
         candidate.avoided = status->avoidUntil > now || status->loadingUntil > now;
         candidate.cost += options_.perFault * status->failures;
@@ -161,8 +163,6 @@
         candidate.cost += Seconds(request.goal) * options_.staleWeightsShare;
 }
 
-bool Placer::isTooStale(const WorkRequest &request, std::uint64_t weights, const fleet::View &view,
-                        Time now) const
 std::optional<std::chrono::milliseconds> Placer::weightsLeft(const WorkRequest &request,
                                                              std::uint64_t weights,
                                                              const fleet::View &view,
@@ -175,13 +175,16 @@
                                                                  + options_.staleWeightsEnd - now);
 }
 
+bool Placer::isTooStale(const WorkRequest &request, std::uint64_t weights, const fleet::View &view,
+                        Time now) const
 {
     const auto left = weightsLeft(request, weights, view, now);
     return left && Seconds(*left) < Seconds(request.goal) * options_.staleWorkGoals;
 }
 
 std::vector<std::size_t> Placer::sample(const WorkRequest &request,
-                                        std::span<const std::size_t> ready, const fleet::View &view)
+                                        std::span<const std::size_t> ready, const fleet::View &view,
+                                        Time now)
 {
     std::vector<std::size_t> result(ready.begin(), ready.end());
     if (result.size() <= options_.compared)
@@ -206,8 +209,18 @@
         ++kept;
     }
     std::shuffle(kept, result.end(), random_);
-    const auto wanted = static_cast<std::size_t>(kept - result.begin());
-    result.resize(std::min(result.size(), wanted + options_.compared));
+    // Most of them are near; with the others, work leaves a data centre that has too much of it.
+    const auto near = std::stable_partition(kept, result.end(), [&](std::size_t index) {
+        return view.targets()[index].dataCentre == dataCentre_;
+    });
+    std::stable_partition(kept, near, [&](std::size_t index) {
+        return board_.hasIdleConnection(view.targets()[index], now);
+    });
+    const auto elsewhere =
+            std::min<std::ptrdiff_t>(result.end() - near, options_.comparedElsewhere);
+    const auto nearby = std::min<std::ptrdiff_t>(near - kept, options_.compared - elsewhere);
+    const auto end = std::rotate(kept + nearby, near, near + elsewhere);
+    result.erase(end, result.end());
     return result;
 }
 
@@ -216,7 +229,7 @@
                                                   Time now)
 {
     std::vector<Candidate> result;
-    for (const std::size_t index : sample(request, view.readyTargets(pool), view)) {
+    for (const std::size_t index : sample(request, view.readyTargets(pool), view, now)) {
         const fleet::Target &target = view.targets()[index];
         if (std::ranges::find(request.excluded, target.id) != request.excluded.end())
             continue;
@@ -312,6 +325,8 @@
                          .flight = { best->uncached(request), memoryTokens(request) },
                          .uncachedTokens = best->uncached(request),
                          .expected = best->expected };
+    if (!request.model.empty())
+        placement.timeLimit = weightsLeft(request, best->weights, view, now);
     if (best->source != nullptr)
         placement.cacheSource = best->source->address;
     else if (tokensOf(request, sharedParts(request)) - best->cached >= options_.worthSharing)
@@ -321,8 +336,6 @@
 
 // A prefix that no engine is known to hold may still be in a store; if not, the engine that reads
 // it saves it there, so that it survives the engine and its eviction.
-    if (!request.model.empty())
-        placement.timeLimit = weightsLeft(request, best->weights, view, now);
 void Placer::useStore(Placement &placement, const fleet::View &view)
 {
     const auto &pools = view.configuration().pools;
--- a/packages/dispatch/src/target_board.cpp
+++ b/packages/dispatch/src/target_board.cpp
@@ -30,6 +30,7 @@
 {
     TargetStatus &entry = status(target);
     ++entry.inFlight;
+    entry.idle -= entry.idle > 0 ? 1 : 0;
     entry.waitingTokens += flight.waitingTokens;
     entry.memoryTokens += flight.memoryTokens;
 }
@@ -41,14 +42,22 @@
     flight.waitingTokens = 0;
 }
 
-void TargetBoard::end(const fleet::Target &target, const Flight &flight)
+void TargetBoard::end(const fleet::Target &target, const Flight &flight, Time now)
 {
     TargetStatus &entry = status(target);
     entry.inFlight -= entry.inFlight > 0 ? 1 : 0;
+    entry.idle = now - entry.idleSince < options_.idleLifetime ? entry.idle + 1 : 1;
+    entry.idleSince = now;
     entry.waitingTokens = std::max(0.0, entry.waitingTokens - flight.waitingTokens);
     entry.memoryTokens = std::max(0.0, entry.memoryTokens - flight.memoryTokens);
 }
 
+bool TargetBoard::hasIdleConnection(const fleet::Target &target, Time now) const
+{
+    const TargetStatus *entry = find(target);
+    return entry != nullptr && entry->idle > 0 && now - entry->idleSince < options_.idleLifetime;
+}
+
 void TargetBoard::report(const fleet::Target &target, const LoadReport &report, Time now)
 {
     TargetStatus &entry = status(target);
--- a/packages/dispatch/test/load_play_test.cpp
+++ b/packages/dispatch/test/load_play_test.cpp
@@ -158,7 +158,7 @@
         }
         if (job.tokensLeft > 0)
             return;
-        placer_.board().end(target, job.placement.flight);
+        placer_.board().end(target, job.placement.flight, time());
         const bool isLong = job.request.promptTokens == kLongPrompt;
         if (!job.isLate)
             (isLong ? totals_.longsInTime : totals_.shortsInTime) += 1;
--- a/packages/dispatch/test/placement_test.cpp
+++ b/packages/dispatch/test/placement_test.cpp
@@ -3,7 +3,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
+#include <limits>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,8 +38,10 @@
              .left = milliseconds(4000) };
 }
 
-// A pool `p` of `count` engines with weights 1, of which `weights` are wanted since `kStart`.
-fleet::ViewPtr makeView(std::size_t count, std::uint64_t wanted = 1, bool hasStore = false)
+// A pool `p` of `count` engines with weights 1, of which `wanted` are wanted since `kStart`. The
+// first `near` of them are in the data centre "d".
+fleet::ViewPtr makeView(std::size_t count, std::uint64_t wanted = 1, bool hasStore = false,
+                        std::size_t near = std::numeric_limits<std::size_t>::max())
 {
     auto configuration = std::make_shared<fleet::Configuration>();
     configuration->pools = {
@@ -51,7 +55,7 @@
         targets.push_back({ .id = "e" + std::to_string(i),
                             .pool = "p",
                             .address = { "10.0.0." + std::to_string(i + 1), 1 },
-                            .dataCentre = "d",
+                            .dataCentre = i < near ? "d" : "other",
                             .slots = 64,
                             .startedAt = 1,
                             .weights = { { "m", 1 } } });
@@ -86,6 +90,7 @@
     CPPUNIT_TEST_SUITE(PlacementTest);
     CPPUNIT_TEST(badTargetsAreAvoided);
     CPPUNIT_TEST(staleWeightsHaveALimit);
+    CPPUNIT_TEST(nearAndConnectedTargetsComeFirst);
     CPPUNIT_TEST(oneLongPromptPerEngine);
     CPPUNIT_TEST(prefixesAreFoundAgain);
     CPPUNIT_TEST(instancesAgreeOnTheHome);
@@ -139,7 +144,8 @@
         }
     }
 
-    // Guards against requests that begin on weights that were replaced too long ago.
+    // Guards against requests that begin on weights that were replaced too long ago, also where
+    // they wait for the engine. The goal is 0.6 s.
     void staleWeightsHaveALimit()
     {
         struct Row
@@ -147,13 +153,13 @@
             milliseconds after;
             std::uint64_t learnt; ///< Version that the engine has told, 0 if none.
             std::string choice;
-        };
             std::optional<milliseconds> timeLimit{};
+        };
         const Row rows[] = {
-            { milliseconds(100), 0, "e0" },
-            { milliseconds(8400), 0, "e0" },
-            { milliseconds(8600), 0, "no-target" },
-            { milliseconds(8600), 2, "e0" },
+            { milliseconds(100), 0, "e0", milliseconds(9200) },
+            { milliseconds(8000), 0, "e0", milliseconds(1300) },
+            { milliseconds(8200), 0, "no-target" },
+            { milliseconds(8200), 2, "e0", std::nullopt },
         };
         for (const Row &row : rows) {
             const auto view = makeView(1, 2);
@@ -169,6 +175,42 @@
         }
     }
 
+    // Guards against short requests that cross between data centres or open connections while a
+    // near engine with an open one has room, and against a near engine that keeps all of them when
+    // busy.
+    void nearAndConnectedTargetsComeFirst()
+    {
+        constexpr std::size_t kPerDataCentre = 20;
+        const auto view = makeView(2 * kPerDataCentre, 1, false, kPerDataCentre);
+        Placer placer("d", 1);
+        const auto isNear = [&](const Placement &placement) {
+            return view->targets()[placement.target].dataCentre == "d";
+        };
+        std::set<std::size_t> used;
+        for (int i = 0; i < 100; ++i) {
+            // One request after the other: a connection is open from the second one on.
+            const Time now = kStart + milliseconds(100 * i);
+            const Placement placement = send(placer, shortRequest(), *view, now);
+            CPPUNIT_ASSERT(isNear(placement));
+            used.insert(placement.target);
+            placer.board().end(view->targets()[placement.target], placement.flight,
+                               now + milliseconds(50));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), used.size());
+        const Time later = kStart + seconds(20);
+        for (const fleet::Target &target : view->targets()) {
+            if (target.dataCentre == "d")
+                placer.board().setOthers(target, { target.id, 60, 4000, 60'000 }, later);
+        }
+        int near = 0;
+        for (int i = 0; i < 100; ++i)
+            near += isNear(std::get<Placement>(
+                            placer.place(shortRequest(), "p", *view, Acceptance::InTime, later)))
+                            ? 1
+                            : 0;
+        CPPUNIT_ASSERT_EQUAL(0, near);
+    }
+
     // Guards against engines that read several long prompts in a row, during which their streams
     // stand still.
     void oneLongPromptPerEngine()
@@ -209,7 +251,7 @@
         const Placement first = send(placer, longRequest(), *view);
         CPPUNIT_ASSERT((first.cacheStore == net::Address{ "10.0.9.9", 1 }));
         const fleet::Target &holder = view->targets()[first.target];
-        placer.board().end(holder, first.flight);
+        placer.board().end(holder, first.flight, kStart + seconds(1));
 
         // The holder is chosen once it has read the prefix.
         const Time later = kStart + seconds(3);
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -26,7 +26,7 @@
         : board_(board), target_(target), flight_(flight)
     {
     }
-    ~InFlight() { board_.end(target_, flight_); }
+    ~InFlight() { board_.end(target_, flight_, dispatch::Time::clock::now()); }
     InFlight(const InFlight &) = delete;
     InFlight &operator=(const InFlight &) = delete;
 
