Date weights that are named while this instance runs at that moment

The first weights that an instance saw counted as named 11 s before its start, also when they were named just now, so that every engine without them took no work from 1.3 s later until it had loaded. Ruled out: the crash of a third of the targets at 4.0 s; the refusals begin before it. Change: only weights in the first copy of the deployment are dated back. Test: weightsAreAsOldAsTheyCanBe fails without the change. entry_test 16 passed.

--- a/packages/entry/src/view_keeper.cpp
+++ b/packages/entry/src/view_keeper.cpp
@@ -257,8 +257,10 @@
         auto &history = weights_[model];
         if (!history.empty() && history.back().version >= version)
             continue;
+        // Weights in the first copy of the deployment may have been named at any time before.
+        const bool isFirstCopy = !view()->isComplete();
         const auto seenAt =
-                history.empty() ? Clock::now() - options_.weightsAgeAtStart : Clock::now();
+                Clock::now() - (isFirstCopy ? options_.weightsAgeAtStart : milliseconds(0));
         history.push_back({ version, seenAt });
         log_.write("view", "weights-named", { { "model", model }, { "weights", version } });
         constexpr std::size_t kKept = 32;
--- a/packages/entry/test/view_keeper_test.cpp
+++ b/packages/entry/test/view_keeper_test.cpp
@@ -90,6 +90,7 @@
     CPPUNIT_TEST(unansweredFollowerIsNotUpToDate);
     CPPUNIT_TEST(silentStoreIsNotAwaitedForLong);
     CPPUNIT_TEST(revisionTellsOfConfigurations);
+    CPPUNIT_TEST(weightsAreAsOldAsTheyCanBe);
     CPPUNIT_TEST(emptyStoreIsNotAskedInALoop);
     CPPUNIT_TEST_SUITE_END();
 
@@ -317,6 +318,28 @@
         CPPUNIT_ASSERT_EQUAL(after, f.keeper.revision());
     }
 
+    // Guards against engines that take no work because weights that were named just now count as
+    // named before this instance started, and the other way round.
+    void weightsAreAsOldAsTheyCanBe()
+    {
+        constexpr milliseconds kAgeAtStart{ 10'000 };
+        for (const bool isNamedBefore : { true, false }) {
+            Fixture f({ .feedWait = milliseconds(20), .weightsAgeAtStart = kAgeAtStart });
+            if (isNamedBefore)
+                f.store.put("deployment", "weights", "2");
+            f.store.put("deployment", "version", "1");
+            f.keeper.start();
+            CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.configuration() == 1; }));
+            f.store.put("deployment", "weights", "2");
+            CPPUNIT_ASSERT(
+                    runUntil(f.context, [&] { return f.keeper.view()->wantedWeights("m") == 2; }));
+            const auto replacedAt = f.keeper.view()->replacedAt("m", 1);
+            CPPUNIT_ASSERT(replacedAt.has_value());
+            const auto age = std::chrono::steady_clock::now() - *replacedAt;
+            CPPUNIT_ASSERT_EQUAL(isNamedBefore, age >= kAgeAtStart);
+        }
+    }
+
     // Guards against reading a whole table again and again while it is empty: each call is billed.
     void emptyStoreIsNotAskedInALoop()
     {
