Compare five engines for a request

All instances compared all twelve engines, saw it as the best one, and learnt of each other's sends some 100 ms later. Change: 5 engines are compared (12), 2 of them in other data centres (4), beside the holders of the prefix. Test: instancesDoNotRushToOneEngine fails with 12 compared.

--- a/packages/dispatch/include/dispatch/placement.h
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -101,10 +101,11 @@
     /// compute it. Other instances expect it at its home.
     double awayShare = 0.5;
     /// Targets that are compared for a request, beside those that hold its prefix or are its home.
-    /// With few compared, instances that know the same do not all choose the same target.
-    std::size_t compared = 12;
+    /// Few, because instances learn of each other's work some 100 ms later and would rush to the
+    /// target that all of them see as the best one.
+    std::size_t compared = 5;
     /// Of those, targets in other data centres.
-    std::size_t comparedElsewhere = 4;
+    std::size_t comparedElsewhere = 2;
     /// Cost of one recent fault of a target: about the time that it lost.
     Seconds perFault{ 0.1 };
     /// Time for which an unused prefix is expected to stay cached.
--- a/packages/dispatch/test/placement_test.cpp
+++ b/packages/dispatch/test/placement_test.cpp
@@ -91,6 +91,7 @@
     CPPUNIT_TEST(badTargetsAreAvoided);
     CPPUNIT_TEST(staleWeightsHaveALimit);
     CPPUNIT_TEST(nearAndConnectedTargetsComeFirst);
+    CPPUNIT_TEST(instancesDoNotRushToOneEngine);
     CPPUNIT_TEST(oneLongPromptPerEngine);
     CPPUNIT_TEST(prefixesAreFoundAgain);
     CPPUNIT_TEST(instancesAgreeOnTheHome);
@@ -211,6 +212,27 @@
         CPPUNIT_ASSERT_EQUAL(0, near);
     }
 
+    // Guards against a rush: until instances have heard of each other's work, all of them see the
+    // same engine as the best one, here the only one with the newest weights.
+    void instancesDoNotRushToOneEngine()
+    {
+        constexpr std::size_t kEngines = 12;
+        constexpr int kInstances = 6;
+        constexpr int kRequests = 20; // Of each instance, between two exchanges.
+        const auto view = makeView(kEngines, 2);
+        int rushed = 0;
+        for (int instance = 0; instance < kInstances; ++instance) {
+            Placer placer("d", static_cast<std::uint64_t>(instance));
+            placer.board().learnWeights(view->targets()[0], "m", 2);
+            for (int i = 0; i < kRequests; ++i)
+                rushed += send(placer, shortRequest(), *view).target == 0 ? 1 : 0;
+        }
+        constexpr int kEven = kInstances * kRequests / static_cast<int>(kEngines);
+        constexpr int kSlots = 64;
+        CPPUNIT_ASSERT(rushed > kEven);
+        CPPUNIT_ASSERT(rushed < kSlots);
+    }
+
     // Guards against engines that read several long prompts in a row, during which their streams
     // stand still.
     void oneLongPromptPerEngine()
