Name the same instances in all address answers of a data centre

Cause: with more than 64 instances each answer left out others at random, and callers close connections to an address that is missing from a new answer: found while reading, 10 of 74 instances every 2 s. Change: the instances of a data centre agree on the 64 that they name; data centres leave out others.

--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -1,5 +1,7 @@
 #include "entry/entry_app.h"
 
+#include "entry/directory.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -18,6 +20,7 @@
 constexpr milliseconds kDrainCheck{ 20 };
 constexpr milliseconds kExitIdle{ 200 };        ///< Several round trips to callers.
 constexpr milliseconds kExchangeInterval{ 50 }; ///< Of loads and placements with other instances.
+constexpr std::size_t kMostAddresses = 64;      ///< In one answer; callers read no more.
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -273,12 +276,9 @@
         exchange.respond({ .status = kNotFound, .headers = {}, .body = {} }, yield, ignored);
         return;
     }
-    auto addresses = peers_.callerAddresses();
+    auto addresses = chooseAddresses(peers_.callerAddresses(), options_.dataCentre, kMostAddresses);
     // Spreads callers that take the first address.
     std::ranges::shuffle(addresses, std::mt19937_64(std::random_device{}()));
-    constexpr std::size_t kMostAddresses = 64;
-    if (addresses.size() > kMostAddresses)
-        addresses.resize(kMostAddresses);
     exchange.respond(platform_.encodeAddresses(addresses, options_.addressLifetime), yield,
                      ignored);
 }
--- /dev/null
+++ b/packages/entry/test/directory_test.cpp
@@ -0,0 +1,60 @@
+#include "entry/directory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chervilfield::entry {
+
+class DirectoryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DirectoryTest);
+    CPPUNIT_TEST(answersOfADataCentreAgree);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against callers that close connections because each answer leaves out other instances,
+    // and against instances that no answer names.
+    void answersOfADataCentreAgree()
+    {
+        struct Row
+        {
+            std::size_t instances;
+            std::size_t most;
+            std::size_t chosen;
+        };
+        const Row rows[] = { { 0, 64, 0 }, { 7, 64, 7 }, { 64, 64, 64 }, { 74, 64, 64 } };
+        for (const Row &row : rows) {
+            std::vector<net::Address> known;
+            for (std::size_t i = 0; i < row.instances; ++i)
+                known.push_back({ "10.0.0." + std::to_string(i + 1), 80 });
+            std::set<std::string> named;
+            for (const std::string dataCentre : { "a", "b", "c", "d" }) {
+                const auto first = names(chooseAddresses(known, dataCentre, row.most));
+                std::ranges::shuffle(known, std::mt19937_64(1));
+                const auto second = names(chooseAddresses(known, dataCentre, row.most));
+                CPPUNIT_ASSERT_EQUAL(row.chosen, first.size());
+                CPPUNIT_ASSERT(first == second);
+                named.insert(first.begin(), first.end());
+            }
+            CPPUNIT_ASSERT_EQUAL(row.instances, named.size());
+        }
+    }
+
+private:
+    static std::set<std::string> names(const std::vector<net::Address> &addresses)
+    {
+        std::set<std::string> result;
+        for (const net::Address &address : addresses)
+            result.insert(toString(address));
+        return result;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryTest);
+
+} // namespace chervilfield::entry
