--- a/packages/entry/include/entry/peer_mesh.h
+++ b/packages/entry/include/entry/peer_mesh.h
@@ -72,8 +72,7 @@
     /// Replaces the addresses to join through.
     void setSeeds(const std::vector<net::Address> &seeds);
 
-    /// Asks the few instances that follow the targets in the store for changes, until one of them
-    /// is up to date.
+    /// Asks the few instances that follow the store for changes, until one of them is up to date.
     FollowerAnswer askFollower(const boost::asio::yield_context &yield);
 
     /// Tells the others the revision of the view.
@@ -86,7 +85,7 @@
     void sendTo(const std::string &address, const peers::Datagram &datagram);
     void receive(const net::Address &from, peers::Datagram datagram);
     void exchangeTable(const std::string &address);
-    /// Returns the peer addresses of the instances that follow the targets in the store; none if
+    /// Returns the peer addresses of the instances that follow the store; none if
     /// this is one of them or if there are few instances.
     std::vector<net::Address> followers() const;
     bool fetchRows(const net::Address &peer, const boost::asio::yield_context &yield);
--- a/packages/entry/include/entry/view_keeper.h
+++ b/packages/entry/include/entry/view_keeper.h
@@ -46,15 +46,15 @@
     std::chrono::milliseconds outage{ 1500 };
 };
 
-/// What became of a question to the instances that follow the targets in the store.
+/// What became of a question to the instances that follow the store.
 enum class FollowerAnswer {
-    NotAsked, ///< This instance has to follow them itself.
+    NotAsked, ///< This instance has to follow it itself.
     UpToDate, ///< The rows were taken from one that the store answers.
     Failed,   ///< The store answers none of them, or they do not answer.
 };
 
-/// Keeps a copy of the tables that describe the deployment, by following the store and by asking
-/// peers while the store does not answer, and publishes views of it. Runs on the control I/O
+/// Keeps a copy of the tables that describe the deployment, by following the store or by asking the
+/// instances that follow it, and publishes views of it. Runs on the control I/O
 /// thread, except for `view()` and `isFresh()`.
 class ViewKeeper
 {
@@ -64,7 +64,7 @@
     struct Hooks
     {
         std::function<void(const fleet::ViewPtr &)> published;
-        /// Asks instances that follow the targets in the store, unless this one does so itself.
+        /// Asks the instances that follow the store, unless this one is one of them.
         std::function<FollowerAnswer(const boost::asio::yield_context &)> askFollower;
     };
 
@@ -117,6 +117,7 @@
     void noteAnswer(const std::string &table);
     /// Records that the store, or a peer that it answers, has told of the targets.
     void confirmTargets();
+    void noteFollower(FollowerAnswer answer);
     void noteFailure(const std::string &table, Clock::time_point asked,
                      const std::error_code &error);
     void rebuild();
@@ -135,7 +136,7 @@
     Clock::time_point peerAnswered_{}; ///< Last answer of a peer that the store answers.
     FollowerAnswer follower_ = FollowerAnswer::NotAsked; ///< Last answer.
     std::map<std::string, bool> failing_;                ///< By table.
-    Clock::time_point targetsConfirmed_{};
+    Clock::time_point targetsConfirmed_{};               ///< By the store or a peer.
     /// Start of the first question for targets without an answer since they were last confirmed. A
     /// target without a row may serve all the same.
     std::optional<Clock::time_point> unconfirmedSince_;
--- a/packages/entry/src/view_keeper.cpp
+++ b/packages/entry/src/view_keeper.cpp
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <memory>
 #include <utility>
@@ -156,6 +157,17 @@
                { { "silent_ms", std::chrono::duration_cast<milliseconds>(silence) } });
 }
 
+void ViewKeeper::noteFollower(FollowerAnswer answer)
+{
+    if (std::exchange(follower_, answer) == answer)
+        return;
+    constexpr std::array<std::string_view, 3> kNames{ "store", "followers", "none-up-to-date" };
+    log_.write("store", "source-changed",
+               { { "source", kNames.at(static_cast<std::size_t>(answer)) },
+                 { "version", version() },
+                 { "age_ms", std::chrono::duration_cast<milliseconds>(age()) } });
+}
+
 void ViewKeeper::noteFailure(const std::string &table, Clock::time_point asked,
                              const std::error_code &error)
 {
@@ -206,7 +218,7 @@
         const bool mayAskPeer = answered_.contains(table) && hooks_.askFollower;
         // One question to a peer is about all tables.
         if (mayAskPeer && table == documents_.targetTable)
-            follower_ = hooks_.askFollower(yield);
+            noteFollower(hooks_.askFollower(yield));
         if (mayAskPeer && follower_ == FollowerAnswer::UpToDate) {
             timer.expires_after(options_.feedPause);
             timer.async_wait(yield[ignored]);
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -84,6 +84,7 @@
         patience = std::min(patience, route_->timeout);
     deadline_ = started_ + patience;
     if (knowledge_.departure && !canTake(*knowledge_.departure, patience, started_)) {
+        logDeparture(patience);
         fail(Result::ShuttingDown, WorkStatus::NotRun, context_.options.departureRetry);
         return false;
     }
--- a/packages/relay/src/flow_log.cpp
+++ b/packages/relay/src/flow_log.cpp
@@ -43,6 +43,17 @@
                          { "result", base::resultInfo(refusal.code).name } });
 }
 
+void Relay::Flow::logDeparture(milliseconds patience)
+{
+    const auto exitIn = duration_cast<milliseconds>(knowledge_.departure->exitAt - started_);
+    context_.log.write("relay", "refused",
+                       { { "request", caller_.requestId },
+                         { "left_ms", patience },
+                         { "exit_in_ms", exitIn },
+                         { "retry_after_ms", context_.options.departureRetry },
+                         { "result", base::resultInfo(base::Result::ShuttingDown).name } });
+}
+
 void Relay::Flow::logSend(const dispatch::Placement &placement, SendOutcome outcome,
                           Clock::time_point at)
 {
