Consider all engines when none of the compared ones can be used

Cause: found while reading: with five engines compared, a request was refused with no-target if those five were failing or had weights that were replaced too long ago, although others could serve it. Change: then all ready engines are considered. The choice of the compared ones is a function of its own. Test: lastUsableEngineIsFound fails without the change (refused at the first of 40 engines); dispatch_test 9 passed.

--- a/packages/dispatch/include/dispatch/placement.h
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -167,8 +167,12 @@
                  const fleet::View &view, Acceptance acceptance, Time now) const;
     std::vector<std::size_t> sample(const WorkRequest &request, std::span<const std::size_t> ready,
                                     const fleet::View &view, Time now);
-    std::vector<Candidate> candidates(const WorkRequest &request, const std::string &pool,
-                                      const fleet::View &view, Time now);
+    /// Leaves those to compare after the first `kept` indices, which all stay.
+    void chooseCompared(std::vector<std::size_t> &indices, std::size_t kept,
+                        const fleet::View &view, Time now);
+    std::vector<Candidate> candidates(const WorkRequest &request,
+                                      std::span<const std::size_t> indices, const fleet::View &view,
+                                      Time now) const;
     /// Returns the time for which work may begin on the weights; no value if there is no limit.
     std::optional<std::chrono::milliseconds> weightsLeft(const WorkRequest &request,
                                                          std::uint64_t weights,
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -208,28 +208,34 @@
                                               [&](auto a, auto b) { return rank(a) < rank(b); }));
         ++kept;
     }
-    std::shuffle(kept, result.end(), random_);
-    // Most of them are near; with the others, work leaves a data centre that has too much of it.
-    const auto near = std::stable_partition(kept, result.end(), [&](std::size_t index) {
+    chooseCompared(result, static_cast<std::size_t>(kept - result.begin()), view, now);
+    return result;
+}
+
+// Most of them are near; with the others, work leaves a data centre that has too much of it.
+void Placer::chooseCompared(std::vector<std::size_t> &indices, std::size_t kept,
+                            const fleet::View &view, Time now)
+{
+    const auto begin = indices.begin() + static_cast<std::ptrdiff_t>(kept);
+    std::shuffle(begin, indices.end(), random_);
+    const auto away = std::stable_partition(begin, indices.end(), [&](std::size_t index) {
         return view.targets()[index].dataCentre == dataCentre_;
     });
-    std::stable_partition(kept, near, [&](std::size_t index) {
+    std::stable_partition(begin, away, [&](std::size_t index) {
         return board_.hasIdleConnection(view.targets()[index], now);
     });
     const auto elsewhere =
-            std::min<std::ptrdiff_t>(result.end() - near, options_.comparedElsewhere);
-    const auto nearby = std::min<std::ptrdiff_t>(near - kept, options_.compared - elsewhere);
-    const auto end = std::rotate(kept + nearby, near, near + elsewhere);
-    result.erase(end, result.end());
-    return result;
+            std::min<std::ptrdiff_t>(indices.end() - away, options_.comparedElsewhere);
+    const auto nearby = std::min<std::ptrdiff_t>(away - begin, options_.compared - elsewhere);
+    indices.erase(std::rotate(begin + nearby, away, away + elsewhere), indices.end());
 }
 
 std::vector<Placer::Candidate> Placer::candidates(const WorkRequest &request,
-                                                  const std::string &pool, const fleet::View &view,
-                                                  Time now)
+                                                  std::span<const std::size_t> indices,
+                                                  const fleet::View &view, Time now) const
 {
     std::vector<Candidate> result;
-    for (const std::size_t index : sample(request, view.readyTargets(pool), view, now)) {
+    for (const std::size_t index : indices) {
         const fleet::Target &target = view.targets()[index];
         if (std::ranges::find(request.excluded, target.id) != request.excluded.end())
             continue;
@@ -301,11 +307,17 @@
                                                const fleet::View &view, Acceptance acceptance,
                                                Time now)
 {
-    std::vector<Candidate> all = candidates(request, pool, view, now);
+    const auto ready = view.readyTargets(pool);
+    const auto isAvoided = [](const Candidate &c) { return c.avoided; };
+    std::vector<Candidate> all = candidates(request, sample(request, ready, view, now), view, now);
+    std::erase_if(all, isAvoided);
+    // None of the few that are compared can be used; one of the others may.
+    if (all.empty())
+        all = candidates(request, ready, view, now);
     if (all.empty())
         return Refusal{ .code = base::Result::NoTarget, .retryAfter = options_.noTargetRetry };
-    if (std::ranges::any_of(all, [](const auto &c) { return !c.avoided; }))
-        std::erase_if(all, [](const Candidate &c) { return c.avoided; });
+    if (!std::ranges::all_of(all, isAvoided))
+        std::erase_if(all, isAvoided);
     const fleet::Pool *description = view.findPool(pool);
     std::erase_if(all, [&](const Candidate &c) {
         return !accepts(c, request, description, view, acceptance, now);
--- a/packages/dispatch/test/placement_test.cpp
+++ b/packages/dispatch/test/placement_test.cpp
@@ -92,6 +92,7 @@
     CPPUNIT_TEST(staleWeightsHaveALimit);
     CPPUNIT_TEST(nearAndConnectedTargetsComeFirst);
     CPPUNIT_TEST(instancesDoNotRushToOneEngine);
+    CPPUNIT_TEST(lastUsableEngineIsFound);
     CPPUNIT_TEST(oneLongPromptPerEngine);
     CPPUNIT_TEST(prefixesAreFoundAgain);
     CPPUNIT_TEST(instancesAgreeOnTheHome);
@@ -233,6 +234,21 @@
         CPPUNIT_ASSERT(rushed < kSlots);
     }
 
+    // Guards against refusals because none of the few engines that are compared can take a request,
+    // while another one can.
+    void lastUsableEngineIsFound()
+    {
+        constexpr std::size_t kEngines = 40;
+        const Time now = kStart + seconds(20); // Too late for engines with the replaced weights.
+        const auto view = makeView(kEngines, 2);
+        for (std::size_t i = 0; i < kEngines; ++i) {
+            Placer placer("d", i);
+            placer.board().learnWeights(view->targets()[i], "m", 2);
+            CPPUNIT_ASSERT_EQUAL(view->targets()[i].id,
+                                 choose(placer, shortRequest(), *view, Acceptance::InTime, now));
+        }
+    }
+
     // Guards against engines that read several long prompts in a row, during which their streams
     // stand still.
     void oneLongPromptPerEngine()
