--- a/packages/entry/test/fake_store.h
+++ b/packages/entry/test/fake_store.h
@@ -24,6 +24,7 @@
     bool losesAnswers = false;   ///< Writes take effect and get no answer.
     int copies = 0;              ///< Questions for a whole table.
     int questions = 0;           ///< Questions for changes that were answered.
+    int unanswered = 0;          ///< Questions for changes that met a silent store.
     int refusals = 0;            ///< Calls that got no answer.
 
     void put(const std::string &table, const std::string &key, const std::string &value)
@@ -58,6 +59,7 @@
     {
         const auto until = std::chrono::steady_clock::now() + wait;
         if (isSilent) {
+            ++unanswered;
             while (std::chrono::steady_clock::now() < until)
                 pause(yield);
             error = base::Result::StoreUnavailable;
--- a/packages/entry/test/view_keeper_test.cpp
+++ b/packages/entry/test/view_keeper_test.cpp
@@ -199,11 +199,14 @@
                        && f.keeper.isFailing("deployment") == isAway;
             }));
         }
+        int asked = 0;
         f.follower = [&] {
+            ++asked;
             peer.context.run_for(milliseconds(1));
             return f.keeper.merge(peer.keeper.entriesAfter(f.keeper.version()));
         };
-        f.context.run_for(milliseconds(50)); // From here on, all rows come from the peer alone.
+        // From the second answer on, all rows come from the peer alone.
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return asked >= 2; }));
         peer.store.erase("targets", "t1");
         CPPUNIT_ASSERT(runUntil(peer.context, [&] { return !peer.hasTarget("t1"); }));
         const int before = f.published;
@@ -289,7 +292,9 @@
         CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.keeper.isFailing("deployment"); }));
         f.store.isAway = false;
         f.store.isSilent = true;
-        f.context.run_for(milliseconds(50));
+        CPPUNIT_ASSERT(runUntil(f.context, [&] {
+            return f.store.unanswered >= static_cast<int>(f.documents.tables.size());
+        }));
         f.store.isSilent = false;
         f.store.put("deployment", "version", "2");
         const auto returned = std::chrono::steady_clock::now();
