Log the ages that decide whether a request may begin on old weights

Cause: operators reported requests that began on weights which had been replaced too long ago. The hypotheses in docs/incidents/2026-12-04-old-weights.md differ in the age that an instance gives to a version and to its view, and no log line showed either.

Change: `sent` lines show the age of the view's confirmation, the desired version, the time since the version of the target was replaced as the instance takes it, and the limit given to the target. No decision changes.

--- a/packages/entry/include/entry/view_updater.h
+++ b/packages/entry/include/entry/view_updater.h
@@ -92,6 +92,13 @@
     /// `maxFreshAge`. May be called on any thread.
     bool isFresh() const;
 
+    /// Returns the time since the store, or a peer that reaches it, confirmed every table. May be
+    /// called on any thread.
+    std::chrono::milliseconds confirmedAge() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(age());
+    }
+
     /// Returns true if the store responded for every table within `maxCurrentAge`.
     bool isStoreReachable() const;
 
@@ -164,6 +171,8 @@
     fleet::WeightsHistory weightsHistory_;
     std::map<std::string, std::string> reportedReasons_; ///< Last logged reason by rejected row.
     std::atomic<fleet::ViewPtr> view_;
+    Clock::time_point
+            previouslyConfirmedAt_{}; ///< Value of `confirmedAt_` before the last response.
     /// Oldest confirmation of a table, by the store or by a peer that reaches it.
     std::atomic<Clock::time_point> confirmedAt_{ Clock::time_point{} };
 };
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -122,6 +122,8 @@
                        [this] {
                            return relay::DeploymentState{ .view = viewUpdater_.view(),
                                                           .isFresh = viewUpdater_.isFresh(),
+                                                          .confirmedAge =
+                                                                  viewUpdater_.confirmedAge(),
                                                           .drainSchedule = drainSchedule() };
                        },
                .options = relayOptions(options_) })
--- a/packages/entry/src/view_updater.cpp
+++ b/packages/entry/src/view_updater.cpp
@@ -106,7 +106,7 @@
         const auto own = found == storeRespondedAt_.end() ? Clock::time_point{} : found->second;
         oldest = std::min(oldest, std::max(own, peerRespondedAt_));
     }
-    confirmedAt_ = oldest;
+    previouslyConfirmedAt_ = confirmedAt_.exchange(oldest);
 }
 
 std::uint64_t ViewUpdater::version() const
@@ -279,7 +279,14 @@
         const auto seenAt =
                 Clock::now() - (isFirstCopy ? options_.initialWeightsAge : milliseconds(0));
         history.push_back({ version, seenAt });
-        log_.write("view", "weights-named", { { "model", model }, { "weights", version } });
+        const auto unconfirmed =
+                std::chrono::duration_cast<milliseconds>(Clock::now() - previouslyConfirmedAt_);
+        log_.write(
+                "view", "weights-named",
+                { { "model", model },
+                  { "weights", version },
+                  { "known_ms", std::chrono::duration_cast<milliseconds>(Clock::now() - seenAt) },
+                  { "unconfirmed_ms", isFirstCopy ? milliseconds(-1) : unconfirmed } });
         constexpr std::size_t kMaxVersions = 32;
         if (history.size() > kMaxVersions)
             history.erase(history.begin());
--- a/packages/relay/include/relay/relay.h
+++ b/packages/relay/include/relay/relay.h
@@ -42,6 +42,8 @@
     /// False while neither the store nor a peer has confirmed the view recently, so a route or an
     /// API key that the view lacks may exist.
     bool isFresh = false;
+    /// Time since the store or a peer last confirmed the view.
+    std::chrono::milliseconds confirmedAge{ 0 };
     std::optional<DrainSchedule> drainSchedule{}; ///< Set while this instance shuts down.
 };
 
--- a/packages/relay/src/flow_log.cpp
+++ b/packages/relay/src/flow_log.cpp
@@ -26,6 +26,12 @@
     return "cancelled";
 }
 
+milliseconds elapsedSince(std::chrono::steady_clock::time_point start,
+                          std::chrono::steady_clock::time_point end)
+{
+    return duration_cast<milliseconds>(end - start);
+}
+
 } // namespace
 
 void Relay::Flow::logRefusal(const dispatch::Refusal &refusal)
@@ -60,6 +66,8 @@
 {
     const auto &targetTracker = context_.placer.targetTracker();
     const auto *status = targetTracker.find(*target_);
+    const fleet::View &view = *deploymentState_.view;
+    const auto replacedAt = view.replacedAt(caller_.model, placement.weights);
     context_.log.write(
             "relay", "sent",
             { { "request", caller_.requestId },
@@ -79,7 +87,13 @@
               { "load_age_ms", status == nullptr
                                        ? milliseconds(-1)
                                        : duration_cast<milliseconds>(sentAt - status->reportedAt) },
-              { "view", deploymentState_.view->storeVersion() },
+              { "view", view.storeVersion() },
+              { "view_age_ms", deploymentState_.confirmedAge + elapsedSince(startedAt_, sentAt) },
+              { "desired", view.desiredWeights(caller_.model) },
+              { "replaced_ms", replacedAt && !caller_.model.empty()
+                                       ? elapsedSince(*replacedAt, sentAt)
+                                       : milliseconds(-1) },
+              { "limit_ms", placement.timeLimit.value_or(milliseconds(-1)) },
               { "outcome", toString(outcome) },
               { "result", base::resultInfo(result_).name },
               { "first_ms", firstEventAt_ ? duration_cast<milliseconds>(*firstEventAt_ - sentAt)
