Count the age of desired weights from the last copy without them

Cause: ViewUpdater stamped a version with the moment at which the instance learned of it. An instance that was frozen for six seconds counted the limit six seconds too late; while engines that had been away came back with the older weights, it sent requests to them. Even without faults an instance learns up to 0.9 s late where 0.7 s were assumed.

Change: a version counts from the latest time at which the instance had all changes and the version was not among them, so the age is an upper bound. The store's own clock, which each response carries, tells when a response was made, also if it was read late. Instances give each other these ages with the rows, so that one that was stopped, or has started, uses the best bound known; also versions that it missed are added.

--- a/packages/entry/include/entry/view_updater.h
+++ b/packages/entry/include/entry/view_updater.h
@@ -3,6 +3,7 @@
 #include "base/event_log.h"
 #include "fleet/deployment_schema.h"
 #include "fleet/store.h"
+#include "fleet/store_clock.h"
 #include "fleet/view.h"
 #include "peers/transfer.h"
 
@@ -44,9 +45,11 @@
     std::chrono::milliseconds maxFreshAge{ 3'000 };
     /// Time within which targets register again whose registrations expired during an outage.
     std::chrono::milliseconds reregistrationTime{ 2000 };
-    /// Age given to desired weight versions that were set before this instance started. The
-    /// platform considers an instance settled three seconds after its start.
-    std::chrono::milliseconds initialWeightsAge{ 0 };
+    /// Age that is assumed for weight versions in the first copy of the deployment, as long as no
+    /// peer knows their age.
+    std::chrono::milliseconds assumedWeightsAge{ 0 };
+    /// Time after the start in which peers are asked for these ages.
+    std::chrono::milliseconds settleTime{ 3000 };
     /// Time without a response from the store in which registrations may have expired.
     std::chrono::milliseconds outageThreshold{ 1500 };
 };
@@ -117,9 +120,13 @@
     /// the version of the store up to which they are complete, or 0 if they may be out of date.
     peers::ConfigurationEntries entriesAfter(std::uint64_t version) const;
 
-    /// Applies the rows of a peer. Returns true if they are up to date, because the peer reaches
-    /// the store.
-    bool merge(const peers::ConfigurationEntries &entries);
+    /// Applies the rows of a peer, which were requested at `requestedAt`. Returns true if they are
+    /// up to date, because the peer reaches the store.
+    bool merge(const peers::ConfigurationEntries &entries, Clock::time_point requestedAt);
+
+    /// Returns true if this instance has just started and assumes the age of a weights version that
+    /// a peer may know.
+    bool needsWeightsAges() const;
 
     /// Returns the version of the store up to which the changes of every table are known.
     std::uint64_t version() const;
@@ -142,13 +149,38 @@
     void recordFollowerResult(FollowerResult result);
     void recordStoreFailure(const std::string &table, Clock::time_point pollStartedAt,
                             const std::error_code &error);
+    /// What is known about the times at which new weights versions were set.
+    struct WeightsEvidence
+    {
+        /// Time up to which they were not set; no value if this instance has just started.
+        std::optional<Clock::time_point> setAfter;
+        /// Ages that a peer knew at `requestedAt` or later.
+        std::vector<peers::WeightsAge> peerAges;
+        Clock::time_point requestedAt;
+    };
+
     /// Publishes a view of the current rows.
-    void rebuildView();
+    void rebuildView(const WeightsEvidence &evidence = {});
+    /// Records that the copy of the table was the newest one at `time` or later.
+    void recordCopy(const std::string &table, Clock::time_point time);
+    /// Returns the time up to which all changes of the tables are known, or no value if a table has
+    /// not been read yet.
+    std::optional<Clock::time_point> completeUntil() const;
     /// Adds ready targets of the last view that have no row, while registrations may be missing
     /// because of an outage.
     void retainUnlistedTargets(std::vector<fleet::Target> &targets);
-    /// Adds new desired versions to the history.
-    void recordDesiredWeights(const std::map<std::string, std::uint64_t> &weights);
+    /// Adds new desired versions to the history. They were not set before `knownUntil`, which has
+    /// no value if this instance has just started.
+    void recordDesiredWeights(const std::map<std::string, std::uint64_t> &weights,
+                              std::optional<Clock::time_point> knownUntil);
+    /// Applies the ages that a peer knows. Returns true if that changes the history.
+    bool applyPeerAges(const WeightsEvidence &evidence);
+    /// Applies an age that a peer knows to the history of the model. Returns true if that changes
+    /// the history.
+    static bool applyPeerAge(std::vector<fleet::DesiredVersion> &history,
+                             const peers::WeightsAge &age, Clock::time_point requestedAt);
+    /// Returns the ages of versions in the history that are known, for a peer.
+    std::vector<peers::WeightsAge> weightsAges() const;
     void scheduleRebuild(std::chrono::milliseconds delay);
 
     boost::asio::io_context &context_;
@@ -168,11 +200,13 @@
     /// confirmation, a target without a row may still be serving.
     std::optional<Clock::time_point> targetsUnconfirmedSince_;
     Clock::time_point storeRecoveredAt_{}; ///< End of the last outage.
+    fleet::StoreClock storeClock_;
+    /// Time up to which all changes are known, by table.
+    std::map<std::string, Clock::time_point> completeUntil_;
+    Clock::time_point startedAt_ = Clock::now();
     fleet::WeightsHistory weightsHistory_;
     std::map<std::string, std::string> reportedReasons_; ///< Last logged reason by rejected row.
     std::atomic<fleet::ViewPtr> view_;
-    Clock::time_point
-            previouslyConfirmedAt_{}; ///< Value of `confirmedAt_` before the last response.
     /// Oldest confirmation of a table, by the store or by a peer that reaches it.
     std::atomic<Clock::time_point> confirmedAt_{ Clock::time_point{} };
 };
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -57,8 +57,8 @@
     return rollout;
 }
 
-// Maximum time until an instance learns of a new weight version that the operator has set.
-constexpr milliseconds kMaxWeightsDelay{ 700 };
+// Maximum time from the choice of a target until it has the request, mostly to connect to it.
+constexpr milliseconds kMaxSendDelay{ 300 };
 // Part of `staleWeightsLimit` that a started instance takes to be left, for requests on older
 // weights, when `kStartupGrace` ends.
 constexpr milliseconds kStaleRequestMargin{ 1500 };
@@ -67,7 +67,7 @@
 
 dispatch::PlacementOptions placementOptions(const EntryOptions &options)
 {
-    return { .maxStaleWeightsAge = options.staleWeightsLimit - kMaxWeightsDelay };
+    return { .maxStaleWeightsAge = options.staleWeightsLimit - kMaxSendDelay };
 }
 
 ViewUpdaterOptions viewOptions(const EntryOptions &options)
@@ -78,7 +78,7 @@
     return { .longPollTimeout = drain * 7 / 20,
              .pollInterval = drain / 5,
              .maxCurrentAge = drain / 2,
-             .initialWeightsAge = options.staleWeightsLimit - kStaleRequestMargin - kStartupGrace };
+             .assumedWeightsAge = options.staleWeightsLimit - kStaleRequestMargin - kStartupGrace };
 }
 
 } // namespace
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -21,7 +21,8 @@
 // followers, one responds while the other restarts. If neither is up to date, the other instances
 // poll the store themselves.
 constexpr std::ptrdiff_t kFollowerCount = 2;
-// Interval between polls of random peers while neither the store nor a follower responds.
+// Interval between polls of random peers while neither the store nor a follower responds, or while
+// a peer may know the age of weights that were set before this instance started.
 constexpr milliseconds kPeerPollInterval{ 500 };
 
 // Reports are sent more often and for smaller changes than in a large fleet: each instance has few
@@ -221,10 +222,11 @@
 
 bool PeerMesh::fetchRows(const net::Address &peer, const yield_context &yield)
 {
+    const auto requestedAt = ViewUpdater::Clock::now();
     std::error_code error;
     const auto entries =
             peers::fetchEntries(client_, peer, viewUpdater_.version(), kPeerTimeout, yield, error);
-    return entries && viewUpdater_.merge(*entries);
+    return entries && viewUpdater_.merge(*entries, requestedAt);
 }
 
 std::vector<net::Address> PeerMesh::followers() const
@@ -286,7 +288,7 @@
         timer.expires_after(kPeerPollInterval);
         boost::system::error_code ignored;
         timer.async_wait(yield[ignored]);
-        if (viewUpdater_.isCurrent())
+        if (viewUpdater_.isCurrent() && !viewUpdater_.needsWeightsAges())
             continue;
         const auto peers = otherPeerAddresses();
         if (!peers.empty())
--- a/packages/entry/src/view_updater.cpp
+++ b/packages/entry/src/view_updater.cpp
@@ -106,7 +106,7 @@
         const auto own = found == storeRespondedAt_.end() ? Clock::time_point{} : found->second;
         oldest = std::min(oldest, std::max(own, peerRespondedAt_));
     }
-    previouslyConfirmedAt_ = confirmedAt_.exchange(oldest);
+    confirmedAt_ = oldest;
 }
 
 std::uint64_t ViewUpdater::version() const
@@ -205,9 +205,19 @@
         return false;
     }
     recordStoreResponse(table);
+    const auto previous = completeUntil_.find(table);
+    const WeightsEvidence evidence{ .setAfter = previous == completeUntil_.end()
+                                                        ? std::nullopt
+                                                        : std::optional(previous->second) };
+    auto completeUntil = pollStartedAt;
+    if (rows->storeTime > milliseconds::zero()) {
+        storeClock_.observe(rows->storeTime, pollStartedAt);
+        completeUntil = std::max(completeUntil, storeClock_.earliestLocalTime(rows->storeTime));
+    }
+    recordCopy(table, completeUntil);
     hasChanged = needsFullRead ? replica.replace(*rows) : replica.apply(*rows);
     if (hasChanged)
-        rebuildView();
+        rebuildView(evidence);
     return true;
 }
 
@@ -268,31 +278,110 @@
                      { "unconfirmed", targetsUnconfirmedSince_.has_value() } });
 }
 
-void ViewUpdater::recordDesiredWeights(const std::map<std::string, std::uint64_t> &weights)
+bool ViewUpdater::applyPeerAge(std::vector<fleet::DesiredVersion> &history,
+                               const peers::WeightsAge &age, Clock::time_point requestedAt)
+{
+    // A later version than the rows tell of is added with its row.
+    if (history.empty() || age.version > history.back().version)
+        return false;
+    const auto setAfter = requestedAt - age.maxAge;
+    const auto known =
+            std::ranges::lower_bound(history, age.version, {}, &fleet::DesiredVersion::version);
+    if (known->version != age.version) {
+        history.insert(known, { .version = age.version, .setAfter = setAfter });
+        return true;
+    }
+    // Smaller differences come from the transit time of the response.
+    constexpr milliseconds kMinCorrection{ 100 };
+    if (!known->isAssumed && setAfter < known->setAfter + kMinCorrection)
+        return false;
+    *known = { .version = age.version, .setAfter = setAfter };
+    return true;
+}
+
+void ViewUpdater::recordDesiredWeights(const std::map<std::string, std::uint64_t> &weights,
+                                       std::optional<Clock::time_point> knownUntil)
 {
     for (const auto &[model, version] : weights) {
         auto &history = weightsHistory_[model];
         if (!history.empty() && history.back().version >= version)
             continue;
-        // The versions in the first copy of the deployment may have been set long before.
-        const bool isFirstCopy = !view()->isComplete();
-        const auto seenAt =
-                Clock::now() - (isFirstCopy ? options_.initialWeightsAge : milliseconds(0));
-        history.push_back({ version, seenAt });
-        const auto unconfirmed =
-                std::chrono::duration_cast<milliseconds>(Clock::now() - previouslyConfirmedAt_);
-        log_.write(
-                "view", "weights-named",
-                { { "model", model },
-                  { "weights", version },
-                  { "known_ms", std::chrono::duration_cast<milliseconds>(Clock::now() - seenAt) },
-                  { "unconfirmed_ms", isFirstCopy ? milliseconds(-1) : unconfirmed } });
+        const auto setAfter = knownUntil.value_or(Clock::now() - options_.assumedWeightsAge);
+        history.push_back({ .version = version, .setAfter = setAfter, .isAssumed = !knownUntil });
+        log_.write("view", "weights-named",
+                   { { "model", model },
+                     { "weights", version },
+                     { "max_age_ms",
+                       std::chrono::duration_cast<milliseconds>(Clock::now() - setAfter) },
+                     { "assumed", !knownUntil } });
         constexpr std::size_t kMaxVersions = 32;
         if (history.size() > kMaxVersions)
             history.erase(history.begin());
     }
 }
 
+bool ViewUpdater::applyPeerAges(const WeightsEvidence &evidence)
+{
+    bool hasChanged = false;
+    for (const peers::WeightsAge &age : evidence.peerAges) {
+        const auto found = weightsHistory_.find(age.model);
+        if (found == weightsHistory_.end()
+            || !applyPeerAge(found->second, age, evidence.requestedAt))
+            continue;
+        hasChanged = true;
+        log_.write("view", "weights-age-from-peer",
+                   { { "model", age.model },
+                     { "weights", age.version },
+                     { "max_age_ms", age.maxAge } });
+    }
+    return hasChanged;
+}
+
+std::vector<peers::WeightsAge> ViewUpdater::weightsAges() const
+{
+    // Engines have older weights for seconds only.
+    constexpr std::chrono::seconds kMaxReplacedAge{ 60 };
+    std::vector<peers::WeightsAge> ages;
+    const auto now = Clock::now();
+    for (const auto &[model, history] : weightsHistory_) {
+        for (const fleet::DesiredVersion &desired : history) {
+            const bool isLatest = &desired == &history.back();
+            if (desired.isAssumed || (!isLatest && now - desired.setAfter > kMaxReplacedAge))
+                continue;
+            ages.push_back({ .model = model,
+                             .version = desired.version,
+                             .maxAge = std::chrono::ceil<milliseconds>(now - desired.setAfter) });
+        }
+    }
+    return ages;
+}
+
+bool ViewUpdater::needsWeightsAges() const
+{
+    return Clock::now() - startedAt_ < options_.settleTime
+           && std::ranges::any_of(weightsHistory_, [](const auto &entry) {
+                  return !entry.second.empty() && entry.second.back().isAssumed;
+              });
+}
+
+void ViewUpdater::recordCopy(const std::string &table, Clock::time_point time)
+{
+    auto &completeUntil = completeUntil_.try_emplace(table, time).first->second;
+    completeUntil = std::max(completeUntil, time);
+}
+
+std::optional<ViewUpdater::Clock::time_point> ViewUpdater::completeUntil() const
+{
+    std::optional<Clock::time_point> oldest;
+    for (const std::string &table : schema_.tables) {
+        const auto found = completeUntil_.find(table);
+        if (found == completeUntil_.end())
+            return std::nullopt;
+        oldest = oldest ? std::min(*oldest, found->second) : found->second;
+    }
+    return oldest;
+}
+
 void ViewUpdater::scheduleRebuild(milliseconds delay)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
@@ -302,7 +391,7 @@
     });
 }
 
-void ViewUpdater::rebuildView()
+void ViewUpdater::rebuildView(const WeightsEvidence &evidence)
 {
     fleet::Deployment deployment = schema_.readDeployment(tables_);
     for (const fleet::RejectedRow &row : deployment.rejectedRows) {
@@ -314,7 +403,8 @@
     // If the configuration row cannot be read, the new view is incomplete.
     const fleet::ViewPtr previousView = view();
     retainUnlistedTargets(deployment.targets);
-    recordDesiredWeights(deployment.desiredWeights);
+    recordDesiredWeights(deployment.desiredWeights, evidence.setAfter);
+    applyPeerAges(evidence);
     const auto view = std::make_shared<const fleet::View>(
             deployment.configuration, std::move(deployment.targets), weightsHistory_, version());
     const auto configurationVersion = [](const fleet::View &v) {
@@ -343,13 +433,16 @@
     // Revision 0 tells the peer that the rows may be out of date.
     const bool isUpToDate = isStoreReachable() && !targetsUnconfirmedSince_;
     peers::ConfigurationEntries entries{ .revisionInForce = isUpToDate ? this->version() : 0,
-                                         .entries = {} };
+                                         .entries = {},
+                                         .weightsAges = weightsAges() };
+    if (const auto time = completeUntil())
+        entries.age = std::chrono::ceil<milliseconds>(Clock::now() - *time);
     for (const auto &[rowVersion, rows] : rowsByVersion)
         entries.entries.push_back({ rowVersion, encodeRows(rows) });
     return entries;
 }
 
-bool ViewUpdater::merge(const peers::ConfigurationEntries &entries)
+bool ViewUpdater::merge(const peers::ConfigurationEntries &entries, Clock::time_point requestedAt)
 {
     std::map<std::string, fleet::StoreRows> byTable;
     for (const peers::ConfigurationEntry &entry : entries.entries) {
@@ -363,13 +456,22 @@
         hasChanged = table.apply(rows) || hasChanged;
     }
     const bool isUpToDate = entries.revisionInForce > 0;
+    const WeightsEvidence evidence{ .setAfter = completeUntil(),
+                                    .peerAges = entries.weightsAges,
+                                    .requestedAt = requestedAt };
     if (isUpToDate) {
+        // A peer that sends no age has heard from the store within `maxCurrentAge`.
+        const auto completeUntil = requestedAt - entries.age.value_or(options_.maxCurrentAge);
+        for (const std::string &table : schema_.tables)
+            recordCopy(table, completeUntil);
         peerRespondedAt_ = Clock::now();
         updateConfirmedAt();
         recordTargetsConfirmed();
     }
     if (hasChanged) {
         log_.write("view", "taken-from-peer", { { "version", entries.revisionInForce } });
+        rebuildView(evidence);
+    } else if (applyPeerAges(evidence)) {
         rebuildView();
     }
     return isUpToDate;
--- a/packages/entry/test/fake_store.h
+++ b/packages/entry/test/fake_store.h
@@ -22,10 +22,11 @@
     bool isUnresponsive = false;    ///< Polls time out, even if the store recovers before.
     bool hasLostHistory = false;    ///< The next poll for changes fails with `NotFound`.
     bool dropsWriteReplies = false; ///< Writes take effect but fail with `WriteUndecided`.
-    int fullReads = 0;              ///< Calls of `readAll`.
-    int answeredPolls = 0;          ///< Polls for changes that got a response.
-    int unansweredPolls = 0;        ///< Polls for changes while the store was unresponsive.
-    int refusedCalls = 0;           ///< Failed calls of `readAll` and `write`.
+    std::chrono::milliseconds responseDelay{ 0 }; ///< Time until a response has arrived.
+    int fullReads = 0;                            ///< Calls of `readAll`.
+    int answeredPolls = 0;                        ///< Polls for changes that got a response.
+    int unansweredPolls = 0; ///< Polls for changes while the store was unresponsive.
+    int refusedCalls = 0;    ///< Failed calls of `readAll` and `write`.
 
     void put(const std::string &table, const std::string &key, const std::string &value)
     {
@@ -44,7 +45,7 @@
             error = base::Result::StoreUnavailable;
             return std::nullopt;
         }
-        fleet::StoreRows all{ .rows = {}, .version = version_ };
+        fleet::StoreRows all{ .rows = {}, .version = version_, .storeTime = storeTime() };
         for (const auto &[key, row] : rows_) {
             if (key.first == table && !row.isDeleted)
                 all.rows.push_back(row);
@@ -72,13 +73,16 @@
                 error = base::Result::NotFound;
             if (error)
                 return std::nullopt;
-            fleet::StoreRows found{ .rows = {}, .version = version_ };
+            fleet::StoreRows found{ .rows = {}, .version = version_, .storeTime = storeTime() };
             for (const auto &[key, row] : rows_) {
                 if (key.first == table && row.version > after)
                     found.rows.push_back(row);
             }
             if (!found.rows.empty() || std::chrono::steady_clock::now() >= pollDeadline) {
                 ++answeredPolls;
+                const auto arrival = std::chrono::steady_clock::now() + responseDelay;
+                while (std::chrono::steady_clock::now() < arrival)
+                    waitBriefly(yield);
                 return found;
             }
             waitBriefly(yield);
@@ -108,6 +112,14 @@
     }
 
 private:
+    // Returns the time of the store's own clock, which differs from that of the instance.
+    static std::chrono::milliseconds storeTime()
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                       std::chrono::steady_clock::now().time_since_epoch())
+               + std::chrono::hours(1000);
+    }
+
     // Suspends for a millisecond, so that other coroutines run.
     static void waitBriefly(boost::asio::yield_context yield)
     {
--- a/packages/entry/test/view_updater_test.cpp
+++ b/packages/entry/test/view_updater_test.cpp
@@ -60,6 +60,10 @@
         const auto view = updater.view();
         return std::ranges::find(view->targets(), id, &fleet::Target::id) != view->targets().end();
     }
+    bool merge(const peers::ConfigurationEntries &entries)
+    {
+        return updater.merge(entries, ViewUpdater::Clock::now());
+    }
     std::uint64_t configuration() const
     {
         const auto view = updater.view();
@@ -92,6 +96,8 @@
     CPPUNIT_TEST(unresponsiveStoreIsNotLongPolled);
     CPPUNIT_TEST(revisionFollowsConfigurationChanges);
     CPPUNIT_TEST(initialWeightsCountAsOld);
+    CPPUNIT_TEST(weightsLearnedLateCountAsOld);
+    CPPUNIT_TEST(weightsAgeIsTakenFromPeers);
     CPPUNIT_TEST(emptyStoreIsNotReadRepeatedly);
     CPPUNIT_TEST_SUITE_END();
 
@@ -172,15 +178,15 @@
         f.store.isUnreachable = true;
         f.updater.start();
         CPPUNIT_ASSERT(!f.updater.isFresh());
-        f.updater.merge(older);
+        f.merge(older);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), f.configuration());
         CPPUNIT_ASSERT(f.hasTarget("t1") && f.updater.isFresh());
         peer.store.put("deployment", "version", "5");
         peer.store.erase("targets", "t1");
         CPPUNIT_ASSERT(runUntil(
                 peer.context, [&] { return peer.configuration() == 5 && !peer.hasTarget("t1"); }));
-        f.updater.merge(peer.updater.entriesAfter(f.updater.version()));
-        f.updater.merge(older);
+        f.merge(peer.updater.entriesAfter(f.updater.version()));
+        f.merge(older);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), f.configuration());
         CPPUNIT_ASSERT(!f.hasTarget("t1"));
     }
@@ -209,7 +215,7 @@
         f.pollPeer = [&] {
             ++polls;
             peer.context.run_for(milliseconds(1));
-            return f.updater.merge(peer.updater.entriesAfter(f.updater.version()));
+            return f.merge(peer.updater.entriesAfter(f.updater.version()));
         };
         // From the second poll on, all rows come from the peer alone.
         CPPUNIT_ASSERT(runUntil(f.context, [&] { return polls >= 2; }));
@@ -255,7 +261,7 @@
                                               == each.storeRefuses;
                                    }));
             f.pollPeer = [&] {
-                return f.updater.merge({ .revisionInForce = f.updater.version(), .entries = {} });
+                return f.merge({ .revisionInForce = f.updater.version(), .entries = {} });
             };
             f.context.run_for(each.timeWithoutStore);
             f.store.isUnreachable = false;
@@ -342,7 +348,7 @@
     {
         constexpr milliseconds kAgeAtStart{ 10'000 };
         for (const bool isSetBeforeStart : { true, false }) {
-            Fixture f({ .longPollTimeout = milliseconds(20), .initialWeightsAge = kAgeAtStart });
+            Fixture f({ .longPollTimeout = milliseconds(20), .assumedWeightsAge = kAgeAtStart });
             if (isSetBeforeStart)
                 f.store.put("deployment", "weights", "2");
             f.store.put("deployment", "version", "1");
@@ -353,11 +359,107 @@
                                     [&] { return f.updater.view()->desiredWeights("m") == 2; }));
             const auto replacedAt = f.updater.view()->replacedAt("m", 1);
             CPPUNIT_ASSERT(replacedAt.has_value());
-            const auto age = std::chrono::steady_clock::now() - *replacedAt;
+            const auto age = ViewUpdater::Clock::now() - *replacedAt;
             CPPUNIT_ASSERT_EQUAL(isSetBeforeStart, age >= kAgeAtStart);
         }
     }
 
+    // Guards against requests on replaced weights: an instance that learns late of a version takes
+    // it to have just been set.
+    void weightsLearnedLateCountAsOld()
+    {
+        struct Case
+        {
+            std::string name;
+            std::function<void(Fixture &)> lose;   ///< Keeps the instance from the change.
+            std::function<void(Fixture &)> regain; ///< Ends that.
+            milliseconds delay;
+            milliseconds maxError; ///< Maximum excess of the age.
+        };
+        const milliseconds kDelay{ 300 };
+        const milliseconds kError{ 100 };
+        const Case cases[] = {
+            { "at once", [](Fixture &) {}, [](Fixture &) {}, milliseconds(0), kError },
+            { "store unreachable", [](Fixture &f) { f.store.isUnreachable = true; },
+              [](Fixture &f) { f.store.isUnreachable = false; }, kDelay, kError },
+            { "store unresponsive", [](Fixture &f) { f.store.isUnresponsive = true; },
+              [](Fixture &f) { f.store.isUnresponsive = false; }, kDelay, kError },
+            // The responses made before the stop are read after it.
+            { "process stopped", [](Fixture &f) { f.store.responseDelay = milliseconds(300); },
+              [](Fixture &f) { f.store.responseDelay = milliseconds(0); }, kDelay,
+              kDelay + kError },
+        };
+        for (const Case &each : cases) {
+            Fixture f;
+            f.store.put("deployment", "version", "1");
+            f.updater.start();
+            CPPUNIT_ASSERT_MESSAGE(each.name, runUntil(f.context, [&] {
+                                       return f.configuration() == 1 && f.updater.isCurrent();
+                                   }));
+            f.context.run_for(milliseconds(50));
+            each.lose(f);
+            f.context.run_for(milliseconds(50));
+            const auto setAt = ViewUpdater::Clock::now();
+            f.store.put("deployment", "weights", "2");
+            f.context.run_for(each.delay);
+            each.regain(f);
+            CPPUNIT_ASSERT_MESSAGE(each.name, runUntil(f.context, [&] {
+                                       return f.updater.view()->desiredWeights("m") == 2;
+                                   }));
+            const auto replacedAt = f.updater.view()->replacedAt("m", 1);
+            CPPUNIT_ASSERT_MESSAGE(each.name, replacedAt.has_value());
+            CPPUNIT_ASSERT_MESSAGE(each.name, *replacedAt <= setAt);
+            CPPUNIT_ASSERT_MESSAGE(each.name,
+                                   *replacedAt >= setAt - each.maxError - milliseconds(50));
+        }
+    }
+
+    // Guards against requests on replaced weights: an instance that has started, or learns of
+    // several versions at once, doesn't know when they were set although a peer does.
+    void weightsAgeIsTakenFromPeers()
+    {
+        using Clock = ViewUpdater::Clock;
+        struct Case
+        {
+            std::string name;
+            milliseconds assumedAge; ///< Age that the started instance assumes.
+        };
+        for (const Case &each : { Case{ "assumed too young", milliseconds(0) },
+                                  Case{ "assumed too old", milliseconds(60'000) } }) {
+            Fixture peer;
+            peer.store.put("deployment", "version", "1");
+            peer.updater.start();
+            CPPUNIT_ASSERT(runUntil(peer.context, [&] { return peer.updater.isCurrent(); }));
+            std::vector<Clock::time_point> setAt;
+            for (const std::string version : { "2", "3" }) {
+                setAt.push_back(Clock::now());
+                peer.store.put("deployment", "weights", version);
+                CPPUNIT_ASSERT(runUntil(peer.context, [&] {
+                    return peer.updater.view()->desiredWeights("m") == std::stoull(version);
+                }));
+                peer.context.run_for(milliseconds(200));
+            }
+            Fixture f(
+                    { .longPollTimeout = milliseconds(20), .assumedWeightsAge = each.assumedAge });
+            f.store.put("deployment", "version", "1");
+            f.store.put("deployment", "weights", "3");
+            f.updater.start();
+            CPPUNIT_ASSERT_MESSAGE(each.name, runUntil(f.context, [&] {
+                                       return f.updater.view()->desiredWeights("m") == 3;
+                                   }));
+            CPPUNIT_ASSERT_MESSAGE(each.name, f.updater.needsWeightsAges());
+            CPPUNIT_ASSERT(f.updater.entriesAfter(0).weightsAges.empty());
+            f.merge(peer.updater.entriesAfter(0));
+            CPPUNIT_ASSERT_MESSAGE(each.name, !f.updater.needsWeightsAges());
+            for (std::uint64_t old = 1; old <= 2; ++old) {
+                const auto replacedAt = f.updater.view()->replacedAt("m", old);
+                CPPUNIT_ASSERT_MESSAGE(each.name, replacedAt.has_value());
+                CPPUNIT_ASSERT_MESSAGE(each.name, *replacedAt <= setAt[old - 1]);
+                CPPUNIT_ASSERT_MESSAGE(each.name, *replacedAt > setAt[old - 1] - milliseconds(150));
+            }
+        }
+    }
+
     // Tests that an empty table is read in full only once. Guards against a full read at each poll
     // of an empty table, each of which the platform bills.
     void emptyStoreIsNotReadRepeatedly()
--- a/packages/fleet/include/fleet/store.h
+++ b/packages/fleet/include/fleet/store.h
@@ -27,6 +27,8 @@
 {
     std::vector<StoreRow> rows;
     std::uint64_t version = 0;
+    /// Time of the store's own steady clock at which `version` was the newest one, 0 if unknown.
+    std::chrono::milliseconds storeTime{ 0 };
 };
 
 /// A write that takes effect only if the row still has the expected version.
--- a/packages/fleet/include/fleet/view.h
+++ b/packages/fleet/include/fleet/view.h
@@ -15,14 +15,18 @@
 
 namespace chervilfield::fleet {
 
-/// A desired weights version, and when this instance first saw it.
+/// A desired weights version.
 struct DesiredVersion
 {
     std::uint64_t version = 0;
-    std::chrono::steady_clock::time_point seenAt{};
+    /// Latest known time at which the operator had not set the version yet.
+    std::chrono::steady_clock::time_point setAfter{};
+    /// True if `setAfter` is an assumption because the version was set before this instance
+    /// started.
+    bool isAssumed = false;
 };
 
-/// Desired weights versions by model, in the order in which they became desired.
+/// Desired weights versions by model, in ascending order.
 using WeightsHistory = std::map<std::string, std::vector<DesiredVersion>>;
 
 /// Immutable snapshot of the deployment, indexed for use by the traffic threads.
@@ -62,8 +66,8 @@
     /// Returns the desired weights version of `model`, 0 if there is none.
     std::uint64_t desiredWeights(const std::string &model) const;
 
-    /// Returns when this instance first saw a desired version of `model` later than `version`, or
-    /// no value if there is none.
+    /// Returns the latest known time at which no desired version of `model` was later than
+    /// `version`, or no value if there is no later one.
     std::optional<std::chrono::steady_clock::time_point> replacedAt(const std::string &model,
                                                                     std::uint64_t version) const;
 
--- a/packages/fleet/src/view.cpp
+++ b/packages/fleet/src/view.cpp
@@ -97,7 +97,7 @@
             std::ranges::find_if(found->second, [version](const DesiredVersion &desired) {
                 return desired.version > version;
             });
-    return newer == found->second.end() ? std::nullopt : std::optional(newer->seenAt);
+    return newer == found->second.end() ? std::nullopt : std::optional(newer->setAfter);
 }
 
 } // namespace chervilfield::fleet
--- a/packages/peers/include/peers/transfer.h
+++ b/packages/peers/include/peers/transfer.h
@@ -2,6 +2,7 @@
 
 #include "membership/member.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -17,6 +18,8 @@
 constexpr std::size_t kMaxTableMembers = 2048;
 /// Maximum number of entries in one `ConfigurationEntries`.
 constexpr std::size_t kMaxConfigurationEntries = 4096;
+/// Maximum number of weights ages in one `ConfigurationEntries`.
+constexpr std::size_t kMaxWeightsAges = 256;
 
 /// One configuration entry, whose value this package does not interpret. Daemons send an entry of
 /// the configuration log, or the whole configuration at `revision`. Entry instances send the rows
@@ -28,6 +31,15 @@
     bool operator==(const ConfigurationEntry &) const = default;
 };
 
+/// Upper bound of the time since the operator set a version of a model's weights.
+struct WeightsAge
+{
+    std::string model;
+    std::uint64_t version = 0;
+    std::chrono::milliseconds maxAge{ 0 };
+    bool operator==(const WeightsAge &) const = default;
+};
+
 /// Configuration entries after a revision, in ascending order of revisions. The list may be
 /// truncated to fit the limits above; the receiver then asks for the entries after the last one.
 struct ConfigurationEntries
@@ -35,6 +47,9 @@
     /// Revision in force at the sender. Entry instances send 0 if their rows may be out of date.
     std::uint64_t revisionInForce = 0;
     std::vector<ConfigurationEntry> entries;
+    /// Time since the entries were the newest ones. Only entry instances send it.
+    std::optional<std::chrono::milliseconds> age{};
+    std::vector<WeightsAge> weightsAges{}; ///< At most `kMaxWeightsAges`, from entry instances.
     bool operator==(const ConfigurationEntries &) const = default;
 };
 
--- a/packages/peers/src/transfer.cpp
+++ b/packages/peers/src/transfer.cpp
@@ -5,6 +5,25 @@
 
 namespace chervilfield::peers {
 
+namespace {
+
+std::vector<wire::WeightsAge> toWire(const std::vector<WeightsAge> &ages)
+{
+    std::vector<wire::WeightsAge> result;
+    for (const WeightsAge &age : ages) {
+        if (result.size() == kMaxWeightsAges)
+            break;
+        wire::WeightsAge item;
+        item.model = age.model;
+        item.version = static_cast<std::int64_t>(age.version);
+        item.maxAgeMs = age.maxAge.count();
+        result.push_back(std::move(item));
+    }
+    return result;
+}
+
+} // namespace
+
 std::string encodeTable(const std::vector<membership::Member> &members)
 {
     wire::MemberTable message;
@@ -45,6 +64,10 @@
         item.value = entry.value;
         message.entries.push_back(item);
     }
+    if (entries.age)
+        message.__set_ageMs(entries.age->count());
+    if (!entries.weightsAges.empty())
+        message.__set_weightsAges(toWire(entries.weightsAges));
     return internal::writeCompact(message);
 }
 
@@ -63,6 +86,14 @@
             return std::nullopt;
         result.entries.push_back({ revision, std::move(entry.value) });
     }
+    if (message.__isset.ageMs && message.ageMs >= 0)
+        result.age = std::chrono::milliseconds(message.ageMs);
+    for (wire::WeightsAge &age : message.weightsAges) {
+        if (age.maxAgeMs >= 0 && result.weightsAges.size() < kMaxWeightsAges)
+            result.weightsAges.push_back({ std::move(age.model),
+                                           static_cast<std::uint64_t>(age.version),
+                                           std::chrono::milliseconds(age.maxAgeMs) });
+    }
     return result;
 }
 
--- a/packages/peers/thrift/peers.thrift
+++ b/packages/peers/thrift/peers.thrift
@@ -102,8 +102,18 @@
   2: binary value
 }
 
+// Upper bound of the time since the operator set a version of a model's weights.
+struct WeightsAge {
+  1: string model
+  2: i64 version
+  3: i64 maxAgeMs
+}
+
 // Response of GET /peer/v1/configuration?after=<revision>.
 struct ConfigurationEntries {
   1: i64 revisionInForce
   2: list<ConfigurationEntry> entries
+  // Time since the entries were the newest ones.
+  3: optional i64 ageMs
+  4: optional list<WeightsAge> weightsAges
 }
