Let the assumed age of weights end when a started instance has settled

Cause: the age assumed for versions that were set before the start counted from the first copy of the deployment, which may come late, and left 1.5 s beyond a fixed time of 2.5 s.

Change: the assumed age counts from the start, and requests may begin on such weights until the platform applies its limits to the instance (`entry.settle_ms`, from the deployment's settings), less the time that a send takes.

--- a/packages/daemon/include/daemon/settings.h
+++ b/packages/daemon/include/daemon/settings.h
@@ -28,6 +28,9 @@
     /// `entry.weights_limit_ms`: time after the operator sets a new weight version from which no
     /// request may start on an older one.
     std::chrono::milliseconds staleWeightsLimit{ 10000 };
+    /// `entry.settle_ms`: time after the start of an instance within which the platform does not
+    /// apply its limits.
+    std::chrono::milliseconds settleTime{ 3000 };
     /// `entry.drain_ms`: time for which a target that leaves still accepts requests.
     std::chrono::milliseconds targetDrainTime{ 2000 };
     double retryRatio = 0.2; ///< `entry.retry_ratio`: retries that the platform allows per request.
--- a/packages/daemon/src/entry_options.cpp
+++ b/packages/daemon/src/entry_options.cpp
@@ -36,6 +36,7 @@
                                  .leaseDuration = entry.leaseDuration,
                                  .enginesCheckFences = entry.enginesCheckFences,
                                  .staleWeightsLimit = entry.staleWeightsLimit,
+                                 .settleTime = entry.settleTime,
                                  .targetDrainTime = entry.targetDrainTime,
                                  .retryRatio = entry.retryRatio * kOwnRetryShare,
                                  .retryBurst = entry.retryBurst * kOwnRetryShare,
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -212,6 +212,7 @@
         { "entry", "grace_s", false, kNumber, entryDurationReader(&E::gracePeriod, kSecond) },
         { "entry", "weights_limit_ms", false, kNumber,
           entryDurationReader(&E::staleWeightsLimit, kMillisecond) },
+        { "entry", "settle_ms", false, kNumber, entryDurationReader(&E::settleTime, kMillisecond) },
         { "entry", "drain_ms", false, kNumber,
           entryDurationReader(&E::targetDrainTime, kMillisecond) },
         { "entry", "retry_ratio", false, kNumber, entryNumberReader(&E::retryRatio) },
--- a/packages/entry/include/entry/options.h
+++ b/packages/entry/include/entry/options.h
@@ -40,6 +40,8 @@
     /// Time after the operator sets a new weight version from which no request may start on an
     /// older one.
     std::chrono::milliseconds staleWeightsLimit{ 10'000 };
+    /// Time after the start of an instance within which the platform does not apply its limits.
+    std::chrono::milliseconds settleTime{ 3000 };
     /// Time for which a target that has deregistered still accepts requests.
     std::chrono::milliseconds targetDrainTime{ 2000 };
     double retryRatio = 0.1; ///< Retries allowed per request.
--- a/packages/entry/include/entry/view_updater.h
+++ b/packages/entry/include/entry/view_updater.h
@@ -45,8 +45,8 @@
     std::chrono::milliseconds maxFreshAge{ 3'000 };
     /// Time within which targets register again whose registrations expired during an outage.
     std::chrono::milliseconds reregistrationTime{ 2000 };
-    /// Age that is assumed for weight versions in the first copy of the deployment, as long as no
-    /// peer knows their age.
+    /// Age at the start of this instance that is assumed for weight versions in its first copy of
+    /// the deployment, as long as no peer knows their age.
     std::chrono::milliseconds assumedWeightsAge{ 0 };
     /// Time after the start in which peers are asked for these ages.
     std::chrono::milliseconds settleTime{ 3000 };
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -59,12 +59,6 @@
 
 // Maximum time from the choice of a target until it has the request, mostly to connect to it.
 constexpr milliseconds kMaxSendDelay{ 300 };
-// Part of `staleWeightsLimit` that a started instance takes to be left, for requests on older
-// weights, when `kStartupGrace` ends.
-constexpr milliseconds kStaleRequestMargin{ 1500 };
-// The platform applies its rules to an instance from this time after its start.
-constexpr milliseconds kStartupGrace{ 2500 };
-
 dispatch::PlacementOptions placementOptions(const EntryOptions &options)
 {
     return { .maxStaleWeightsAge = options.staleWeightsLimit - kMaxSendDelay };
@@ -78,7 +72,9 @@
     return { .longPollTimeout = drain * 7 / 20,
              .pollInterval = drain / 5,
              .maxCurrentAge = drain / 2,
-             .assumedWeightsAge = options.staleWeightsLimit - kStaleRequestMargin - kStartupGrace };
+             // Requests may begin on weights of unknown age until the instance has settled.
+             .assumedWeightsAge = options.staleWeightsLimit - options.settleTime,
+             .settleTime = options.settleTime };
 }
 
 } // namespace
--- a/packages/entry/src/view_updater.cpp
+++ b/packages/entry/src/view_updater.cpp
@@ -306,7 +306,7 @@
         auto &history = weightsHistory_[model];
         if (!history.empty() && history.back().version >= version)
             continue;
-        const auto setAfter = knownUntil.value_or(Clock::now() - options_.assumedWeightsAge);
+        const auto setAfter = knownUntil.value_or(startedAt_ - options_.assumedWeightsAge);
         history.push_back({ .version = version, .setAfter = setAfter, .isAssumed = !knownUntil });
         log_.write("view", "weights-named",
                    { { "model", model },
--- a/packages/entry/test/view_updater_test.cpp
+++ b/packages/entry/test/view_updater_test.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(unresponsiveStoreIsNotLongPolled);
     CPPUNIT_TEST(revisionFollowsConfigurationChanges);
     CPPUNIT_TEST(initialWeightsCountAsOld);
+    CPPUNIT_TEST(lateFirstCopyDoesNotExtendWeightsLimit);
     CPPUNIT_TEST(weightsLearnedLateCountAsOld);
     CPPUNIT_TEST(weightsAgeIsTakenFromPeers);
     CPPUNIT_TEST(emptyStoreIsNotReadRepeatedly);
@@ -364,6 +365,28 @@
         }
     }
 
+    // Guards against requests on replaced weights after an instance has settled, because its first
+    // copy came late and the assumed age counted from it.
+    void lateFirstCopyDoesNotExtendWeightsLimit()
+    {
+        constexpr milliseconds kAgeAtStart{ 10'000 };
+        const auto startedAt = ViewUpdater::Clock::now();
+        Fixture f({ .longPollTimeout = milliseconds(20),
+                    .minBackoff = milliseconds(5),
+                    .maxBackoff = milliseconds(5),
+                    .assumedWeightsAge = kAgeAtStart });
+        f.store.put("deployment", "version", "1");
+        f.store.put("deployment", "weights", "2");
+        f.store.isUnreachable = true;
+        f.updater.start();
+        f.context.run_for(milliseconds(300));
+        f.store.isUnreachable = false;
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.configuration() == 1; }));
+        const auto replacedAt = f.updater.view()->replacedAt("m", 1);
+        CPPUNIT_ASSERT(replacedAt.has_value());
+        CPPUNIT_ASSERT(*replacedAt < startedAt - kAgeAtStart + milliseconds(200));
+    }
+
     // Guards against requests on replaced weights: an instance that learns late of a version takes
     // it to have just been set.
     void weightsLearnedLateCountAsOld()
