Count ages and deadlines on a clock that runs while the machine is suspended

Cause: the ages of desired weights, of the view, of load reports and of cached prefixes, and the time left of a request, were counted on the steady clock, which omits the time of a suspension. Only the lease used the boot time. After a suspension of four seconds, a limit of ten seconds ended four seconds late, also if the version was learned in time.

Change: base::BootClock (CLOCK_BOOTTIME) is the clock of fleet, dispatch, relay and the view updater; the lease uses it too. Timers and retry budgets stay on the steady clock.

--- a/packages/dispatch/include/dispatch/target_tracker.h
+++ b/packages/dispatch/include/dispatch/target_tracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/boot_clock.h"
 #include "fleet/configuration.h"
 
 #include <chrono>
@@ -13,7 +14,7 @@
 /// sockets; the current time is always passed in.
 namespace chervilfield::dispatch {
 
-using Time = std::chrono::steady_clock::time_point;
+using Time = base::BootClock::time_point;
 using Seconds = std::chrono::duration<double>;
 
 /// Load that a target reports with its answers.
--- a/packages/entry/include/entry/entry_app.h
+++ b/packages/entry/include/entry/entry_app.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/boot_clock.h"
 #include "base/event_log.h"
 #include "base/hybrid_clock.h"
 #include "base/time_line.h"
@@ -46,7 +47,7 @@
     int run();
 
 private:
-    using Clock = std::chrono::steady_clock;
+    using Clock = base::BootClock;
 
     void listen(std::error_code &error);
     void serveReadiness(net::Exchange &exchange, const boost::asio::yield_context &yield);
--- a/packages/entry/include/entry/view_updater.h
+++ b/packages/entry/include/entry/view_updater.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/boot_clock.h"
 #include "base/event_log.h"
 #include "fleet/deployment_schema.h"
 #include "fleet/store.h"
@@ -67,7 +68,7 @@
 class ViewUpdater
 {
 public:
-    using Clock = std::chrono::steady_clock;
+    using Clock = base::BootClock;
 
     /// Callbacks to the other parts of the instance.
     struct Hooks
--- a/packages/entry/src/rollout.cpp
+++ b/packages/entry/src/rollout.cpp
@@ -1,5 +1,6 @@
 #include "entry/rollout.h"
 
+#include "base/boot_clock.h"
 #include "base/hash.h"
 #include "base/result.h"
 #include "net/http_server.h"
@@ -7,7 +8,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
-#include <ctime>
 
 namespace chervilfield::entry {
 
@@ -20,14 +20,10 @@
 const std::string kLeaseTable = "leases";
 const std::string kLeaseKey = "weights";
 
-// Returns the boot time: a lease must also expire while the machine is suspended, when the steady
-// clock stops.
+// A lease must also expire while the machine is suspended.
 leases::SteadyTime leaseNow()
 {
-    timespec time{};
-    clock_gettime(CLOCK_BOOTTIME, &time);
-    return leases::SteadyTime(std::chrono::duration_cast<leases::SteadyTime::duration>(
-            std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+    return leases::SteadyTime(base::BootClock::now().time_since_epoch());
 }
 
 } // namespace
--- a/packages/fleet/include/fleet/store_clock.h
+++ b/packages/fleet/include/fleet/store_clock.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/boot_clock.h"
+
 #include <chrono>
 #include <optional>
 
@@ -11,7 +13,7 @@
 class StoreClock
 {
 public:
-    using TimePoint = std::chrono::steady_clock::time_point;
+    using TimePoint = base::BootClock::time_point;
 
     /// Records that the store's clock showed `storeTime` in the response to a request sent at
     /// `sentAt`.
--- a/packages/fleet/include/fleet/view.h
+++ b/packages/fleet/include/fleet/view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/boot_clock.h"
 #include "fleet/configuration.h"
 
 #include <chrono>
@@ -20,7 +21,7 @@
 {
     std::uint64_t version = 0;
     /// Latest known time at which the operator had not set the version yet.
-    std::chrono::steady_clock::time_point setAfter{};
+    base::BootClock::time_point setAfter{};
     /// True if `setAfter` is an assumption because the version was set before this instance
     /// started.
     bool isAssumed = false;
@@ -68,8 +69,8 @@
 
     /// Returns the latest known time at which no desired version of `model` was later than
     /// `version`, or no value if there is no later one.
-    std::optional<std::chrono::steady_clock::time_point> replacedAt(const std::string &model,
-                                                                    std::uint64_t version) const;
+    std::optional<base::BootClock::time_point> replacedAt(const std::string &model,
+                                                          std::uint64_t version) const;
 
     std::uint64_t storeVersion() const { return storeVersion_; }
 
--- a/packages/fleet/src/view.cpp
+++ b/packages/fleet/src/view.cpp
@@ -87,8 +87,8 @@
     return found == weights_.end() || found->second.empty() ? 0 : found->second.back().version;
 }
 
-std::optional<std::chrono::steady_clock::time_point> View::replacedAt(const std::string &model,
-                                                                      std::uint64_t version) const
+std::optional<base::BootClock::time_point> View::replacedAt(const std::string &model,
+                                                            std::uint64_t version) const
 {
     const auto found = weights_.find(model);
     if (found == weights_.end())
--- a/packages/fleet/test/view_test.cpp
+++ b/packages/fleet/test/view_test.cpp
@@ -1,7 +1,10 @@
+#include "fleet/store_clock.h"
 #include "fleet/view.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <type_traits>
+
 namespace chervilfield::fleet {
 
 class ViewTest : public CppUnit::TestFixture
@@ -9,6 +12,7 @@
     CPPUNIT_TEST_SUITE(ViewTest);
     CPPUNIT_TEST(longestPrefixWins);
     CPPUNIT_TEST(firstNewerVersionCounts);
+    CPPUNIT_TEST(weightsAgeIncludesSuspendedTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -45,7 +49,7 @@
     void firstNewerVersionCounts()
     {
         using std::chrono::seconds;
-        const std::chrono::steady_clock::time_point start{};
+        const base::BootClock::time_point start{};
         const WeightsHistory history{
             { "m", { { 1, start }, { 3, start + seconds(5) }, { 4, start + seconds(9) } } }
         };
@@ -53,7 +57,7 @@
         struct Row
         {
             std::uint64_t version;
-            std::optional<std::chrono::steady_clock::time_point> replacedAt;
+            std::optional<base::BootClock::time_point> replacedAt;
         };
         const Row rows[] = {
             { 0, start },
@@ -67,6 +71,14 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), view.desiredWeights("m"));
         CPPUNIT_ASSERT(!view.replacedAt("unknown", 1).has_value());
     }
+
+    // Guards against requests on replaced weights after a suspension, which the steady clock omits.
+    void weightsAgeIncludesSuspendedTime()
+    {
+        CPPUNIT_ASSERT(
+                (std::is_same_v<decltype(DesiredVersion::setAfter)::clock, base::BootClock>));
+        CPPUNIT_ASSERT((std::is_same_v<StoreClock::TimePoint::clock, base::BootClock>));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ViewTest);
--- a/packages/relay/include/relay/relay.h
+++ b/packages/relay/include/relay/relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/retry_budget.h"
+#include "base/boot_clock.h"
 #include "base/event_log.h"
 #include "dispatch/placement.h"
 #include "fleet/view.h"
@@ -26,14 +27,14 @@
 struct DrainSchedule
 {
     /// Until this time all requests are accepted; nearly all of them end long before `exitAt`.
-    std::chrono::steady_clock::time_point acceptUntil;
-    std::chrono::steady_clock::time_point exitAt;
+    base::BootClock::time_point acceptUntil;
+    base::BootClock::time_point exitAt;
 };
 
 /// Returns true if a request with the given timeout is accepted during the shutdown. A request that
 /// the exit might interrupt is better refused: at another instance it has its full time.
 bool canAccept(const DrainSchedule &drainSchedule, std::chrono::milliseconds timeout,
-               std::chrono::steady_clock::time_point now);
+               base::BootClock::time_point now);
 
 /// State of the deployment as last published by the control thread.
 struct DeploymentState
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -286,7 +286,7 @@
 
 bool Relay::Flow::takeRetry()
 {
-    const auto now = Clock::now();
+    const auto now = std::chrono::steady_clock::now();
     const auto &options = context_.options.retryBudget;
     auto &pool = admission::budgetOf(relay_.poolRetryBudgets_, base::hash64(pool_), options, now);
     auto &target = admission::budgetOf(relay_.targetRetryBudgets_, base::hash64(target_->id),
@@ -347,7 +347,7 @@
 
 void Relay::Flow::sendWithRetries()
 {
-    const auto now = Clock::now();
+    const auto now = std::chrono::steady_clock::now();
     admission::creditFirstAttempt(admission::budgetOf(relay_.poolRetryBudgets_, base::hash64(pool_),
                                                       context_.options.retryBudget, now),
                                   context_.options.retryBudget, now);
@@ -385,7 +385,7 @@
 }
 
 bool canAccept(const DrainSchedule &drainSchedule, milliseconds timeout,
-               std::chrono::steady_clock::time_point now)
+               base::BootClock::time_point now)
 {
     return now <= drainSchedule.acceptUntil || now + timeout <= drainSchedule.exitAt;
 }
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -32,7 +32,7 @@
     void run();
 
 private:
-    using Clock = std::chrono::steady_clock;
+    using Clock = base::BootClock;
 
     /// Checks the request against the view and chooses its pool. Responds with a failure and
     /// returns false if the request is refused.
--- a/packages/relay/src/flow_log.cpp
+++ b/packages/relay/src/flow_log.cpp
@@ -26,8 +26,7 @@
     return "cancelled";
 }
 
-milliseconds elapsedSince(std::chrono::steady_clock::time_point start,
-                          std::chrono::steady_clock::time_point end)
+milliseconds elapsedSince(base::BootClock::time_point start, base::BootClock::time_point end)
 {
     return duration_cast<milliseconds>(end - start);
 }
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -214,7 +214,7 @@
 DeploymentState deploymentState(const Scenario &scenario, const fleet::ViewPtr &view)
 {
     DeploymentState result{ .view = view, .isFresh = true };
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = base::BootClock::now();
     if (scenario.exitIn > milliseconds(0))
         result.drainSchedule = { .acceptUntil = now + scenario.acceptFor,
                                  .exitAt = now + scenario.exitIn };
