Drop bounds on the store's clock that are old or contradicted

Cause, found in review: StoreClock kept the bound of its last period however old it was. A forward jump of the store's clock dated responses into the future. Received ages had no upper limit.

Change: a bound is dropped after two periods and when a response contradicts it; the result lies between the request and the response. Received ages above ten years are ignored.

The round trip of peers covers the new fields.

--- a/packages/base/include/base/boot_clock.h
+++ b/packages/base/include/base/boot_clock.h
@@ -13,7 +13,8 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
+    // The name is that of the standard clocks.
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 
     /// Returns the time since the machine has booted (`CLOCK_BOOTTIME`).
     static time_point now() noexcept;
--- a/packages/entry/src/view_updater.cpp
+++ b/packages/entry/src/view_updater.cpp
@@ -209,12 +209,9 @@
     const WeightsEvidence evidence{ .setAfter = previous == completeUntil_.end()
                                                         ? std::nullopt
                                                         : std::optional(previous->second) };
-    auto completeUntil = pollStartedAt;
-    if (rows->storeTime > milliseconds::zero()) {
-        storeClock_.observe(rows->storeTime, pollStartedAt);
-        completeUntil = std::max(completeUntil, storeClock_.earliestLocalTime(rows->storeTime));
-    }
-    recordCopy(table, completeUntil);
+    const bool hasTime = rows->storeTime > milliseconds::zero();
+    recordCopy(table, hasTime ? storeClock_.observe(rows->storeTime, pollStartedAt, Clock::now())
+                              : pollStartedAt);
     hasChanged = needsFullRead ? replica.replace(*rows) : replica.apply(*rows);
     if (hasChanged)
         rebuildView(evidence);
@@ -366,8 +363,8 @@
 
 void ViewUpdater::recordCopy(const std::string &table, Clock::time_point time)
 {
-    auto &completeUntil = completeUntil_.try_emplace(table, time).first->second;
-    completeUntil = std::max(completeUntil, time);
+    auto &known = completeUntil_.try_emplace(table, time).first->second;
+    known = std::max(known, time);
 }
 
 std::optional<ViewUpdater::Clock::time_point> ViewUpdater::completeUntil() const
@@ -461,9 +458,9 @@
                                     .requestedAt = requestedAt };
     if (isUpToDate) {
         // A peer that sends no age has heard from the store within `maxCurrentAge`.
-        const auto completeUntil = requestedAt - entries.age.value_or(options_.maxCurrentAge);
+        const auto copiedAt = requestedAt - entries.age.value_or(options_.maxCurrentAge);
         for (const std::string &table : schema_.tables)
-            recordCopy(table, completeUntil);
+            recordCopy(table, copiedAt);
         peerRespondedAt_ = Clock::now();
         updateConfirmedAt();
         recordTargetsConfirmed();
--- a/packages/entry/test/view_updater_test.cpp
+++ b/packages/entry/test/view_updater_test.cpp
@@ -60,9 +60,10 @@
         const auto view = updater.view();
         return std::ranges::find(view->targets(), id, &fleet::Target::id) != view->targets().end();
     }
-    bool merge(const peers::ConfigurationEntries &entries)
+    bool merge(const peers::ConfigurationEntries &entries,
+               ViewUpdater::Clock::time_point requestedAt = ViewUpdater::Clock::now())
     {
-        return updater.merge(entries, ViewUpdater::Clock::now());
+        return updater.merge(entries, requestedAt);
     }
     std::uint64_t configuration() const
     {
@@ -472,7 +473,8 @@
                                    }));
             CPPUNIT_ASSERT_MESSAGE(each.name, f.updater.needsWeightsAges());
             CPPUNIT_ASSERT(f.updater.entriesAfter(0).weightsAges.empty());
-            f.merge(peer.updater.entriesAfter(0));
+            const auto requestedAt = Clock::now();
+            f.merge(peer.updater.entriesAfter(0), requestedAt);
             CPPUNIT_ASSERT_MESSAGE(each.name, !f.updater.needsWeightsAges());
             for (std::uint64_t old = 1; old <= 2; ++old) {
                 const auto replacedAt = f.updater.view()->replacedAt("m", old);
--- a/packages/fleet/include/fleet/store_clock.h
+++ b/packages/fleet/include/fleet/store_clock.h
@@ -15,14 +15,10 @@
 public:
     using TimePoint = base::BootClock::time_point;
 
-    /// Records that the store's clock showed `storeTime` in the response to a request sent at
-    /// `sentAt`.
-    void observe(std::chrono::milliseconds storeTime, TimePoint sentAt);
-
-    /// Returns a time that is not after the moment at which the store's clock showed `storeTime`.
-    /// It is earlier by at most the time that the fastest recent response took. At least one
-    /// response must have been observed.
-    TimePoint earliestLocalTime(std::chrono::milliseconds storeTime) const;
+    /// Records a response in which the store's clock showed `storeTime`. Returns a time that is not
+    /// after the moment at which the response was made, between `sentAt` and `receivedAt`. It is
+    /// earlier by at most the time that the fastest recent response took.
+    TimePoint observe(std::chrono::milliseconds storeTime, TimePoint sentAt, TimePoint receivedAt);
 
 private:
     /// Upper bound of the difference between the store's clock and the clock of this instance.
@@ -32,8 +28,10 @@
         std::chrono::nanoseconds maxOffset{};
     };
 
-    /// Bounds of the current period and of the one before. Older ones are dropped because the two
-    /// clocks drift apart.
+    /// Drops bounds that are too old, because the two clocks drift apart, and those that the
+    /// response contradicts, because the store's clock has jumped.
+    void dropInvalidWindows(std::chrono::nanoseconds minOffset, TimePoint now);
+
     std::optional<Window> current_;
     std::optional<Window> previous_;
 };
--- a/packages/peers/src/transfer.cpp
+++ b/packages/peers/src/transfer.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Ages beyond this cannot be subtracted from a time point of every clock.
+constexpr std::int64_t kMaxAgeMs = 10LL * 365 * 24 * 3600 * 1000;
+
 std::vector<wire::WeightsAge> toWire(const std::vector<WeightsAge> &ages)
 {
     std::vector<wire::WeightsAge> result;
@@ -86,10 +89,11 @@
             return std::nullopt;
         result.entries.push_back({ revision, std::move(entry.value) });
     }
-    if (message.__isset.ageMs && message.ageMs >= 0)
+    if (message.__isset.ageMs && message.ageMs >= 0 && message.ageMs <= kMaxAgeMs)
         result.age = std::chrono::milliseconds(message.ageMs);
     for (wire::WeightsAge &age : message.weightsAges) {
-        if (age.maxAgeMs >= 0 && result.weightsAges.size() < kMaxWeightsAges)
+        if (age.maxAgeMs >= 0 && age.maxAgeMs <= kMaxAgeMs
+            && result.weightsAges.size() < kMaxWeightsAges)
             result.weightsAges.push_back({ std::move(age.model),
                                            static_cast<std::uint64_t>(age.version),
                                            std::chrono::milliseconds(age.maxAgeMs) });
--- a/packages/peers/test/datagram_test.cpp
+++ b/packages/peers/test/datagram_test.cpp
@@ -223,6 +223,12 @@
                 entries.entries.push_back({ static_cast<std::uint64_t>(i) + 1, makeText() });
             }
             RC_ASSERT(decodeTable(encodeTable(members)) == members);
+            if (*rc::gen::arbitrary<bool>()) {
+                entries.age = std::chrono::milliseconds(*rc::gen::inRange(0, 1'000'000));
+                entries.weightsAges = { { makeText(), *rc::gen::inRange<std::uint64_t>(0, 100),
+                                          std::chrono::milliseconds(7) },
+                                        { "m", 2, *entries.age } };
+            }
             RC_ASSERT(decodeEntries(encodeEntries(entries)) == entries);
             if (rows > 1) {
                 std::swap(entries.entries[0], entries.entries[1]);
