Place each attempt on the latest view

Cause: Relay::Flow took the deployment once, when the request arrived, and placed every later attempt and every placement after a wait on that view. A version set since was not in it, so the send had no limit.

Change: what holds for the whole request (route, customer, pool, deadline) is kept from the arrival; each placement takes the deployment of that moment, and the target of an attempt refers to the view of that attempt. The load in `sent` lines is that of the choice, so `load_age_ms` is no longer negative.

Result: laterAttemptsUseTheLatestView fails on the code before (status 200 from a target that had left, expected 500) and passes now; relay_test 5 of 5.

--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -45,7 +45,7 @@
 Relay::Flow::Flow(Relay &relay, net::Exchange &exchange, boost::asio::yield_context yield)
     : relay_(relay), context_(relay.context_), exchange_(exchange), yield_(yield),
       startedAt_(Clock::now()), caller_(context_.codec.decodeRequest(exchange.request())),
-      deploymentState_(context_.deploymentState())
+      admissionState_(context_.deploymentState()), attemptState_(admissionState_)
 {
 }
 
@@ -67,16 +67,16 @@
 
 bool Relay::Flow::admit()
 {
-    if (!deploymentState_.view || !deploymentState_.view->isComplete()) {
+    if (!admissionState_.view || !admissionState_.view->isComplete()) {
         respondWithFailure(Result::NotReady, WorkStatus::NotRun,
                            context_.options.notReadyRetryAfter);
         return false;
     }
     const net::Request &request = exchange_.request();
     const auto host = net::findHeader(request.headers, "Host").value_or("");
-    route_ = deploymentState_.view->findRoute(host, net::pathOf(request.target));
+    route_ = admissionState_.view->findRoute(host, net::pathOf(request.target));
     if (route_ == nullptr) {
-        if (deploymentState_.isFresh)
+        if (admissionState_.isFresh)
             respondWithFailure(Result::UnknownPath, WorkStatus::NotRun);
         else
             respondWithFailure(Result::NotReady, WorkStatus::NotRun,
@@ -89,8 +89,8 @@
     if (route_->timeout > milliseconds::zero())
         timeout = std::min(timeout, route_->timeout);
     deadline_ = startedAt_ + timeout;
-    if (deploymentState_.drainSchedule
-        && !canAccept(*deploymentState_.drainSchedule, timeout, startedAt_)) {
+    if (admissionState_.drainSchedule
+        && !canAccept(*admissionState_.drainSchedule, timeout, startedAt_)) {
         logDrainRefusal(timeout);
         respondWithFailure(Result::ShuttingDown, WorkStatus::NotRun,
                            context_.options.drainRetryAfter);
@@ -107,11 +107,11 @@
 bool Relay::Flow::authenticate()
 {
     if (!caller_.apiKey.empty())
-        customer_ = deploymentState_.view->findCustomer(caller_.apiKey);
+        customer_ = admissionState_.view->findCustomer(caller_.apiKey);
     if (customer_ != nullptr || route_->allowsAnonymous
-        || deploymentState_.view->configuration().customers.empty())
+        || admissionState_.view->configuration().customers.empty())
         return true;
-    if (deploymentState_.isFresh)
+    if (admissionState_.isFresh)
         respondWithFailure(Result::Unauthorized, WorkStatus::NotRun);
     else
         respondWithFailure(Result::NotReady, WorkStatus::NotRun,
@@ -169,17 +169,36 @@
         return std::nullopt;
     }
     auto placement = std::get<dispatch::Placement>(result);
-    context_.placer.recordSent(placementRequest(), placement, *deploymentState_.view, Clock::now());
+    choiceLoad_ = loadOf(attemptState_.view->targets()[placement.target]);
+    context_.placer.recordSent(placementRequest(), placement, *attemptState_.view, Clock::now());
     return placement;
 }
 
 std::variant<dispatch::Placement, dispatch::Refusal>
 Relay::Flow::tryPlace(dispatch::Acceptance acceptance)
 {
-    return context_.placer.place(placementRequest(), pool_, *deploymentState_.view, acceptance,
+    // Targets may have left, and newer weights may have been set, since the attempt before.
+    const DeploymentState latest = context_.deploymentState();
+    if (latest.view->isComplete())
+        attemptState_ = latest;
+    return context_.placer.place(placementRequest(), pool_, *attemptState_.view, acceptance,
                                  Clock::now());
 }
 
+Relay::Flow::ChoiceLoad Relay::Flow::loadOf(const fleet::Target &target) const
+{
+    const auto now = Clock::now();
+    const auto &targetTracker = context_.placer.targetTracker();
+    ChoiceLoad load{ .requests = targetTracker.estimatedRequests(target, now),
+                     .queuedTokens = targetTracker.estimatedWaitingTokens(target, now) };
+    if (const auto *status = targetTracker.find(target)) {
+        load.inFlight = status->inFlight;
+        if (status->reportedAt != dispatch::Time{})
+            load.reportAge = duration_cast<milliseconds>(now - status->reportedAt);
+    }
+    return load;
+}
+
 Relay::Flow::Clock::time_point Relay::Flow::waitDeadline() const
 {
     const auto maxWait = duration_cast<milliseconds>(
@@ -253,7 +272,7 @@
 
 SendOutcome Relay::Flow::send(const dispatch::Placement &placement)
 {
-    target_ = &deploymentState_.view->targets()[placement.target];
+    target_ = &attemptState_.view->targets()[placement.target];
     inFlightRequest_ = placement.inFlightRequest;
     firstEventAt_.reset();
     const InFlightGuard inFlightGuard(context_.placer.targetTracker(), *target_, inFlightRequest_);
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -32,6 +32,15 @@
     void run();
 
 private:
+    /// Load of a target as the choice saw it, for the log.
+    struct ChoiceLoad
+    {
+        double requests = 0;
+        double queuedTokens = 0;
+        std::uint32_t inFlight = 0;                ///< Requests of this instance.
+        std::chrono::milliseconds reportAge{ -1 }; ///< -1 if the target has not reported.
+    };
+
     using Clock = base::BootClock;
 
     /// Checks the request against the view and chooses its pool. Responds with a failure and
@@ -78,6 +87,7 @@
     void respondWithFailure(base::Result code, base::WorkStatus work,
                             std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0));
     void sendWithRetries();
+    ChoiceLoad loadOf(const fleet::Target &target) const;
     void logAnswer();
     void logRefusal(const dispatch::Refusal &refusal);
     void logDrainRefusal(std::chrono::milliseconds timeout);
@@ -96,13 +106,17 @@
     boost::asio::yield_context yield_;
     Clock::time_point startedAt_;
     CallerFields caller_;
-    DeploymentState deploymentState_;
+    /// Deployment when the request arrived. Its route, customer and pool hold for all attempts.
+    const DeploymentState admissionState_;
     const fleet::Route *route_ = nullptr;
     const fleet::Customer *customer_ = nullptr;
     std::string pool_;
     Clock::time_point deadline_;
     net::Cancellation cancellation_;
 
+    /// Deployment on which the current attempt was placed. `target_` and its placement refer to it.
+    DeploymentState attemptState_;
+    ChoiceLoad choiceLoad_; ///< Load of the target of the current attempt when it was chosen.
     std::vector<std::string> triedTargets_;    ///< Ids of targets that the request was sent to.
     std::vector<std::string> excludedTargets_; ///< Ids of those targets and of unreachable ones.
     const fleet::Target *target_ = nullptr;    ///< Target of the current attempt.
--- a/packages/relay/src/flow_log.cpp
+++ b/packages/relay/src/flow_log.cpp
@@ -38,12 +38,12 @@
     context_.log.write("relay", "refused",
                        { { "request", caller_.requestId },
                          { "pool", pool_ },
-                         { "ready_targets", deploymentState_.view->readyTargets(pool_).size() },
+                         { "ready_targets", attemptState_.view->readyTargets(pool_).size() },
                          { "tried", excludedTargets_.size() },
                          { "prompt_tokens", caller_.promptTokens },
                          { "left_ms", timeLeft() },
                          { "waited_ms", elapsed() },
-                         { "view", deploymentState_.view->storeVersion() },
+                         { "view", attemptState_.view->storeVersion() },
                          { "retry_after_ms", refusal.retryAfter },
                          { "result", base::resultInfo(refusal.code).name } });
 }
@@ -51,7 +51,7 @@
 void Relay::Flow::logDrainRefusal(milliseconds timeout)
 {
     const auto exitIn =
-            duration_cast<milliseconds>(deploymentState_.drainSchedule->exitAt - startedAt_);
+            duration_cast<milliseconds>(admissionState_.drainSchedule->exitAt - startedAt_);
     context_.log.write("relay", "refused",
                        { { "request", caller_.requestId },
                          { "left_ms", timeout },
@@ -63,9 +63,7 @@
 void Relay::Flow::logSend(const dispatch::Placement &placement, SendOutcome outcome,
                           Clock::time_point sentAt)
 {
-    const auto &targetTracker = context_.placer.targetTracker();
-    const auto *status = targetTracker.find(*target_);
-    const fleet::View &view = *deploymentState_.view;
+    const fleet::View &view = *attemptState_.view;
     const auto replacedAt = view.replacedAt(caller_.model, placement.weights);
     context_.log.write(
             "relay", "sent",
@@ -80,14 +78,12 @@
               { "output_tokens", caller_.maxOutputTokens },
               { "uncached_tokens", placement.uncachedTokens },
               { "fetch", placement.cacheSource.has_value() },
-              { "queued_tokens", targetTracker.estimatedWaitingTokens(*target_, Clock::now()) },
-              { "in_flight", status == nullptr ? 0 : status->inFlight },
-              { "load", targetTracker.estimatedRequests(*target_, Clock::now()) },
-              { "load_age_ms", status == nullptr
-                                       ? milliseconds(-1)
-                                       : duration_cast<milliseconds>(sentAt - status->reportedAt) },
+              { "queued_tokens", choiceLoad_.queuedTokens },
+              { "in_flight", choiceLoad_.inFlight },
+              { "load", choiceLoad_.requests },
+              { "load_age_ms", choiceLoad_.reportAge },
               { "view", view.storeVersion() },
-              { "view_age_ms", deploymentState_.confirmedAge + elapsedSince(startedAt_, sentAt) },
+              { "view_age_ms", attemptState_.confirmedAge },
               { "desired", view.desiredWeights(caller_.model) },
               { "replaced_ms", replacedAt && !caller_.model.empty()
                                        ? elapsedSince(*replacedAt, sentAt)
@@ -102,15 +98,15 @@
 
 void Relay::Flow::logAnswer()
 {
-    const bool isConfigurationKnown = deploymentState_.view && deploymentState_.view->isComplete();
+    const bool isConfigurationKnown = admissionState_.view && admissionState_.view->isComplete();
     context_.log.write(
             "relay", "answered",
             { { "request", caller_.requestId },
               { "route", route_ == nullptr ? std::string() : route_->name },
               { "customer", customer_ == nullptr ? std::string() : customer_->name },
               { "configuration",
-                isConfigurationKnown ? deploymentState_.view->configuration().version : 0 },
-              { "fresh", deploymentState_.isFresh },
+                isConfigurationKnown ? admissionState_.view->configuration().version : 0 },
+              { "fresh", admissionState_.isFresh },
               { "sends", excludedTargets_.size() },
               { "complete", isResponseComplete_ },
               { "result", base::resultInfo(result_).name },
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -170,6 +170,13 @@
     std::vector<std::size_t> sends;
 };
 
+// Change of the view after the first target has received a request.
+enum class ViewChange {
+    None,
+    OthersLeave,     ///< All targets but the first leave.
+    WeightsReplaced, ///< Newer weights have been desired for too long to begin on the present ones.
+};
+
 struct Scenario
 {
     std::string name;
@@ -182,10 +189,11 @@
     milliseconds acceptFor{ 0 };
     /// Time until this instance exits; 0 if it does not shut down.
     milliseconds exitIn{ 0 };
+    ViewChange change = ViewChange::None;
 };
 
 fleet::ViewPtr makeView(const Scenario &scenario,
-                        const std::vector<std::unique_ptr<FakeTarget>> &targets)
+                        const std::vector<std::unique_ptr<FakeTarget>> &targets, ViewChange change)
 {
     auto configuration = std::make_shared<fleet::Configuration>();
     configuration->version = 1;
@@ -201,14 +209,19 @@
     configuration->pools = { { .name = "p" } };
     configuration->customers = { { .name = "c", .keys = { "good" } } };
     std::vector<fleet::Target> entries;
-    for (std::size_t i = 0; i < targets.size(); ++i) {
+    const std::size_t count = change == ViewChange::OthersLeave ? 1 : targets.size();
+    for (std::size_t i = 0; i < count; ++i) {
         // The first target is the only one in the local data centre, so it is tried first.
         entries.push_back({ .id = "t" + std::to_string(i),
                             .pool = "p",
                             .address = targets[i]->address(),
-                            .dataCentre = i == 0 ? "near" : "far" });
+                            .dataCentre = i == 0 ? "near" : "far",
+                            .weights = { { "m", 1 } } });
     }
-    return std::make_shared<const fleet::View>(configuration, entries, fleet::WeightsHistory{}, 1);
+    fleet::WeightsHistory history;
+    if (change == ViewChange::WeightsReplaced)
+        history["m"] = { { .version = 2, .setAfter = base::BootClock::now() - seconds(60) } };
+    return std::make_shared<const fleet::View>(configuration, entries, history, 1);
 }
 
 DeploymentState deploymentState(const Scenario &scenario, const fleet::ViewPtr &view)
@@ -227,7 +240,8 @@
     std::vector<std::unique_ptr<FakeTarget>> targets;
     for (const Behaviour behaviour : scenario.targets)
         targets.push_back(std::make_unique<FakeTarget>(context, behaviour));
-    const fleet::ViewPtr view = makeView(scenario, targets);
+    const fleet::ViewPtr view = makeView(scenario, targets, ViewChange::None);
+    const fleet::ViewPtr laterView = makeView(scenario, targets, scenario.change);
     const Codec codec = testCodec();
     net::HttpClient targetClient(context.get_executor(), {});
     dispatch::Placer placer("near", 1, { .otherDataCentreCost = dispatch::Seconds(1) });
@@ -238,7 +252,11 @@
                   .placer = placer,
                   .metrics = metrics,
                   .log = log,
-                  .deploymentState = [&] { return deploymentState(scenario, view); },
+                  .deploymentState =
+                          [&] {
+                              const bool isLater = !targets.front()->received().empty();
+                              return deploymentState(scenario, isLater ? laterView : view);
+                          },
                   .options = {} });
     const net::Handler handler = [&relay](net::Exchange &exchange, asio::yield_context yield) {
         relay.serve(exchange, yield);
@@ -257,6 +275,8 @@
                               .idempotent = false };
         if (!scenario.key.empty())
             request.headers.push_back({ "Key", scenario.key });
+        if (scenario.change == ViewChange::WeightsReplaced)
+            request.headers.push_back({ "Model", "m" });
         std::error_code failure;
         const auto stream = caller.open(server.localAddress(), request, seconds(5), yield, failure);
         if (stream != nullptr) {
@@ -302,9 +322,57 @@
     CPPUNIT_TEST(responsesReflectWhatTargetsDid);
     CPPUNIT_TEST(streamsAreCompleteOrVisiblyInterrupted);
     CPPUNIT_TEST(shutdownAcceptsOnlyRequestsThatCanFinish);
+    CPPUNIT_TEST(laterAttemptsUseTheLatestView);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a later attempt that is placed on the view of the first one.
+    void laterAttemptsUseTheLatestView()
+    {
+        using enum Behaviour;
+        using fleet::RequestKind;
+        const auto scenario = [](std::string name, RequestKind kind, Behaviour first,
+                                 ViewChange change) {
+            return Scenario{ .name = std::move(name),
+                             .kind = kind,
+                             .targets = { first,
+                                          kind == RequestKind::Stream ? StreamsAll : Answers },
+                             .isResumable = true,
+                             .change = change };
+        };
+        check({
+                { scenario("target left", RequestKind::Idempotent, Fails, ViewChange::OthersLeave),
+                  500,
+                  "bad",
+                  true,
+                  { 1, 0 } },
+                { scenario("target left, refused", RequestKind::NonIdempotent, Refuses,
+                           ViewChange::OthersLeave),
+                  503,
+                  "no-target",
+                  true,
+                  { 1, 0 } },
+                { scenario("target left, stream", RequestKind::Stream, StreamsHalf,
+                           ViewChange::OthersLeave),
+                  200,
+                  event(1),
+                  false,
+                  { 1, 0 } },
+                { scenario("weights replaced", RequestKind::Idempotent, Fails,
+                           ViewChange::WeightsReplaced),
+                  500,
+                  "bad",
+                  true,
+                  { 1, 0 } },
+                { scenario("weights replaced, stream", RequestKind::Stream, StreamsHalf,
+                           ViewChange::WeightsReplaced),
+                  200,
+                  event(1),
+                  false,
+                  { 1, 0 } },
+        });
+    }
+
     // Tests the response to the caller and the requests to each target while targets respond, fail,
     // refuse or stay silent. Guards against requests that run twice, refusals of requests that have
     // run, and hidden errors.
