Log the engine and the shared prompt parts of each broken send

The log showed which send broke, but neither the run of the engine nor what broken requests have in common.

--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -222,6 +222,15 @@
              .idempotent = isRepeatable() };
 }
 
+std::vector<std::uint64_t> Relay::Flow::sharedPartKeys() const
+{
+    std::vector<std::uint64_t> keys;
+    const std::uint64_t model = base::hash64(caller_.model);
+    for (std::size_t i = 0; i + 1 < caller_.promptParts.size(); ++i)
+        keys.push_back(base::hash64(caller_.promptParts[i].id, model));
+    return keys;
+}
+
 milliseconds Relay::Flow::headTimeout() const
 {
     const bool mayTryAnother = isRepeatable() && triedTargets_.size() < route_->maxTargets
@@ -256,6 +265,7 @@
     target_ = &deploymentState_.view->targets()[placement.target];
     inFlightRequest_ = placement.inFlightRequest;
     firstEventAt_.reset();
+    hasTargetResponded_ = false;
     const InFlightGuard inFlightGuard(context_.placer.targetTracker(), *target_, inFlightRequest_);
     excludedTargets_.push_back(target_->id);
     net::ExchangeOptions options = exchangeOptions();
@@ -266,6 +276,7 @@
                                                    options, yield_, error);
     if (response != nullptr) {
         triedTargets_.push_back(target_->id);
+        hasTargetResponded_ = true;
         return receive(*response);
     }
     auto &targetTracker = context_.placer.targetTracker();
@@ -358,6 +369,8 @@
         const auto sentAt = Clock::now();
         const SendOutcome outcome = send(*placement);
         logSend(*placement, outcome, sentAt);
+        if (outcome == SendOutcome::Unknown && result_ != Result::ProgressTimeout)
+            logBreak(sentAt);
         context_.metrics.countSend(pool_, result_);
         mayHaveRun_ =
                 mayHaveRun_ || outcome == SendOutcome::Unknown || outcome == SendOutcome::Failed;
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -83,6 +83,11 @@
     void logDrainRefusal(std::chrono::milliseconds timeout);
     void logSend(const dispatch::Placement &placement, SendOutcome outcome,
                  Clock::time_point sentAt);
+    /// Logs that the target closed the connection before the end of its response.
+    void logBreak(Clock::time_point sentAt);
+    /// Returns hashes of the model and of each part that other requests may share, which are all
+    /// parts but the last.
+    std::vector<std::uint64_t> sharedPartKeys() const;
 
     /// Returns true if the request may run more than once.
     bool isRepeatable() const;
@@ -106,6 +111,7 @@
     std::vector<std::string> triedTargets_;    ///< Ids of targets that the request was sent to.
     std::vector<std::string> excludedTargets_; ///< Ids of those targets and of unreachable ones.
     const fleet::Target *target_ = nullptr;    ///< Target of the current attempt.
+    bool hasTargetResponded_ = false; ///< The head of the current attempt's response has arrived.
     /// Arrival of the first bytes of a stream in the current attempt.
     std::optional<Clock::time_point> firstEventAt_;
     dispatch::InFlightRequest inFlightRequest_; ///< Load of the current attempt on its target.
--- a/packages/relay/src/flow_log.cpp
+++ b/packages/relay/src/flow_log.cpp
@@ -1,5 +1,7 @@
 #include "flow.h"
 
+#include "base/hash.h"
+
 namespace chervilfield::relay {
 
 using std::chrono::duration_cast;
@@ -101,6 +103,22 @@
               { "took_ms", Clock::now() - sentAt } });
 }
 
+void Relay::Flow::logBreak(Clock::time_point sentAt)
+{
+    std::string parts;
+    for (const std::uint64_t key : sharedPartKeys())
+        parts += (parts.empty() ? "" : ",") + base::toHex(key);
+    context_.log.write("relay", "engine-broke",
+                       { { "request", caller_.requestId },
+                         { "target", target_->id },
+                         { "started_at", target_->startedAt },
+                         { "head", hasTargetResponded_ },
+                         { "first_event", firstEventAt_.has_value() },
+                         { "result", base::resultInfo(result_).name },
+                         { "took_ms", Clock::now() - sentAt },
+                         { "shared_parts", parts } });
+}
+
 void Relay::Flow::logAnswer()
 {
     const bool isConfigurationKnown = deploymentState_.view && deploymentState_.view->isComplete();
