Draw verdicts on prompt parts once the reports of a crash have settled

Cause: suspects of one crash arrive one after the other, from several requests and instances. A verdict between two reports can hit a part of a sound request that waited at the engine, and would be announced.

Change: a crash counts for verdicts 150 ms after its first report. PartQuarantine::update, called by Relay::reportQuarantines every 50 ms, draws them; it also ends quarantines in time, so that the gauge is right. Reports of cleared parts no longer accumulate while no crash is known.

--- a/packages/quarantine/include/quarantine/part_quarantine.h
+++ b/packages/quarantine/include/quarantine/part_quarantine.h
@@ -71,6 +71,8 @@
     /// Time between the first and the last crash that a part must explain. Crashes at the same
     /// moment usually have a common cause outside of the requests.
     std::chrono::milliseconds minSpan{ 400 };
+    /// Age from which a crash counts, when all instances should have reported their suspects.
+    std::chrono::milliseconds settleTime{ 150 };
     /// Time for which a crash counts.
     std::chrono::milliseconds crashLifetime{ 30'000 };
     /// Maximum delay of reports from other instances.
@@ -113,8 +115,9 @@
     /// Returns all parts that are quarantined.
     std::vector<QuarantinedPart> active(Time now) const;
 
-    /// Returns the changes since the previous call.
-    std::vector<QuarantineChange> takeChanges();
+    /// Draws verdicts from the crashes that have come to count, and ends quarantines whose time has
+    /// passed. Must be called regularly. Returns the changes since the previous call.
+    std::vector<QuarantineChange> update(Time now);
 
 private:
     struct Suspicion
@@ -126,6 +129,7 @@
     {
         EngineRun run;
         Time at{};
+        bool isCounted = false; ///< The crash was settled when verdicts were last drawn.
         std::map<PartKey, Suspicion> suspects;
     };
     struct Quarantine
@@ -138,11 +142,15 @@
     /// Clears the parts. Returns those that were suspects or quarantined.
     std::vector<PartKey> clear(std::span<const PartKey> parts, Time now);
     /// Returns the parts that explain the crashes which no part of `known` explains.
-    std::vector<PartKey> explain(const std::vector<PartKey> &known) const;
+    std::vector<PartKey> explain(const std::vector<PartKey> &known, Time now) const;
     /// Returns the part that explains most of `crashes` within the limits, or no value.
     std::optional<PartKey> bestSuspect(const std::vector<const Crash *> &crashes) const;
     /// Returns true if there are crashes with the part, and other parts explain all of them.
     bool isExplainedAway(PartKey part, const std::vector<PartKey> &verdicts) const;
+    bool isSettled(const Crash &crash, Time now) const
+    {
+        return crash.at + options_.settleTime <= now;
+    }
     std::size_t crashesWith(PartKey part) const;
     void updateVerdicts(Time now);
     void quarantine(PartKey part, Time until, bool isAdopted, Time now);
--- a/packages/quarantine/src/part_quarantine.cpp
+++ b/packages/quarantine/src/part_quarantine.cpp
@@ -61,6 +61,7 @@
 
 void PartQuarantine::recordInnocent(std::span<const PartKey> parts, Time now)
 {
+    expire(now);
     for (const PartKey part : parts)
         lastCleared_[part] = now;
     clear(parts, now);
@@ -121,8 +122,14 @@
     return parts;
 }
 
-std::vector<QuarantineChange> PartQuarantine::takeChanges()
+std::vector<QuarantineChange> PartQuarantine::update(Time now)
 {
+    expire(now);
+    const bool hasNew = std::ranges::any_of(crashes_, [&](const Crash &crash) {
+        return !crash.isCounted && isSettled(crash, now);
+    });
+    if (hasNew)
+        updateVerdicts(now);
     return std::exchange(changes_, {});
 }
 
@@ -171,12 +178,12 @@
     return best;
 }
 
-std::vector<PartKey> PartQuarantine::explain(const std::vector<PartKey> &known) const
+std::vector<PartKey> PartQuarantine::explain(const std::vector<PartKey> &known, Time now) const
 {
     std::vector<const Crash *> unexplained;
     for (const Crash &crash : crashes_) {
         const auto isSuspect = [&crash](PartKey part) { return crash.suspects.contains(part); };
-        if (std::ranges::none_of(known, isSuspect))
+        if (isSettled(crash, now) && std::ranges::none_of(known, isSuspect))
             unexplained.push_back(&crash);
     }
     std::vector<PartKey> verdicts;
@@ -206,12 +213,14 @@
 
 void PartQuarantine::updateVerdicts(Time now)
 {
+    for (Crash &crash : crashes_)
+        crash.isCounted = isSettled(crash, now);
     std::vector<PartKey> known;
     for (const auto &[part, quarantine] : quarantined_) {
         if (quarantine.isAdopted)
             known.push_back(part);
     }
-    const std::vector<PartKey> verdicts = explain(known);
+    const std::vector<PartKey> verdicts = explain(known, now);
     const auto isVerdict = [&verdicts](PartKey part) {
         return std::ranges::find(verdicts, part) != verdicts.end();
     };
@@ -227,7 +236,7 @@
     for (const PartKey part : lifted)
         lift(part);
     // Quarantines whose evidence has expired explain later crashes, too.
-    for (const PartKey part : explain(known)) {
+    for (const PartKey part : explain(known, now)) {
         if (!quarantined_.contains(part))
             quarantine(part, now + options_.duration, false, now);
     }
--- a/packages/relay/include/relay/relay.h
+++ b/packages/relay/include/relay/relay.h
@@ -118,8 +118,8 @@
     /// Handles one request from admission to the end of the response.
     void serve(net::Exchange &exchange, boost::asio::yield_context yield);
 
-    /// Logs, announces and counts changes of the quarantines. Must be called after changes by
-    /// others than the relay, and regularly because quarantines end.
+    /// Updates the quarantines; logs, announces and counts their changes. Must be called
+    /// regularly.
     void reportQuarantines();
 
 private:
--- a/packages/relay/src/flow_crashes.cpp
+++ b/packages/relay/src/flow_crashes.cpp
@@ -99,7 +99,8 @@
 void Relay::reportQuarantines()
 {
     auto &partQuarantine = context_.partQuarantine;
-    for (const quarantine::QuarantineChange &change : partQuarantine.takeChanges()) {
+    const auto now = std::chrono::steady_clock::now();
+    for (const quarantine::QuarantineChange &change : partQuarantine.update(now)) {
         context_.log.write("quarantine", change.isQuarantined ? "part-quarantined" : "part-cleared",
                            { { "shared_part", base::toHex(change.part.part) },
                              { "adopted", change.isAdopted },
@@ -108,8 +109,7 @@
         if (change.isQuarantined && !change.isAdopted && context_.quarantineHooks.quarantined)
             context_.quarantineHooks.quarantined(change.part);
     }
-    context_.metrics.setQuarantinedParts(
-            partQuarantine.active(std::chrono::steady_clock::now()).size());
+    context_.metrics.setQuarantinedParts(partQuarantine.active(now).size());
 }
 
 } // namespace chervilfield::relay
