Add messages about quarantined prompt parts

Cause: an instance that sees engines crash on a part of a prompt cannot tell the others; the datagrams have no message for it.

Change: three new optional fields of the datagram: a report of the requests that were waiting at an engine that crashed, a list of innocent parts, and the quarantined parts with their remaining time. The limits keep each of them within one datagram. Builds without the fields reject these datagrams only, as they have no field that they know.

--- a/packages/peers/include/peers/datagram.h
+++ b/packages/peers/include/peers/datagram.h
@@ -2,7 +2,9 @@
 
 #include "membership/load_digest.h"
 #include "membership/protocol.h"
+#include "quarantine/types.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -24,6 +26,21 @@
 /// Maximum number of hints in one `PlacementHints`.
 constexpr std::size_t kMaxPlacementHints = 32;
 
+/// Maximum number of suspect requests in one `quarantine::CrashReport`.
+constexpr std::size_t kMaxSuspectRequests = 24;
+
+/// Maximum number of parts in one `quarantine::CrashReport`, over all its requests.
+constexpr std::size_t kMaxSuspectParts = 64;
+
+/// Maximum number of parts in one `InnocentParts`.
+constexpr std::size_t kMaxInnocentParts = 100;
+
+/// Maximum number of parts in one `QuarantinedParts`.
+constexpr std::size_t kMaxQuarantinedParts = 60;
+
+/// Maximum remaining time of a part in `QuarantinedParts`.
+constexpr std::chrono::milliseconds kMaxQuarantineTime = std::chrono::hours(1);
+
 /// In-flight work of the sender, sent to an aggregation point. The encoder rounds prefill tokens up
 /// to a multiple of 256. A report without entries only asks for the sums.
 struct LoadReport
@@ -69,9 +86,32 @@
     bool operator==(const WeightsNotice &) const = default;
 };
 
+/// Prompt parts on which an engine has begun an answer.
+struct InnocentParts
+{
+    std::vector<quarantine::PartKey> parts;
+    bool operator==(const InnocentParts &) const = default;
+};
+
+/// A quarantined part as a daemon knows it.
+struct SharedQuarantine
+{
+    quarantine::QuarantinedPart part;
+    bool isSaved = false; ///< True if the sender knows that the store has the quarantine.
+    bool operator==(const SharedQuarantine &) const = default;
+};
+
+/// Quarantined parts that the sender knows. A message without parts asks for those of the receiver.
+struct QuarantinedParts
+{
+    std::vector<SharedQuarantine> parts;
+    bool operator==(const QuarantinedParts &) const = default;
+};
+
 /// The content of one datagram between daemons.
 using Datagram =
-        std::variant<membership::Packet, LoadReport, LoadSums, PlacementHints, WeightsNotice>;
+        std::variant<membership::Packet, LoadReport, LoadSums, PlacementHints, WeightsNotice,
+                     quarantine::CrashReport, InnocentParts, QuarantinedParts>;
 
 /// Encodes the datagram in Thrift's compact protocol. Returns no value if the result would exceed
 /// `kMaxDatagramBytes`. Does not check the other limits, which `decode` enforces.
--- a/packages/peers/src/datagram.cpp
+++ b/packages/peers/src/datagram.cpp
@@ -179,6 +179,67 @@
                           .isLoading = message.isLoading };
 }
 
+std::vector<quarantine::PartKey> toParts(const std::vector<std::int64_t> &values)
+{
+    std::vector<quarantine::PartKey> parts;
+    parts.reserve(values.size());
+    for (const std::int64_t value : values)
+        parts.push_back(static_cast<quarantine::PartKey>(value));
+    return parts;
+}
+
+std::vector<std::int64_t> toWire(const std::vector<quarantine::PartKey> &parts)
+{
+    std::vector<std::int64_t> values;
+    values.reserve(parts.size());
+    for (const quarantine::PartKey part : parts)
+        values.push_back(static_cast<std::int64_t>(part));
+    return values;
+}
+
+std::optional<Datagram> fromWire(const wire::CrashReport &message)
+{
+    if (message.target.empty() || !hasPermittedLength(message.target)
+        || message.suspects.size() > kMaxSuspectRequests)
+        return std::nullopt;
+    quarantine::CrashReport report{
+        .run = { message.target, static_cast<std::uint64_t>(message.startedAt) }, .suspects = {}
+    };
+    std::size_t partCount = 0;
+    for (const wire::SuspectRequest &suspect : message.suspects) {
+        partCount += suspect.parts.size();
+        if (partCount > kMaxSuspectParts)
+            return std::nullopt;
+        report.suspects.push_back(
+                { static_cast<std::uint64_t>(suspect.request), toParts(suspect.parts) });
+    }
+    return report;
+}
+
+std::optional<Datagram> fromWire(const wire::InnocentParts &message)
+{
+    if (message.parts.size() > kMaxInnocentParts)
+        return std::nullopt;
+    return InnocentParts{ toParts(message.parts) };
+}
+
+std::optional<Datagram> fromWire(const wire::QuarantinedParts &message)
+{
+    const std::size_t count = message.parts.size();
+    if (count > kMaxQuarantinedParts || message.remainingMs.size() != count
+        || message.isSaved.size() != count)
+        return std::nullopt;
+    QuarantinedParts result;
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::chrono::milliseconds remaining(message.remainingMs[i]);
+        if (remaining.count() < 0 || remaining > kMaxQuarantineTime)
+            return std::nullopt;
+        result.parts.push_back({ { static_cast<quarantine::PartKey>(message.parts[i]), remaining },
+                                 message.isSaved[i] });
+    }
+    return result;
+}
+
 // Groups the hints by target and life, so that these are sent only once per group.
 wire::PlacementHints toWire(const PlacementHints &hints)
 {
@@ -237,6 +298,34 @@
         body.isLoading = notice.isLoading;
         message.__set_weightsNotice(body);
     }
+    void operator()(const quarantine::CrashReport &report) const
+    {
+        wire::CrashReport body;
+        body.target = report.run.target;
+        body.startedAt = static_cast<std::int64_t>(report.run.startedAt);
+        for (const quarantine::SuspectRequest &suspect : report.suspects) {
+            wire::SuspectRequest &request = body.suspects.emplace_back();
+            request.request = static_cast<std::int64_t>(suspect.request);
+            request.parts = toWire(suspect.parts);
+        }
+        message.__set_crashReport(body);
+    }
+    void operator()(const InnocentParts &innocent) const
+    {
+        wire::InnocentParts body;
+        body.parts = toWire(innocent.parts);
+        message.__set_innocentParts(body);
+    }
+    void operator()(const QuarantinedParts &quarantined) const
+    {
+        wire::QuarantinedParts body;
+        for (const SharedQuarantine &shared : quarantined.parts) {
+            body.parts.push_back(static_cast<std::int64_t>(shared.part.part));
+            body.remainingMs.push_back(static_cast<std::int32_t>(shared.part.remaining.count()));
+            body.isSaved.push_back(shared.isSaved);
+        }
+        message.__set_quarantinedParts(body);
+    }
 };
 
 } // namespace
@@ -260,7 +349,9 @@
         return std::nullopt;
     const auto &set = message.__isset;
     const int setFieldCount = int{ set.membership } + int{ set.loadReport } + int{ set.loadSums }
-                              + int{ set.placementHints } + int{ set.weightsNotice };
+                              + int{ set.placementHints } + int{ set.weightsNotice }
+                              + int{ set.crashReport } + int{ set.innocentParts }
+                              + int{ set.quarantinedParts };
     if (setFieldCount != 1)
         return std::nullopt;
     if (set.membership)
@@ -271,6 +362,12 @@
         return fromWire(message.loadSums);
     if (set.weightsNotice)
         return fromWire(message.weightsNotice);
+    if (set.crashReport)
+        return fromWire(message.crashReport);
+    if (set.innocentParts)
+        return fromWire(message.innocentParts);
+    if (set.quarantinedParts)
+        return fromWire(message.quarantinedParts);
     return fromWire(message.placementHints);
 }
 
--- a/packages/peers/test/datagram_test.cpp
+++ b/packages/peers/test/datagram_test.cpp
@@ -6,6 +6,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <limits>
+#include <utility>
+
 namespace chervilfield::peers {
 
 namespace {
@@ -67,9 +70,57 @@
     return loads;
 }
 
+std::vector<quarantine::PartKey> makeParts(std::size_t maxCount)
+{
+    const auto count = *rc::gen::inRange<std::size_t>(0, maxCount + 1);
+    return *rc::gen::container<std::vector<quarantine::PartKey>>(
+            count, rc::gen::arbitrary<quarantine::PartKey>());
+}
+
+Datagram makeCrashReport()
+{
+    quarantine::CrashReport report{
+        .run = { "i" + makeText(), *rc::gen::arbitrary<std::uint64_t>() }, .suspects = {}
+    };
+    report.suspects.resize(*rc::gen::inRange<std::size_t>(0, kMaxSuspectRequests + 1));
+    std::size_t remainingParts = kMaxSuspectParts;
+    for (quarantine::SuspectRequest &suspect : report.suspects) {
+        suspect = { *rc::gen::arbitrary<std::uint64_t>(), makeParts(remainingParts) };
+        remainingParts -= suspect.parts.size();
+    }
+    return report;
+}
+
+Datagram makeQuarantinedParts()
+{
+    QuarantinedParts quarantined;
+    for (const quarantine::PartKey part : makeParts(kMaxQuarantinedParts)) {
+        const std::chrono::milliseconds remaining(
+                *rc::gen::inRange<std::int64_t>(0, kMaxQuarantineTime.count() + 1));
+        quarantined.parts.push_back({ { part, remaining }, *rc::gen::arbitrary<bool>() });
+    }
+    return quarantined;
+}
+
+// Returns datagrams of the kinds about quarantines with the largest permitted content.
+std::vector<std::pair<std::string, Datagram>> largestQuarantineDatagrams()
+{
+    constexpr auto kPart = std::numeric_limits<std::int64_t>::max();
+    quarantine::CrashReport report{ .run = { std::string(96, 'x'), kPart }, .suspects = {} };
+    for (std::size_t i = 0; i < kMaxSuspectRequests; ++i)
+        report.suspects.push_back({ kPart, { kPart, kPart } });
+    report.suspects[0].parts.resize(2 + kMaxSuspectParts - 2 * kMaxSuspectRequests, kPart);
+    const SharedQuarantine shared{ { kPart, kMaxQuarantineTime }, true };
+    return { { "crash report", report },
+             { "innocent parts",
+               InnocentParts{ std::vector<quarantine::PartKey>(kMaxInnocentParts, kPart) } },
+             { "quarantined parts",
+               QuarantinedParts{ std::vector<SharedQuarantine>(kMaxQuarantinedParts, shared) } } };
+}
+
 Datagram makeDatagram()
 {
-    switch (*rc::gen::inRange(0, 5)) {
+    switch (*rc::gen::inRange(0, 8)) {
     case 0:
         return makeMembership();
     case 1:
@@ -82,6 +133,12 @@
                               .model = makeText(),
                               .version = *rc::gen::inRange<std::uint64_t>(0, 1U << 30U),
                               .isLoading = *rc::gen::arbitrary<bool>() };
+    case 4:
+        return makeCrashReport();
+    case 5:
+        return InnocentParts{ makeParts(kMaxInnocentParts) };
+    case 6:
+        return makeQuarantinedParts();
     default:
         break;
     }
@@ -101,6 +158,9 @@
     CPPUNIT_TEST(datagramsSurviveRoundTripWithinLimit);
     CPPUNIT_TEST(malformedBytesAreRejected);
     CPPUNIT_TEST(hugeLengthsAreRejected);
+    CPPUNIT_TEST(largestQuarantineDatagramsFit);
+    CPPUNIT_TEST(quarantineDatagramsBeyondLimitsAreRejected);
+    CPPUNIT_TEST(unknownFieldsAreSkipped);
     CPPUNIT_TEST(protocolFillsNoPacketBeyondLimit);
     CPPUNIT_TEST(maxEncodedBytesBoundsUpdates);
     CPPUNIT_TEST(transfersRoundTrip);
@@ -174,6 +234,83 @@
             CPPUNIT_ASSERT_MESSAGE(row.name, !decode(row.bytes));
     }
 
+    // Tests that datagrams about quarantines with the largest permitted content survive the codec,
+    // and that no truncated one is accepted. Guards against limits that the size of a datagram does
+    // not allow.
+    void largestQuarantineDatagramsFit()
+    {
+        for (const auto &[name, datagram] : largestQuarantineDatagrams()) {
+            const auto bytes = encode(datagram);
+            CPPUNIT_ASSERT_MESSAGE(name, bytes.has_value());
+            CPPUNIT_ASSERT_MESSAGE(name, decode(*bytes) == datagram);
+            for (std::size_t size = 0; size < bytes->size(); ++size)
+                CPPUNIT_ASSERT_MESSAGE(name, !decode(std::string_view(*bytes).substr(0, size)));
+        }
+    }
+
+    // Tests that datagrams about quarantines are rejected if a value exceeds its limit. Guards
+    // against a peer that makes this process keep more or longer than any valid peer does.
+    void quarantineDatagramsBeyondLimitsAreRejected()
+    {
+        const auto quarantined = [](std::size_t count, std::chrono::milliseconds remaining) {
+            return QuarantinedParts{ std::vector<SharedQuarantine>(
+                    count, { { .part = 1, .remaining = remaining }, false }) };
+        };
+        const auto report = [](std::string target, std::size_t requests, std::size_t parts) {
+            return quarantine::CrashReport{
+                .run = { std::move(target), 1 },
+                .suspects = std::vector<quarantine::SuspectRequest>(
+                        requests, { 1, std::vector<quarantine::PartKey>(parts, 1) })
+            };
+        };
+        struct Row
+        {
+            const char *name;
+            Datagram datagram;
+            bool isValid;
+        };
+        const std::chrono::milliseconds minute = std::chrono::minutes(1);
+        const std::chrono::milliseconds tick(1);
+        const Row rows[] = {
+            { "most requests", report("e", kMaxSuspectRequests, 1), true },
+            { "too many requests", report("e", kMaxSuspectRequests + 1, 1), false },
+            { "most parts", report("e", 2, kMaxSuspectParts / 2), true },
+            { "too many parts", report("e", 2, kMaxSuspectParts / 2 + 1), false },
+            { "no engine", report("", 1, 1), false },
+            { "long engine id", report(std::string(97, 'e'), 1, 1), false },
+            { "most innocent parts",
+              InnocentParts{ std::vector<quarantine::PartKey>(kMaxInnocentParts, 1) }, true },
+            { "too many innocent parts",
+              InnocentParts{ std::vector<quarantine::PartKey>(kMaxInnocentParts + 1, 1) }, false },
+            { "request for quarantines", quarantined(0, minute), true },
+            { "most quarantines", quarantined(kMaxQuarantinedParts, minute), true },
+            { "too many quarantines", quarantined(kMaxQuarantinedParts + 1, minute), false },
+            { "longest quarantine", quarantined(1, kMaxQuarantineTime), true },
+            { "too long quarantine", quarantined(1, kMaxQuarantineTime + tick), false },
+            { "ended quarantine", quarantined(1, -tick), false },
+        };
+        for (const Row &row : rows) {
+            const auto bytes = encode(row.datagram);
+            CPPUNIT_ASSERT_MESSAGE(row.name, bytes.has_value());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isValid, decode(*bytes).has_value());
+        }
+    }
+
+    // Tests that a field of a later version does not change how a datagram is decoded, and that a
+    // datagram of an unknown kind is rejected. Guards against builds that cannot run side by side.
+    void unknownFieldsAreSkipped()
+    {
+        // A field that is true, with an id of 5 more than the one before, and the end of the
+        // struct.
+        const std::string laterField("\x51\x00", 2);
+        for (const auto &[name, datagram] : largestQuarantineDatagrams()) {
+            std::string bytes = *encode(datagram);
+            bytes.pop_back();
+            CPPUNIT_ASSERT_MESSAGE(name, decode(bytes + laterField) == datagram);
+        }
+        CPPUNIT_ASSERT(!decode(std::string("\x13\x01") + std::string("\xe1\x00", 2)));
+    }
+
     // Tests that every packet of a simulated membership protocol can be encoded, for short and long
     // names. Guards against packets that the protocol fills beyond the limit of the encoder.
     void protocolFillsNoPacketBeyondLimit()
--- a/packages/peers/thrift/peers.thrift
+++ b/packages/peers/thrift/peers.thrift
@@ -81,6 +81,32 @@
   5: bool isLoading
 }
 
+// A request that had been sent to an engine that crashed and had no first event.
+struct SuspectRequest {
+  1: i64 request
+  2: list<i64> parts
+}
+
+// Suspect requests of the sender at one run of an engine.
+struct CrashReport {
+  1: string target
+  2: i64 startedAt
+  3: list<SuspectRequest> suspects
+}
+
+// Prompt parts on which an engine has begun an answer.
+struct InnocentParts {
+  1: list<i64> parts
+}
+
+// Quarantined prompt parts in columns of the same length. A message without parts asks the receiver
+// for its own.
+struct QuarantinedParts {
+  1: list<i64> parts
+  2: list<i32> remainingMs
+  3: list<bool> isSaved
+}
+
 // One UDP datagram; exactly one of the optional fields is set.
 struct Datagram {
   1: i8 version
@@ -90,6 +116,9 @@
   // 5 was used for hot prefixes.
   6: optional PlacementHints placementHints
   7: optional WeightsNotice weightsNotice
+  8: optional CrashReport crashReport
+  9: optional InnocentParts innocentParts
+  10: optional QuarantinedParts quarantinedParts
 }
 
 // Request and response of POST /peer/v1/members.
