Keep quarantines in the store

Cause: a quarantine exists only in the memory of the instances; when all of them restart, the part crashes engines again.

Change: entry::QuarantineStore. All quarantines share one row of the table 'quarantines', written under the version that was read. The port to the store has no delete and the store no expiry, so rows of ended parts would stay for ever; the shared row loses them with its next write. A quarantine is saved by the first live instance in the order of names, and by each further one a second later unless it hears that it is saved. An entry holds the wall clock time and the remaining time when it was saved: a reader adds two minutes for clock errors, never gives more than the saved time, and drops an entry from a clock further ahead than that.

One read per start, one write per quarantine without a conflict.

--- /dev/null
+++ b/packages/entry/src/quarantine_store.cpp
@@ -0,0 +1,267 @@
+#include "entry/quarantine_store.h"
+
+#include "base/hash.h"
+#include "base/numbers.h"
+#include "base/result.h"
+#include "net/http_server.h"
+#include "peers/datagram.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace chervilfield::entry {
+
+namespace json = boost::json;
+using base::Result;
+using boost::asio::yield_context;
+using quarantine::QuarantinedPart;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string kTable = "quarantines";
+const std::string kKey = "parts";
+// Keeps the row below the size limit of the platform.
+constexpr std::size_t kMaxSavedQuarantines = 256;
+
+std::optional<milliseconds> findTime(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    if (value == nullptr || !value->is_int64() || value->get_int64() < 0)
+        return std::nullopt;
+    return milliseconds(value->get_int64());
+}
+
+std::optional<SavedQuarantine> decodeEntry(const json::value &value)
+{
+    const json::object *object = value.if_object();
+    if (object == nullptr)
+        return std::nullopt;
+    const json::value *part = object->if_contains("part");
+    const auto savedAt = findTime(*object, "savedAtMs");
+    const auto duration = findTime(*object, "durationMs");
+    SavedQuarantine quarantine;
+    if (part == nullptr || !part->is_string() || !savedAt || !duration
+        || *duration > peers::kMaxQuarantineTime
+        || !base::parseHex(std::string_view(part->get_string()), quarantine.part))
+        return std::nullopt;
+    quarantine.savedAt = *savedAt;
+    quarantine.duration = *duration;
+    return quarantine;
+}
+
+} // namespace
+
+std::string encodeQuarantines(const std::vector<SavedQuarantine> &quarantines)
+{
+    json::array list;
+    for (const SavedQuarantine &quarantine : quarantines) {
+        list.push_back(json::object{ { "part", base::toHex(quarantine.part) },
+                                     { "savedAtMs", quarantine.savedAt.count() },
+                                     { "durationMs", quarantine.duration.count() } });
+    }
+    return json::serialize(json::object{ { "parts", std::move(list) } });
+}
+
+std::optional<std::vector<SavedQuarantine>> decodeQuarantines(std::string_view value,
+                                                              std::error_code &error)
+{
+    boost::system::error_code parseError;
+    const json::value document = json::parse(value, parseError);
+    if (parseError || !document.is_object()) {
+        error = Result::InvalidJson;
+        return std::nullopt;
+    }
+    const json::value *list = document.get_object().if_contains("parts");
+    if (list == nullptr || !list->is_array()) {
+        error = Result::InvalidField;
+        return std::nullopt;
+    }
+    std::vector<SavedQuarantine> quarantines;
+    for (const json::value &item : list->get_array()) {
+        if (const auto quarantine = decodeEntry(item))
+            quarantines.push_back(*quarantine);
+    }
+    return quarantines;
+}
+
+std::optional<milliseconds> remainingTime(const SavedQuarantine &quarantine, milliseconds wallNow,
+                                          milliseconds tolerance)
+{
+    const milliseconds age = wallNow - quarantine.savedAt;
+    if (age < -tolerance || age >= quarantine.duration + tolerance)
+        return std::nullopt;
+    return std::min(quarantine.duration, quarantine.duration + tolerance - age);
+}
+
+QuarantineStore::QuarantineStore(boost::asio::io_context &context, fleet::Store &store,
+                                 base::EventLog &log, Hooks hooks, QuarantineStoreOptions options)
+    : context_(context), store_(store), log_(log), hooks_(std::move(hooks)),
+      options_(std::move(options))
+{
+}
+
+void QuarantineStore::start()
+{
+    net::spawnCoroutine(context_, "[entry]", [this](const yield_context &yield) { run(yield); });
+}
+
+void QuarantineStore::update(std::vector<QuarantinedPart> active, Clock::time_point now)
+{
+    active_ = std::move(active);
+    std::erase_if(savedUntil_, [now](const auto &entry) { return entry.second <= now; });
+    if (unsavedParts(now).empty())
+        unsavedSince_.reset();
+    else if (!unsavedSince_)
+        unsavedSince_ = now;
+}
+
+void QuarantineStore::markSaved(const QuarantinedPart &part, Clock::time_point now)
+{
+    auto &until = savedUntil_[part.part];
+    until = std::max(until, now + part.remaining);
+}
+
+bool QuarantineStore::isSaved(const QuarantinedPart &part, Clock::time_point now) const
+{
+    // An instance that reads the row adds the tolerance, and its clock may be late by as much.
+    const auto found = savedUntil_.find(part.part);
+    return found != savedUntil_.end()
+           && now + part.remaining <= found->second + 2 * options_.clockTolerance;
+}
+
+std::vector<QuarantinedPart> QuarantineStore::unsavedParts(Clock::time_point now) const
+{
+    std::vector<QuarantinedPart> result;
+    std::ranges::copy_if(active_, std::back_inserter(result),
+                         [&](const QuarantinedPart &part) { return !isSaved(part, now); });
+    return result;
+}
+
+bool QuarantineStore::isSaveDue(Clock::time_point now) const
+{
+    if (!unsavedSince_)
+        return false;
+    const milliseconds delay = options_.standbyDelay * static_cast<std::int64_t>(hooks_.rank());
+    return now - *unsavedSince_ >= std::min(delay, options_.maxStandbyDelay);
+}
+
+milliseconds QuarantineStore::wallNow() const
+{
+    return std::chrono::duration_cast<milliseconds>(options_.wallNow().time_since_epoch());
+}
+
+void QuarantineStore::sleepFor(milliseconds time, const yield_context &yield)
+{
+    boost::asio::steady_timer timer(context_, time);
+    boost::system::error_code ignored;
+    timer.async_wait(yield[ignored]);
+}
+
+bool QuarantineStore::load(const yield_context &yield)
+{
+    std::error_code error;
+    const auto rows = store_.readAll(kTable, yield, error);
+    if (!rows) {
+        log_.write("quarantine", "load-failed",
+                   { { "result", base::resultInfo(base::toResult(error)).name } });
+        return false;
+    }
+    isRowKnown_ = true;
+    row_.clear();
+    rowVersion_ = 0;
+    const auto found = std::ranges::find(rows->rows, kKey, &fleet::StoreRow::key);
+    if (found != rows->rows.end()) {
+        rowVersion_ = found->version;
+        if (auto decoded = decodeQuarantines(found->value, error)) {
+            row_ = *std::move(decoded);
+        } else {
+            log_.write("quarantine", "row-rejected",
+                       { { "result", base::resultInfo(base::toResult(error)).name } });
+        }
+    }
+    const std::size_t rowSize = row_.size();
+    const auto now = Clock::now();
+    std::erase_if(row_, [&](const SavedQuarantine &quarantine) {
+        const auto remaining = remainingTime(quarantine, wallNow(), options_.clockTolerance);
+        if (!remaining)
+            return true;
+        const QuarantinedPart part{ .part = quarantine.part, .remaining = *remaining };
+        markSaved(part, now);
+        hooks_.loaded(part);
+        return false;
+    });
+    log_.write("quarantine", "loaded",
+               { { "parts", row_.size() },
+                 { "ended", rowSize - row_.size() },
+                 { "version", rowVersion_ } });
+    return true;
+}
+
+bool QuarantineStore::save(const yield_context &yield)
+{
+    if (!isRowKnown_ && !load(yield))
+        return false;
+    const auto unsaved = unsavedParts(Clock::now());
+    if (unsaved.empty())
+        return true;
+    const milliseconds savedAt = wallNow();
+    std::vector<SavedQuarantine> row;
+    row.reserve(unsaved.size() + row_.size());
+    for (const QuarantinedPart &part : unsaved)
+        row.push_back({ .part = part.part, .savedAt = savedAt, .duration = part.remaining });
+    for (const SavedQuarantine &quarantine : row_) {
+        if (remainingTime(quarantine, savedAt, options_.clockTolerance)
+            && std::ranges::find(unsaved, quarantine.part, &QuarantinedPart::part) == unsaved.end())
+            row.push_back(quarantine);
+    }
+    row.resize(std::min(row.size(), kMaxSavedQuarantines));
+    std::error_code error;
+    const auto version = store_.write({ .table = kTable,
+                                        .key = kKey,
+                                        .expectedVersion = rowVersion_,
+                                        .value = encodeQuarantines(row) },
+                                      yield, error);
+    if (!version) {
+        isRowKnown_ = false;
+        log_.write("quarantine", "save-failed",
+                   { { "parts", unsaved.size() },
+                     { "result", base::resultInfo(base::toResult(error)).name } });
+        return false;
+    }
+    row_ = std::move(row);
+    rowVersion_ = *version;
+    for (const QuarantinedPart &part : unsaved)
+        markSaved(part, Clock::now());
+    log_.write("quarantine", "saved", { { "parts", unsaved.size() }, { "version", rowVersion_ } });
+    hooks_.saved(unsaved);
+    return true;
+}
+
+void QuarantineStore::run(const yield_context &yield)
+{
+    milliseconds backoff = options_.minBackoff;
+    while (!load(yield)) {
+        sleepFor(backoff, yield);
+        backoff = std::min(options_.maxBackoff, backoff * 2);
+    }
+    backoff = options_.minBackoff;
+    while (true) {
+        sleepFor(options_.checkInterval, yield);
+        if (!isSaveDue(Clock::now()))
+            continue;
+        if (save(yield)) {
+            unsavedSince_.reset();
+            backoff = options_.minBackoff;
+            continue;
+        }
+        sleepFor(backoff, yield);
+        backoff = std::min(options_.maxBackoff, backoff * 2);
+    }
+}
+
+} // namespace chervilfield::entry
--- a/packages/entry/test/fake_store.h
+++ b/packages/entry/test/fake_store.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -26,6 +27,7 @@
     int answeredPolls = 0;          ///< Polls for changes that got a response.
     int unansweredPolls = 0;        ///< Polls for changes while the store was unresponsive.
     int refusedCalls = 0;           ///< Failed calls of `readAll` and `write`.
+    int writes = 0;                 ///< Calls of `write` that took effect.
 
     void put(const std::string &table, const std::string &key, const std::string &value)
     {
@@ -33,6 +35,13 @@
     }
     void erase(const std::string &table, const std::string &key) { setRow(table, key, {}, true); }
 
+    /// Returns the value of a row, empty if there is none.
+    std::string valueOf(const std::string &table, const std::string &key) const
+    {
+        const auto found = rows_.find({ table, key });
+        return found == rows_.end() ? std::string() : found->second.value;
+    }
+
     std::optional<fleet::StoreRows> readAll(const std::string &table,
                                             boost::asio::yield_context yield,
                                             std::error_code &error) override
@@ -99,6 +108,7 @@
             error = base::Result::RevisionConflict;
             return std::nullopt;
         }
+        ++writes;
         put(write.table, write.key, write.value);
         if (dropsWriteReplies) {
             error = base::Result::WriteUndecided;
