Connect quarantines with the other instances and the store

Cause: nothing passes quarantines between the traffic thread, the mesh and the store.

Change: entry::QuarantineSharing posts what the traffic thread finds to the control thread, and what peers and the store report back. PeerMesh sends and receives the messages. EntryApp connects them; its hooks towards the quarantine do nothing until the relay has one.

--- a/packages/entry/include/entry/entry_app.h
+++ b/packages/entry/include/entry/entry_app.h
@@ -7,6 +7,7 @@
 #include "entry/options.h"
 #include "entry/peer_mesh.h"
 #include "entry/platform.h"
+#include "entry/quarantine_sharing.h"
 #include "entry/rollout.h"
 #include "entry/view_updater.h"
 #include "net/http_server.h"
@@ -24,6 +25,7 @@
 #include <string>
 #include <system_error>
 #include <thread>
+#include <vector>
 
 namespace chervilfield::entry {
 
@@ -54,6 +56,11 @@
     void serveMetrics(net::Exchange &exchange, const boost::asio::yield_context &yield);
     void handleViewPublished(const fleet::ViewPtr &view);
     PeerHooks peerHooks();
+    /// Returns the hooks through which the quarantine learns from other instances and the store.
+    QuarantineSharing::TrafficHooks quarantineTrafficHooks();
+    QuarantineSharing::PeerHooks quarantinePeerHooks();
+    /// Returns the quarantines in force. Must be called on the traffic thread.
+    std::vector<quarantine::QuarantinedPart> activeQuarantines();
     /// Exchanges traffic state with the other instances, periodically. Runs on the traffic thread.
     void exchangeTraffic();
     /// Sends a notice to the other instances and applies it here.
@@ -93,6 +100,7 @@
     control::ControlSystem controlSystem_;
     ViewUpdater viewUpdater_;
     PeerMesh peerMesh_;
+    QuarantineSharing quarantineSharing_;
     Rollout rollout_;
     net::HttpClient httpClient_; ///< Used on the traffic thread.
     dispatch::Placer placer_;
--- a/packages/entry/include/entry/peer_mesh.h
+++ b/packages/entry/include/entry/peer_mesh.h
@@ -11,10 +11,12 @@
 #include "net/http_server.h"
 #include "peers/hint_exchange.h"
 #include "peers/load_exchange.h"
+#include "peers/quarantine_exchange.h"
 #include "peers/udp_transport.h"
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -42,11 +44,19 @@
     std::function<void(std::vector<dispatch::PrefixHint>)> mergeHints;
     /// Called when another instance has ordered an engine to load weights or seen it finish.
     std::function<void(const peers::WeightsNotice &)> applyWeightsNotice;
+    /// Called with the suspect requests that another instance had at an engine that crashed. The
+    /// same report may come twice.
+    std::function<void(const quarantine::CrashReport &)> receiveCrash;
+    /// Called with parts on which engines have begun an answer for another instance.
+    std::function<void(const peers::InnocentParts &)> receiveInnocent;
+    /// Called with quarantines of another instance, periodically while they are in force.
+    std::function<void(const peers::QuarantinedParts &)> receiveQuarantines;
 };
 
-/// Connects an entry instance with the others. Membership, loads, hints and notices about weights
-/// travel over UDP; member tables and copies of the store's rows over TCP, for instances that do
-/// not poll the store or cannot reach it. All functions must be called on the control I/O thread.
+/// Connects an entry instance with the others. Membership, loads, hints, notices about weights and
+/// quarantines travel over UDP; member tables and copies of the store's rows over TCP, for
+/// instances that do not poll the store or cannot reach it. All functions must be called on the
+/// control I/O thread.
 class PeerMesh
 {
 public:
@@ -75,6 +85,20 @@
     /// Sends a notice about the weights of an engine to all other instances.
     void announceWeights(const peers::WeightsNotice &notice);
 
+    /// Sends a crash report to all other instances.
+    void announceCrash(const quarantine::CrashReport &report);
+    /// Sends innocent parts to all other instances with the next exchange of quarantines.
+    void addInnocent(const std::vector<quarantine::PartKey> &parts);
+    /// Sends quarantines to all other instances.
+    void announceQuarantines(const std::vector<peers::SharedQuarantine> &quarantines);
+    /// Pushes all quarantines in force to random instances. It must be called several times a
+    /// second.
+    void exchangeQuarantines(std::vector<peers::SharedQuarantine> quarantines);
+
+    /// Returns the number of live instances before this one in the order of names. If this instance
+    /// is not live, it comes last.
+    std::size_t rank() const;
+
     /// Replaces the addresses through which this instance joins.
     void setSeeds(const std::vector<net::Address> &seeds);
 
@@ -115,6 +139,7 @@
     PeerHooks hooks_;
     peers::LoadExchange loadExchange_;
     peers::HintExchange hintExchange_;
+    peers::QuarantineExchange quarantineExchange_;
     // Members and view from which the aggregation points of the load exchange were computed.
     control::MemberSnapshotPtr assignedMembers_;
     fleet::ViewPtr assignedView_;
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -99,6 +99,8 @@
                              } },
                    viewOptions(options_)),
       peerMesh_(controlContext_, options_, life_, timeLine_, log_, viewUpdater_, peerHooks()),
+      quarantineSharing_(controlContext_, trafficContext_, *store_, log_, quarantineTrafficHooks(),
+                         quarantinePeerHooks()),
       rollout_(controlContext_, *store_, *engineControl_, log_,
                { .view = [this] { return viewUpdater_.view(); },
                  .liveInstances = [this] { return peerMesh_.liveInstances(); },
@@ -201,6 +203,7 @@
                  { "callers", toString(options_.callerAddress) } });
     viewUpdater_.start();
     rollout_.start();
+    quarantineSharing_.start();
     waitForSignal();
     exchangeTraffic();
     trafficThread_ = std::thread([this] { trafficContext_.run(); });
@@ -230,7 +233,52 @@
                          });
                      },
              .applyWeightsNotice =
-                     [this](const peers::WeightsNotice &notice) { applyWeightsNotice(notice); } };
+                     [this](const peers::WeightsNotice &notice) { applyWeightsNotice(notice); },
+             .receiveCrash =
+                     [this](const quarantine::CrashReport &report) {
+                         quarantineSharing_.receiveCrash(report);
+                     },
+             .receiveInnocent =
+                     [this](const peers::InnocentParts &message) {
+                         quarantineSharing_.receiveInnocent(message);
+                     },
+             .receiveQuarantines =
+                     [this](const peers::QuarantinedParts &message) {
+                         quarantineSharing_.receiveQuarantines(message);
+                     } };
+}
+
+QuarantineSharing::TrafficHooks EntryApp::quarantineTrafficHooks()
+{
+    return { .recordCrash = [](const quarantine::CrashReport &) {},
+             .recordInnocent = [](const std::vector<quarantine::PartKey> &) {},
+             .adopt = [](const quarantine::QuarantinedPart &) {} };
+}
+
+QuarantineSharing::PeerHooks EntryApp::quarantinePeerHooks()
+{
+    return { .announceCrash =
+                     [this](const quarantine::CrashReport &report) {
+                         peerMesh_.announceCrash(report);
+                     },
+             .addInnocent =
+                     [this](const std::vector<quarantine::PartKey> &parts) {
+                         peerMesh_.addInnocent(parts);
+                     },
+             .announceQuarantines =
+                     [this](const std::vector<peers::SharedQuarantine> &quarantines) {
+                         peerMesh_.announceQuarantines(quarantines);
+                     },
+             .exchange =
+                     [this](std::vector<peers::SharedQuarantine> quarantines) {
+                         peerMesh_.exchangeQuarantines(std::move(quarantines));
+                     },
+             .rank = [this] { return peerMesh_.rank(); } };
+}
+
+std::vector<quarantine::QuarantinedPart> EntryApp::activeQuarantines()
+{
+    return {};
 }
 
 void EntryApp::exchangeTraffic()
@@ -239,6 +287,7 @@
                           .hints = placer_.takeHints(peers::HintExchange::kMaxHints) };
     boost::asio::post(controlContext_,
                       [this, digest = std::move(digest)] { peerMesh_.exchangeDigest(digest); });
+    quarantineSharing_.exchange(activeQuarantines());
     auto timer = std::make_shared<boost::asio::steady_timer>(trafficContext_, kExchangeInterval);
     timer->async_wait([this, timer](const auto &) { exchangeTraffic(); });
 }
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace chervilfield::entry {
@@ -52,6 +53,10 @@
               options.instance, options.dataCentre,
               [this](const std::string &to, const auto &datagram) { sendTo(to, datagram); },
               kHintOptions),
+      quarantineExchange_(
+              options.instance,
+              [this](const std::string &to, const auto &datagram) { sendTo(to, datagram); },
+              std::random_device{}()),
       client_(context.get_executor(), { .connectTimeout = kPeerTimeout }),
       random_(std::random_device{}())
 {
@@ -153,6 +158,13 @@
         hooks_.mergeHints(std::move(prefixes));
     } else if (const auto *notice = std::get_if<peers::WeightsNotice>(&datagram)) {
         hooks_.applyWeightsNotice(*notice);
+    } else if (const auto *crash = std::get_if<quarantine::CrashReport>(&datagram)) {
+        hooks_.receiveCrash(*crash);
+    } else if (const auto *innocent = std::get_if<peers::InnocentParts>(&datagram)) {
+        hooks_.receiveInnocent(*innocent);
+    } else if (const auto *quarantined = std::get_if<peers::QuarantinedParts>(&datagram)) {
+        quarantineExchange_.receive(toString(from), *quarantined);
+        hooks_.receiveQuarantines(*quarantined);
     }
 }
 
@@ -205,6 +217,36 @@
     }
 }
 
+void PeerMesh::announceCrash(const quarantine::CrashReport &report)
+{
+    quarantineExchange_.announceCrash(actor_->snapshot()->members, report,
+                                      std::chrono::steady_clock::now());
+}
+
+void PeerMesh::addInnocent(const std::vector<quarantine::PartKey> &parts)
+{
+    quarantineExchange_.addInnocent(parts);
+}
+
+void PeerMesh::announceQuarantines(const std::vector<peers::SharedQuarantine> &quarantines)
+{
+    quarantineExchange_.announceQuarantines(actor_->snapshot()->members, quarantines,
+                                            std::chrono::steady_clock::now());
+}
+
+void PeerMesh::exchangeQuarantines(std::vector<peers::SharedQuarantine> quarantines)
+{
+    quarantineExchange_.tick(actor_->snapshot()->members, std::move(quarantines),
+                             std::chrono::steady_clock::now());
+}
+
+std::size_t PeerMesh::rank() const
+{
+    const auto live = liveInstances();
+    return static_cast<std::size_t>(
+            std::distance(live.begin(), std::ranges::find(live, options_.instance)));
+}
+
 void PeerMesh::exchangeTable(const std::string &address)
 {
     const auto peer = net::parseAddress(address);
