Correct members that miss the end of a quarantine

Cause: innocent parts are sent once. A member that misses the message keeps the quarantine and pushes it to the others, which take it again as soon as they have forgotten the finding.

Change: an exchange remembers innocent parts for 30 s, own and received ones, and answers a pushed quarantine of such a part with the finding.

--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -161,9 +161,10 @@
     } else if (const auto *crash = std::get_if<quarantine::CrashReport>(&datagram)) {
         hooks_.receiveCrash(*crash);
     } else if (const auto *innocent = std::get_if<peers::InnocentParts>(&datagram)) {
+        quarantineExchange_.receive(*innocent, now);
         hooks_.receiveInnocent(*innocent);
     } else if (const auto *quarantined = std::get_if<peers::QuarantinedParts>(&datagram)) {
-        quarantineExchange_.receive(toString(from), *quarantined);
+        quarantineExchange_.receive(toString(from), *quarantined, now);
         hooks_.receiveQuarantines(*quarantined);
     }
 }
@@ -225,7 +226,7 @@
 
 void PeerMesh::addInnocent(const std::vector<quarantine::PartKey> &parts)
 {
-    quarantineExchange_.addInnocent(parts);
+    quarantineExchange_.addInnocent(parts, std::chrono::steady_clock::now());
 }
 
 void PeerMesh::announceQuarantines(const std::vector<peers::SharedQuarantine> &quarantines)
--- a/packages/peers/include/peers/quarantine_exchange.h
+++ b/packages/peers/include/peers/quarantine_exchange.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <random>
 #include <set>
 #include <span>
@@ -30,6 +31,8 @@
     /// IP and UDP headers. New quarantines count towards the limit but are always sent.
     double maxBytesPerSecond = 32'000;
     double maxBurstBytes = 512'000; ///< Capacity of the token bucket.
+    /// Time for which a member that has a part in quarantine is told that the part is innocent.
+    std::chrono::milliseconds innocentLifetime{ 30'000 };
 };
 
 /// Shares evidence about prompt parts that crash engines, and the quarantines of such parts, with
@@ -54,7 +57,7 @@
 
     /// Sends the parts to all members that are not dead with the next call of `tick` that the
     /// bandwidth limit allows. Parts in excess of what ten datagrams hold are dropped.
-    void addInnocent(std::span<const quarantine::PartKey> parts);
+    void addInnocent(std::span<const quarantine::PartKey> parts, Clock::time_point now);
 
     /// Sends the quarantines to all members that are not dead, twice.
     void announceQuarantines(const std::vector<membership::Member> &members,
@@ -67,7 +70,11 @@
               std::vector<SharedQuarantine> quarantines, Clock::time_point now);
 
     /// Answers a message without parts with the quarantines of the last `tick`, if there are any.
-    void receive(const std::string &from, const QuarantinedParts &message);
+    /// Tells the sender which of its parts are innocent, as it may have missed this.
+    void receive(const std::string &from, const QuarantinedParts &message, Clock::time_point now);
+
+    /// Records innocent parts that another member has sent.
+    void receive(const InnocentParts &message, Clock::time_point now);
 
 private:
     struct Repeat
@@ -80,6 +87,7 @@
     /// Sends the datagram to all members that are not dead. Returns early when the token bucket is
     /// empty, except for quarantines.
     void broadcast(const std::vector<membership::Member> &members, const Datagram &datagram);
+    void recordInnocent(std::span<const quarantine::PartKey> parts, Clock::time_point now);
     void sendInnocent(const std::vector<membership::Member> &members);
     void push(const std::vector<membership::Member> &members);
 
@@ -88,7 +96,9 @@
     QuarantineExchangeOptions options_;
     std::mt19937_64 random_;
     std::deque<Repeat> repeats_;
-    std::set<quarantine::PartKey> innocent_;    ///< Parts that have not been sent yet.
+    std::set<quarantine::PartKey> innocent_; ///< Parts that have not been sent yet.
+    /// Time of the last message about each innocent part, within `innocentLifetime`.
+    std::map<quarantine::PartKey, Clock::time_point> innocentAt_;
     std::vector<SharedQuarantine> quarantines_; ///< Argument of the last `tick`.
     int requestsLeft_;
     Clock::time_point pushedAt_{};
--- a/packages/peers/src/quarantine_exchange.cpp
+++ b/packages/peers/src/quarantine_exchange.cpp
@@ -11,6 +11,7 @@
 // Size of the IPv4 and UDP headers.
 constexpr double kHeaderBytes = 28;
 constexpr std::size_t kMaxPendingInnocent = 10 * kMaxInnocentParts;
+constexpr std::size_t kMaxRecordedInnocent = 4096;
 
 // Returns the addresses of the members except `self` for which `condition` holds.
 template<typename Condition>
@@ -82,8 +83,10 @@
     }
 }
 
-void QuarantineExchange::addInnocent(std::span<const quarantine::PartKey> parts)
+void QuarantineExchange::addInnocent(std::span<const quarantine::PartKey> parts,
+                                     Clock::time_point now)
 {
+    recordInnocent(parts, now);
     for (const quarantine::PartKey part : parts) {
         if (innocent_.size() < kMaxPendingInnocent)
             innocent_.insert(part);
@@ -105,6 +108,9 @@
                               std::vector<SharedQuarantine> quarantines, Clock::time_point now)
 {
     quarantines_ = std::move(quarantines);
+    std::erase_if(innocentAt_, [&](const auto &entry) {
+        return now - entry.second >= options_.innocentLifetime;
+    });
     refill(now);
     while (!repeats_.empty() && repeats_.front().dueAt <= now) {
         broadcast(members, repeats_.front().datagram);
@@ -118,12 +124,36 @@
     }
 }
 
-void QuarantineExchange::receive(const std::string &from, const QuarantinedParts &message)
+void QuarantineExchange::receive(const std::string &from, const QuarantinedParts &message,
+                                 Clock::time_point now)
 {
-    if (!message.parts.empty())
+    if (message.parts.empty()) {
+        for (const QuarantinedParts &piece : split(quarantines_))
+            send_(from, piece);
         return;
-    for (const QuarantinedParts &piece : split(quarantines_))
-        send_(from, piece);
+    }
+    InnocentParts reply;
+    for (const SharedQuarantine &shared : message.parts) {
+        const auto found = innocentAt_.find(shared.part.part);
+        if (found != innocentAt_.end() && now - found->second < options_.innocentLifetime)
+            reply.parts.push_back(shared.part.part);
+    }
+    if (!reply.parts.empty())
+        send_(from, reply);
+}
+
+void QuarantineExchange::receive(const InnocentParts &message, Clock::time_point now)
+{
+    recordInnocent(message.parts, now);
+}
+
+void QuarantineExchange::recordInnocent(std::span<const quarantine::PartKey> parts,
+                                        Clock::time_point now)
+{
+    for (const quarantine::PartKey part : parts) {
+        if (innocentAt_.size() < kMaxRecordedInnocent || innocentAt_.contains(part))
+            innocentAt_[part] = now;
+    }
 }
 
 void QuarantineExchange::refill(Clock::time_point now)
--- a/packages/peers/test/quarantine_exchange_test.cpp
+++ b/packages/peers/test/quarantine_exchange_test.cpp
@@ -117,7 +117,7 @@
         const auto &message = std::get<QuarantinedParts>(datagram);
         if (to == 0 && !message.parts.empty())
             hasLearned_ = true;
-        exchanges_[to]->receive(std::to_string(from), message);
+        exchanges_[to]->receive(std::to_string(from), message, kStart);
     }
 
     std::vector<Member> members_;
@@ -139,6 +139,7 @@
     CPPUNIT_TEST(evidenceStaysWithinBandwidth);
     CPPUNIT_TEST(instancesLearnQuarantinesInTime);
     CPPUNIT_TEST(nothingIsPushedWithoutQuarantines);
+    CPPUNIT_TEST(memberWithLiftedQuarantineIsCorrected);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -211,8 +212,8 @@
         std::vector<quarantine::PartKey> parts(kMaxInnocentParts + 20);
         for (std::size_t i = 0; i < parts.size(); ++i)
             parts[i] = i;
-        exchange.addInnocent(parts);
-        exchange.addInnocent(parts);
+        exchange.addInnocent(parts, kStart);
+        exchange.addInnocent(parts, kStart);
         for (int tick = 0; tick < 4; ++tick)
             exchange.tick(members, {}, kStart + tick * kTick);
         std::set<quarantine::PartKey> received;
@@ -238,7 +239,7 @@
                 exchange.announceCrash(members, makeReport(20, 3), now);
                 const std::vector<quarantine::PartKey> innocent(
                         100, static_cast<quarantine::PartKey>(tick));
-                exchange.addInnocent(innocent);
+                exchange.addInnocent(innocent, now);
                 exchange.tick(members, {}, now);
             }
             const QuarantineExchangeOptions options;
@@ -295,12 +296,49 @@
         for (int tick = 0; tick < 200; ++tick) {
             // The other members become known after a second.
             exchange.tick(makeMembers(tick < 20 ? 1 : 8), {}, kStart + tick * kTick);
-            exchange.receive("1", {});
+            exchange.receive("1", {}, kStart + tick * kTick);
             const bool isFirstRequestDue = tick >= 20;
             CPPUNIT_ASSERT_EQUAL(isFirstRequestDue, !recorder.sent.empty());
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(9), recorder.sent.size());
     }
+
+    // Tests which pushed quarantines are answered with the fact that the part is innocent. Guards
+    // against a lifted quarantine that spreads again from a member that missed its end.
+    void memberWithLiftedQuarantineIsCorrected()
+    {
+        struct Row
+        {
+            std::string name;
+            bool isOwnFinding;
+            quarantine::PartKey pushedPart;
+            milliseconds elapsed;
+            bool isCorrected;
+        };
+        const QuarantineExchangeOptions options;
+        const Row rows[] = {
+            { "own finding", true, 5, milliseconds(100), true },
+            { "finding of another member", false, 5, milliseconds(100), true },
+            { "other part", true, 6, milliseconds(100), false },
+            { "shortly before its end", false, 5, options.innocentLifetime - kTick, true },
+            { "too old", false, 5, options.innocentLifetime, false },
+        };
+        for (const Row &row : rows) {
+            Recorder recorder;
+            QuarantineExchange exchange("e0", recorder.sender(), 1, { .requestCount = 0 });
+            const std::vector<quarantine::PartKey> parts{ 5 };
+            if (row.isOwnFinding)
+                exchange.addInnocent(parts, kStart);
+            else
+                exchange.receive(InnocentParts{ parts }, kStart);
+            const QuarantinedParts pushed{ { { { row.pushedPart, milliseconds(9) }, false } } };
+            exchange.receive("1", pushed, kStart + row.elapsed);
+            const bool isCorrected = recorder.sent.size() == 1 && recorder.sent[0].first == "1"
+                                     && recorder.sent[0].second == Datagram(InnocentParts{ parts });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isCorrected, isCorrected);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isCorrected, !recorder.sent.empty());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuarantineExchangeTest);
