Remove lifted quarantines from the store

Cause: the row keeps a quarantine that was lifted before its end. An instance that starts within the saved time loads it and pushes it to the others.

Change: QuarantineStore::lift; the three live instances that come first in the order of names read the row and remove the part if it is there. The part is not adopted from the row meanwhile.

--- a/packages/entry/include/entry/quarantine_sharing.h
+++ b/packages/entry/include/entry/quarantine_sharing.h
@@ -57,6 +57,9 @@
     void shareInnocent(std::vector<quarantine::PartKey> parts);
     /// Sends a new quarantine of this instance to the others. Must be called on the traffic thread.
     void shareQuarantine(const quarantine::QuarantinedPart &part);
+    /// Removes a quarantine from the store that was lifted before its end. The innocent parts tell
+    /// the other instances. Must be called on the traffic thread.
+    void lift(quarantine::PartKey part);
     /// Pushes the quarantines in force to the others and saves them. Must be called several times a
     /// second, on the traffic thread.
     void exchange(std::vector<quarantine::QuarantinedPart> active);
--- a/packages/entry/include/entry/quarantine_store.h
+++ b/packages/entry/include/entry/quarantine_store.h
@@ -49,10 +49,11 @@
 /// Times of a `QuarantineStore`.
 struct QuarantineStoreOptions
 {
-    std::chrono::milliseconds checkInterval{ 100 }; ///< Interval between checks for unsaved parts.
-    /// Time that an instance grants to each instance before it to save a quarantine.
+    std::chrono::milliseconds checkInterval{ 100 }; ///< Interval between checks for changes.
+    /// Time that an instance grants to each instance before it to write the row.
     std::chrono::milliseconds standbyDelay{ 1000 };
     std::chrono::milliseconds maxStandbyDelay{ 60'000 }; ///< Maximum total of these times.
+    std::size_t maxLiftRank = 2;                         ///< Highest rank that removes quarantines.
     std::chrono::milliseconds minBackoff{ 500 };         ///< Pause after the first failed call.
     /// Limit of the pause, which doubles at each failure.
     std::chrono::milliseconds maxBackoff{ 10'000 };
@@ -65,8 +66,8 @@
 
 /// Keeps the quarantines in the platform's store, so that they outlive all instances. All
 /// quarantines share one row: the store has no expiry, and each write of the row omits those that
-/// have ended. The row is read once at the start and after a failed write. Runs on the control I/O
-/// thread.
+/// have ended. The row is read at the start, after a failed write and before a removal. Runs on the
+/// control I/O thread.
 class QuarantineStore
 {
 public:
@@ -97,6 +98,10 @@
     /// Records that another instance knows that the store has the quarantine.
     void markSaved(const quarantine::QuarantinedPart &part, Clock::time_point now);
 
+    /// Removes a quarantine from the store that was lifted before its end. Only the instances with
+    /// the lowest ranks do so.
+    void lift(quarantine::PartKey part, Clock::time_point now);
+
     /// Returns true if the store is known to have the quarantine. A saved quarantine that was
     /// extended since by more than twice the clock tolerance must be saved again.
     bool isSaved(const quarantine::QuarantinedPart &part, Clock::time_point now) const;
@@ -105,9 +110,13 @@
     void run(const boost::asio::yield_context &yield);
     /// Reads the row. Returns false if the store does not answer.
     bool load(const boost::asio::yield_context &yield);
-    /// Writes the row with all unsaved quarantines. Returns false if a call to the store failed.
+    /// Writes the row with all unsaved quarantines and without the lifted ones. Returns false if a
+    /// call to the store failed.
     bool save(const boost::asio::yield_context &yield);
     bool isSaveDue(Clock::time_point now) const;
+    /// Returns the row with the unsaved quarantines and without those that were lifted or ended.
+    std::vector<SavedQuarantine>
+    updatedRow(const std::vector<quarantine::QuarantinedPart> &unsaved) const;
     std::vector<quarantine::QuarantinedPart> unsavedParts(Clock::time_point now) const;
     std::chrono::milliseconds wallNow() const;
     void sleepFor(std::chrono::milliseconds time, const boost::asio::yield_context &yield);
@@ -119,8 +128,10 @@
     QuarantineStoreOptions options_;
 
     std::vector<quarantine::QuarantinedPart> active_; ///< Argument of the last `update`.
-    std::optional<Clock::time_point> unsavedSince_;   ///< No value if all quarantines are saved.
+    std::optional<Clock::time_point> pendingSince_;   ///< No value if the row is up to date.
     std::map<quarantine::PartKey, Clock::time_point> savedUntil_;
+    /// Lifted quarantines that the row may still hold, and when the row cannot hold them any more.
+    std::map<quarantine::PartKey, Clock::time_point> lifted_;
     std::vector<SavedQuarantine> row_; ///< Content of the row at the last read or write.
     std::uint64_t rowVersion_ = 0;     ///< 0 if there is no row.
     bool isRowKnown_ = false;          ///< False if another instance may have changed the row.
--- a/packages/entry/src/quarantine_sharing.cpp
+++ b/packages/entry/src/quarantine_sharing.cpp
@@ -58,6 +58,14 @@
     });
 }
 
+void QuarantineSharing::lift(PartKey part)
+{
+    boost::asio::post(controlContext_, [this, part] {
+        log_.write("quarantine", "lifted", { { "prompt_part", base::toHex(part) } });
+        store_.lift(part, Clock::now());
+    });
+}
+
 void QuarantineSharing::exchange(std::vector<QuarantinedPart> active)
 {
     boost::asio::post(controlContext_, [this, active = std::move(active)]() mutable {
--- a/packages/entry/src/quarantine_store.cpp
+++ b/packages/entry/src/quarantine_store.cpp
@@ -114,10 +114,13 @@
 {
     active_ = std::move(active);
     std::erase_if(savedUntil_, [now](const auto &entry) { return entry.second <= now; });
-    if (unsavedParts(now).empty())
-        unsavedSince_.reset();
-    else if (!unsavedSince_)
-        unsavedSince_ = now;
+    std::erase_if(lifted_, [now](const auto &entry) { return entry.second <= now; });
+    for (const QuarantinedPart &part : active_)
+        lifted_.erase(part.part);
+    if (unsavedParts(now).empty() && lifted_.empty())
+        pendingSince_.reset();
+    else if (!pendingSince_)
+        pendingSince_ = now;
 }
 
 void QuarantineStore::markSaved(const QuarantinedPart &part, Clock::time_point now)
@@ -126,6 +129,19 @@
     until = std::max(until, now + part.remaining);
 }
 
+void QuarantineStore::lift(quarantine::PartKey part, Clock::time_point now)
+{
+    savedUntil_.erase(part);
+    std::erase_if(active_, [part](const QuarantinedPart &active) { return active.part == part; });
+    if (hooks_.rank() > options_.maxLiftRank)
+        return;
+    lifted_[part] = now + peers::kMaxQuarantineTime;
+    // Another instance may have saved the quarantine.
+    isRowKnown_ = false;
+    if (!pendingSince_)
+        pendingSince_ = now;
+}
+
 bool QuarantineStore::isSaved(const QuarantinedPart &part, Clock::time_point now) const
 {
     // An instance that reads the row adds the tolerance, and its clock may be late by as much.
@@ -144,10 +160,10 @@
 
 bool QuarantineStore::isSaveDue(Clock::time_point now) const
 {
-    if (!unsavedSince_)
+    if (!pendingSince_)
         return false;
     const milliseconds delay = options_.standbyDelay * static_cast<std::int64_t>(hooks_.rank());
-    return now - *unsavedSince_ >= std::min(delay, options_.maxStandbyDelay);
+    return now - *pendingSince_ >= std::min(delay, options_.maxStandbyDelay);
 }
 
 milliseconds QuarantineStore::wallNow() const
@@ -190,6 +206,8 @@
         const auto remaining = remainingTime(quarantine, wallNow(), options_.clockTolerance);
         if (!remaining)
             return true;
+        if (lifted_.contains(quarantine.part))
+            return false;
         const QuarantinedPart part{ .part = quarantine.part, .remaining = *remaining };
         markSaved(part, now);
         hooks_.loaded(part);
@@ -202,24 +220,39 @@
     return true;
 }
 
-bool QuarantineStore::save(const yield_context &yield)
+std::vector<SavedQuarantine>
+QuarantineStore::updatedRow(const std::vector<QuarantinedPart> &unsaved) const
 {
-    if (!isRowKnown_ && !load(yield))
-        return false;
-    const auto unsaved = unsavedParts(Clock::now());
-    if (unsaved.empty())
-        return true;
     const milliseconds savedAt = wallNow();
     std::vector<SavedQuarantine> row;
     row.reserve(unsaved.size() + row_.size());
     for (const QuarantinedPart &part : unsaved)
         row.push_back({ .part = part.part, .savedAt = savedAt, .duration = part.remaining });
     for (const SavedQuarantine &quarantine : row_) {
-        if (remainingTime(quarantine, savedAt, options_.clockTolerance)
-            && std::ranges::find(unsaved, quarantine.part, &QuarantinedPart::part) == unsaved.end())
+        const bool isReplaced = std::ranges::find(unsaved, quarantine.part, &QuarantinedPart::part)
+                                != unsaved.end();
+        if (!isReplaced && !lifted_.contains(quarantine.part)
+            && remainingTime(quarantine, savedAt, options_.clockTolerance))
             row.push_back(quarantine);
     }
     row.resize(std::min(row.size(), kMaxSavedQuarantines));
+    return row;
+}
+
+bool QuarantineStore::save(const yield_context &yield)
+{
+    if (!isRowKnown_ && !load(yield))
+        return false;
+    const auto unsaved = unsavedParts(Clock::now());
+    const bool holdsLifted = std::ranges::any_of(
+            row_, [this](const auto &quarantine) { return lifted_.contains(quarantine.part); });
+    if (unsaved.empty() && !holdsLifted) {
+        lifted_.clear();
+        return true;
+    }
+    auto row = updatedRow(unsaved);
+    // Quarantines that are lifted during the write are not in this set.
+    const auto removed = lifted_;
     std::error_code error;
     const auto version = store_.write({ .table = kTable,
                                         .key = kKey,
@@ -235,10 +268,16 @@
     }
     row_ = std::move(row);
     rowVersion_ = *version;
+    for (const auto &[part, endsAt] : removed)
+        lifted_.erase(part);
     for (const QuarantinedPart &part : unsaved)
         markSaved(part, Clock::now());
-    log_.write("quarantine", "saved", { { "parts", unsaved.size() }, { "version", rowVersion_ } });
-    hooks_.saved(unsaved);
+    log_.write("quarantine", "saved",
+               { { "parts", unsaved.size() },
+                 { "lifted", removed.size() },
+                 { "version", rowVersion_ } });
+    if (!unsaved.empty())
+        hooks_.saved(unsaved);
     return true;
 }
 
@@ -255,7 +294,7 @@
         if (!isSaveDue(Clock::now()))
             continue;
         if (save(yield)) {
-            unsavedSince_.reset();
+            pendingSince_.reset();
             backoff = options_.minBackoff;
             continue;
         }
--- a/packages/entry/test/fake_store.h
+++ b/packages/entry/test/fake_store.h
@@ -28,6 +28,7 @@
     int unansweredPolls = 0;        ///< Polls for changes while the store was unresponsive.
     int refusedCalls = 0;           ///< Failed calls of `readAll` and `write`.
     int writes = 0;                 ///< Calls of `write` that took effect.
+    std::function<void()> onWrite;  ///< Called once, after the next write took effect.
 
     void put(const std::string &table, const std::string &key, const std::string &value)
     {
@@ -110,6 +111,8 @@
         }
         ++writes;
         put(write.table, write.key, write.value);
+        if (const auto callback = std::exchange(onWrite, nullptr))
+            callback();
         if (dropsWriteReplies) {
             error = base::Result::WriteUndecided;
             return std::nullopt;
--- a/packages/entry/test/quarantine_sharing_test.cpp
+++ b/packages/entry/test/quarantine_sharing_test.cpp
@@ -112,8 +112,9 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), f.controlCalls());
     }
 
-    // Tests that a quarantine is saved unless a peer has reported it as saved, and that the peers
-    // learn that it is. Guards against a write from each instance.
+    // Tests that a quarantine is saved unless a peer has reported it as saved, that the peers learn
+    // that it is, and that it is removed when it is lifted. Guards against a write from each
+    // instance.
     void quarantinesAreSavedAndReportedAsSaved()
     {
         struct Row
@@ -137,6 +138,10 @@
             f.sharing.exchange({ kQuarantine });
             f.control.run_for(milliseconds(5));
             CPPUNIT_ASSERT_MESSAGE(row.name, f.exchanged.back().at(0).isSaved);
+            f.sharing.lift(kQuarantine.part);
+            f.sharing.exchange({});
+            f.control.run_for(milliseconds(200));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 2 * row.writes, f.fakeStore.writes);
         }
     }
 
--- a/packages/entry/test/quarantine_store_test.cpp
+++ b/packages/entry/test/quarantine_store_test.cpp
@@ -116,6 +116,8 @@
     CPPUNIT_TEST(restartedInstanceLoadsQuarantines);
     CPPUNIT_TEST(malformedRowIsReplaced);
     CPPUNIT_TEST(extendedQuarantineIsSavedAgain);
+    CPPUNIT_TEST(liftedQuarantineIsRemoved);
+    CPPUNIT_TEST(quarantineLiftedDuringWriteIsRemoved);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -366,6 +368,70 @@
         CPPUNIT_ASSERT(f.runUntilSaved({ 1 }));
     }
 
+    // Tests whether a quarantine that is lifted leaves the row. Guards against a restarted instance
+    // that loads a lifted quarantine and passes it on, and against a read by each instance.
+    void liftedQuarantineIsRemoved()
+    {
+        struct Row
+        {
+            std::string name;
+            std::size_t rank;
+            bool isDown; ///< Whether the store is down when the quarantine is lifted.
+            bool isInRow;
+            Parts parts;
+            int reads; ///< Without those that the store refuses.
+            int writes;
+        };
+        const Row rows[] = {
+            { "removed", 0, false, true, { 2 }, 2, 1 },
+            { "store down", 0, true, true, { 2 }, 2, 1 },
+            { "not in the row", 0, false, false, { 2 }, 2, 0 },
+            { "high rank", 3, false, true, { 1, 2 }, 1, 0 },
+        };
+        for (const Row &row : rows) {
+            Fixture f;
+            std::vector<SavedQuarantine> saved{ { 2, kWallNow, kDuration } };
+            if (row.isInRow)
+                saved.push_back({ 1, kWallNow, kDuration });
+            f.store.put("quarantines", "parts", encodeQuarantines(saved));
+            const auto instance = f.makeInstance(row.rank);
+            CPPUNIT_ASSERT(
+                    runUntil(f.context, [&] { return instance->loaded.size() == saved.size(); }));
+            f.store.isUnreachable = row.isDown;
+            instance->store.lift(1, QuarantineStore::Clock::now());
+            std::erase_if(instance->active, [](const auto &part) { return part.part == 1; });
+            instance->update();
+            instance->runBriefly();
+            f.store.isUnreachable = false;
+            CPPUNIT_ASSERT_MESSAGE(row.name, f.runUntilSaved(row.parts));
+            instance->update();
+            instance->runBriefly();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.reads,
+                                         f.store.fullReads - f.store.refusedCalls);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.writes, f.store.writes);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, saved.size(),
+                                         instance->loaded.size() - (row.reads > 1 ? 1 : 0));
+        }
+    }
+
+    // Tests that a quarantine that is lifted while it is written leaves the row. Guards against a
+    // lift that is overtaken by the answer to the write.
+    void quarantineLiftedDuringWriteIsRemoved()
+    {
+        Fixture f;
+        const auto instance = f.makeInstance();
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.store.fullReads == 1; }));
+        f.store.onWrite = [&] {
+            instance->store.lift(1, QuarantineStore::Clock::now());
+            instance->active.clear();
+        };
+        instance->quarantinePart(1);
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.store.writes == 1; }));
+        instance->update();
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.store.writes == 2; }));
+        CPPUNIT_ASSERT(f.savedParts().empty());
+    }
+
     // Tests from which extension on a quarantine is saved again. Guards against a row that ends
     // much earlier than the quarantine, and against writes that clock errors cause.
     void extendedQuarantineIsSavedAgain()
