--- a/packages/quarantine/include/quarantine/types.h
+++ b/packages/quarantine/include/quarantine/types.h
@@ -7,26 +7,26 @@
 
 namespace chervilfield::quarantine {
 
-/// Hash of the model and the id of a prompt part.
+/// Hash of a model and of the id of a prompt part.
 using PartKey = std::uint64_t;
 
-/// One run of an engine.
+/// One run of an engine process.
 struct EngineRun
 {
     std::string target;          ///< Id of the engine.
-    std::uint64_t startedAt = 0; ///< Start of the run in Unix milliseconds.
+    std::uint64_t startedAt = 0; ///< Start of the run, in Unix milliseconds.
     bool operator==(const EngineRun &) const = default;
 };
 
-/// A request that was sent to an engine and had no first event when the engine crashed.
+/// Request that was sent to an engine and had received no event when the engine crashed.
 struct SuspectRequest
 {
     std::uint64_t request = 0;  ///< Hash of the request's id.
-    std::vector<PartKey> parts; ///< Parts of its prompt.
+    std::vector<PartKey> parts; ///< Parts in order that other requests may share: all but the last.
     bool operator==(const SuspectRequest &) const = default;
 };
 
-/// The suspect requests that one instance had at an engine that crashed.
+/// Requests of one instance without an event at an engine that crashed.
 struct CrashReport
 {
     EngineRun run;
@@ -34,11 +34,11 @@
     bool operator==(const CrashReport &) const = default;
 };
 
-/// A part whose requests are not sent to engines.
+/// A part that is quarantined for the time `remaining`.
 struct QuarantinedPart
 {
     PartKey part = 0;
-    std::chrono::milliseconds remaining{}; ///< Time until the quarantine ends.
+    std::chrono::milliseconds remaining{ 0 };
     bool operator==(const QuarantinedPart &) const = default;
 };
 
