Refuse requests with a prompt part that crashes engines

Change: after a break before the first event the relay waits 15 ms for others that the same crash breaks and opens one connection to the engine. If it is refused, the waiting requests are suspects of the crash (PartQuarantine). A request with a quarantined part is refused with the new result 2008 part-quarantined, 503, before it waits for a target and before each attempt; a request under which two engines crashed isn't sent again. Timeouts of that connection are no evidence, because a cut link shows the same. Hooks announce crashes, cleared parts and quarantines to other instances; they are not connected yet.

--- a/packages/base/include/base/result.h
+++ b/packages/base/include/base/result.h
@@ -31,6 +31,7 @@
     ShuttingDown = 2005,
     RetryBudgetSpent = 2006,
     NotReady = 2007,
+    PartQuarantined = 2008,
 
     TargetUnreachable = 3001,
     TargetFailed = 3002,
--- a/packages/base/src/result.cpp
+++ b/packages/base/src/result.cpp
@@ -42,6 +42,8 @@
     ResultInfo{ Result::ShuttingDown, "shutting-down", 503, "The instance is shutting down." },
     ResultInfo{ Result::RetryBudgetSpent, "retry-budget-spent", 503, "The retry budget is spent." },
     ResultInfo{ Result::NotReady, "not-ready", 503, "The instance has no configuration yet." },
+    ResultInfo{ Result::PartQuarantined, "part-quarantined", 503,
+                "Engines crashed on a part of the prompt." },
     ResultInfo{ Result::TargetUnreachable, "target-unreachable", 502,
                 "The target refused the connection." },
     ResultInfo{ Result::TargetFailed, "target-failed", 502, "The target failed." },
--- a/packages/entry/include/entry/entry_app.h
+++ b/packages/entry/include/entry/entry_app.h
@@ -96,6 +96,7 @@
     Rollout rollout_;
     net::HttpClient httpClient_; ///< Used on the traffic thread.
     dispatch::Placer placer_;
+    quarantine::PartQuarantine partQuarantine_; ///< Used by the traffic thread.
     relay::Metrics metrics_;
     relay::Relay relay_;
     std::unique_ptr<net::HttpServer> callerServer_;
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -126,6 +126,7 @@
                                                                   viewUpdater_.confirmedAge(),
                                                           .drainSchedule = drainSchedule() };
                        },
+               .partQuarantine = partQuarantine_,
                .options = relayOptions(options_) })
 {
 }
@@ -237,6 +238,7 @@
 {
     TrafficDigest digest{ .work = placer_.targetTracker().ownWork(),
                           .hints = placer_.takeHints(peers::HintExchange::kMaxHints) };
+    relay_.reportQuarantines();
     boost::asio::post(controlContext_,
                       [this, digest = std::move(digest)] { peerMesh_.exchangeDigest(digest); });
     auto timer = std::make_shared<boost::asio::steady_timer>(trafficContext_, kExchangeInterval);
--- a/packages/relay/include/relay/metrics.h
+++ b/packages/relay/include/relay/metrics.h
@@ -31,6 +31,10 @@
     void observeAnswerTime(const std::string &pool, std::chrono::duration<double> elapsed);
     /// Counts a stream that continues at another target.
     void countResume() { resumes_.Increment(); }
+    void setQuarantinedParts(std::size_t count)
+    {
+        quarantinedParts_.Set(static_cast<double>(count));
+    }
     void requestStarted() { openRequests_.Increment(); }
     void requestEnded() { openRequests_.Decrement(); }
 
@@ -47,6 +51,7 @@
     prometheus::Family<prometheus::Histogram> &answerTime_;
     prometheus::Counter &resumes_;
     prometheus::Gauge &openRequests_;
+    prometheus::Gauge &quarantinedParts_;
 };
 
 } // namespace chervilfield::relay
--- a/packages/relay/include/relay/relay.h
+++ b/packages/relay/include/relay/relay.h
@@ -6,6 +6,7 @@
 #include "fleet/view.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "quarantine/part_quarantine.h"
 #include "relay/codec.h"
 #include "relay/metrics.h"
 
@@ -73,6 +74,23 @@
     std::chrono::milliseconds drainRetryAfter{ 10 };
     /// Limits of the retries by pool and by target, for this instance's share of the traffic.
     admission::RetryBudgetOptions retryBudget = admission::kRetryBudget;
+    /// Time for which requests that an engine's crash breaks are collected.
+    std::chrono::milliseconds breakSpread{ 15 };
+    /// Time for which an engine that accepted a connection counts as running.
+    std::chrono::milliseconds runningEngineAge{ 100 };
+    /// Number of engines that may crash under a request before it is not sent again.
+    std::size_t maxCrashesPerRequest = 2;
+};
+
+/// Functions that tell other instances what this one has seen of parts that crash engines. Empty
+/// ones are not called.
+struct QuarantineHooks
+{
+    std::function<void(const quarantine::CrashReport &)> crashed{};
+    /// Parts that began an answer although they were suspects or quarantined.
+    std::function<void(const std::vector<quarantine::PartKey> &)> innocent{};
+    /// A part that this instance quarantined by its own verdict.
+    std::function<void(const quarantine::QuarantinedPart &)> quarantined{};
 };
 
 /// Components of the daemon that the relay uses. They must outlive the relay.
@@ -84,6 +102,8 @@
     Metrics &metrics;
     base::EventLog &log;
     std::function<DeploymentState()> deploymentState;
+    quarantine::PartQuarantine &partQuarantine;
+    QuarantineHooks quarantineHooks{};
     RelayOptions options;
 };
 
@@ -98,14 +118,24 @@
     /// Handles one request from admission to the end of the response.
     void serve(net::Exchange &exchange, boost::asio::yield_context yield);
 
+    /// Logs, announces and counts changes of the quarantines. Must be called after changes by
+    /// others than the relay, and regularly because quarantines end.
+    void reportQuarantines();
+
 private:
     class Flow;
+    struct CrashCheck;
+
+    /// Records a crash, and tells other instances.
+    void recordCrash(const quarantine::CrashReport &report);
 
     RelayContext context_;
     std::mt19937_64 random_;
     admission::RetryBudgetMap poolRetryBudgets_;
     admission::RetryBudgetMap targetRetryBudgets_;
     std::map<std::string, std::chrono::milliseconds> reuseTimes_; ///< By target id.
+    /// Latest check of each target that broke a request, by target id.
+    std::map<std::string, std::shared_ptr<CrashCheck>> crashChecks_;
 };
 
 } // namespace chervilfield::relay
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -100,6 +100,8 @@
         respondWithFailure(Result::DeadlineUnreachable, WorkStatus::NotRun);
         return false;
     }
+    for (std::size_t i = 0; i + 1 < caller_.promptParts.size(); ++i)
+        sharedParts_.push_back(quarantine::partKey(caller_.model, caller_.promptParts[i].id));
     choosePool();
     return true;
 }
@@ -152,7 +154,7 @@
     auto result = tryPlace(acceptance);
     const auto waitUntil = waitDeadline();
     while (const auto *refusal = std::get_if<dispatch::Refusal>(&result)) {
-        if (!refusal->mayWait || cancellation_.cancelled())
+        if (!refusal->mayWait || cancellation_.cancelled() || quarantineTime())
             break;
         if (Clock::now() < waitUntil)
             waitForCapacity();
@@ -160,6 +162,10 @@
             acceptance = dispatch::Acceptance::Late;
         result = tryPlace(acceptance);
     }
+    if (const auto remaining = quarantineTime()) {
+        refuseQuarantined(*remaining);
+        return std::nullopt;
+    }
     if (const auto *refusal = std::get_if<dispatch::Refusal>(&result)) {
         logRefusal(*refusal);
         if (!mayHaveRun_ && !hasResponseStarted_ && !targetFailure_)
@@ -222,15 +228,6 @@
              .idempotent = isRepeatable() };
 }
 
-std::vector<std::uint64_t> Relay::Flow::sharedPartKeys() const
-{
-    std::vector<std::uint64_t> keys;
-    const std::uint64_t model = base::hash64(caller_.model);
-    for (std::size_t i = 0; i + 1 < caller_.promptParts.size(); ++i)
-        keys.push_back(base::hash64(caller_.promptParts[i].id, model));
-    return keys;
-}
-
 milliseconds Relay::Flow::headTimeout() const
 {
     const bool mayTryAnother = isRepeatable() && triedTargets_.size() < route_->maxTargets
@@ -266,6 +263,7 @@
     inFlightRequest_ = placement.inFlightRequest;
     firstEventAt_.reset();
     hasTargetResponded_ = false;
+    hasBegun_ = false;
     const InFlightGuard inFlightGuard(context_.placer.targetTracker(), *target_, inFlightRequest_);
     excludedTargets_.push_back(target_->id);
     net::ExchangeOptions options = exchangeOptions();
@@ -316,7 +314,8 @@
         return triedTargets_.size() < route_->maxTargets && takeRetry();
     case SendOutcome::Unknown:
     case SendOutcome::Failed:
-        return isRepeatable() && triedTargets_.size() < route_->maxTargets && takeRetry();
+        return isRepeatable() && crashes_ < context_.options.maxCrashesPerRequest
+               && triedTargets_.size() < route_->maxTargets && takeRetry();
     case SendOutcome::Answered:
     case SendOutcome::Cancelled:
         break;
@@ -369,8 +368,10 @@
         const auto sentAt = Clock::now();
         const SendOutcome outcome = send(*placement);
         logSend(*placement, outcome, sentAt);
-        if (outcome == SendOutcome::Unknown && result_ != Result::ProgressTimeout)
+        if (outcome == SendOutcome::Unknown && result_ != Result::ProgressTimeout) {
             logBreak(sentAt);
+            recordBreak();
+        }
         context_.metrics.countSend(pool_, result_);
         mayHaveRun_ =
                 mayHaveRun_ || outcome == SendOutcome::Unknown || outcome == SendOutcome::Failed;
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -3,6 +3,8 @@
 #include "relay/event_splitter.h"
 #include "relay/relay.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,6 +23,15 @@
     Cancelled, ///< The caller has closed its connection.
 };
 
+/// Checks whether a target that broke requests before their first event has crashed.
+struct Relay::CrashCheck
+{
+    quarantine::CrashReport report;
+    std::chrono::steady_clock::time_point startedAt;
+    boost::asio::steady_timer finished; ///< Expires never; cancelled at the end of the check.
+    std::optional<bool> hasCrashed;     ///< No value while the check is in progress.
+};
+
 /// Handles one request of a caller: checks it, sends it to targets until one responds, and passes
 /// the response on.
 class Relay::Flow
@@ -64,6 +75,18 @@
     bool forwardEvents(EventSplitter &splitter, const net::ResponseStream &response);
     /// Ends the caller's stream if the target's stream is complete.
     SendOutcome finishStream(bool isComplete, const EventSplitter &splitter);
+    /// Records that the current attempt has received an event or the whole answer.
+    void recordBegin();
+    /// Records a break of the current attempt before the first event. If the engine has crashed,
+    /// its waiting requests become suspects. Returns when that is known.
+    void recordBreak();
+    /// Returns whether the engine of the current attempt has crashed, and adds this request to the
+    /// suspects.
+    bool checkCrash();
+    /// Returns the remaining time of the quarantine that a part of the prompt is in, or no value.
+    std::optional<std::chrono::milliseconds> quarantineTime() const;
+    /// Refuses the request because of a part of its prompt.
+    void refuseQuarantined(std::chrono::milliseconds remaining);
     /// Records what the response tells about the target.
     void recordResponse(const ResponseFields &fields, int status);
 
@@ -85,9 +108,6 @@
                  Clock::time_point sentAt);
     /// Logs that the target closed the connection before the end of its response.
     void logBreak(Clock::time_point sentAt);
-    /// Returns hashes of the model and of each part that other requests may share, which are all
-    /// parts but the last.
-    std::vector<std::uint64_t> sharedPartKeys() const;
 
     /// Returns true if the request may run more than once.
     bool isRepeatable() const;
@@ -110,8 +130,11 @@
 
     std::vector<std::string> triedTargets_;    ///< Ids of targets that the request was sent to.
     std::vector<std::string> excludedTargets_; ///< Ids of those targets and of unreachable ones.
-    const fleet::Target *target_ = nullptr;    ///< Target of the current attempt.
+    std::vector<quarantine::PartKey> sharedParts_; ///< Parts that other requests may share.
+    std::size_t crashes_ = 0; ///< Engines that crashed before the first event of an attempt.
+    const fleet::Target *target_ = nullptr; ///< Target of the current attempt.
     bool hasTargetResponded_ = false; ///< The head of the current attempt's response has arrived.
+    bool hasBegun_ = false; ///< The current attempt has received an event or the whole answer.
     /// Arrival of the first bytes of a stream in the current attempt.
     std::optional<Clock::time_point> firstEventAt_;
     dispatch::InFlightRequest inFlightRequest_; ///< Load of the current attempt on its target.
--- a/packages/relay/src/flow_answers.cpp
+++ b/packages/relay/src/flow_answers.cpp
@@ -95,6 +95,7 @@
         return SendOutcome::Failed;
     }
     targetTracker.recordSuccess(*target_, Clock::now());
+    recordBegin();
     std::error_code callerError;
     exchange_.respond(whole, yield_, callerError);
     hasResponseStarted_ = true;
@@ -107,6 +108,7 @@
 {
     std::error_code error;
     while (const auto event = splitter.next()) {
+        recordBegin();
         if (event->id && lastEventId_ && *event->id <= *lastEventId_)
             continue;
         if (!hasResponseStarted_) {
--- a/packages/relay/src/flow_log.cpp
+++ b/packages/relay/src/flow_log.cpp
@@ -106,7 +106,7 @@
 void Relay::Flow::logBreak(Clock::time_point sentAt)
 {
     std::string parts;
-    for (const std::uint64_t key : sharedPartKeys())
+    for (const std::uint64_t key : sharedParts_)
         parts += (parts.empty() ? "" : ",") + base::toHex(key);
     context_.log.write("relay", "engine-broke",
                        { { "request", caller_.requestId },
--- a/packages/relay/src/metrics.cpp
+++ b/packages/relay/src/metrics.cpp
@@ -42,7 +42,12 @@
                             .Name("chervilfield_relay_open_requests")
                             .Help("Requests without a complete answer.")
                             .Register(registry_)
-                            .Add({}))
+                            .Add({})),
+      quarantinedParts_(BuildGauge()
+                                .Name("chervilfield_relay_quarantined_parts")
+                                .Help("Prompt parts whose requests are refused.")
+                                .Register(registry_)
+                                .Add({}))
 {
 }
 
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,8 @@
     StreamsAll,       ///< Sends all three events.
     StreamsHalf,      ///< Closes the connection after one and a half events.
     StreamsNothing,   ///< Closes the connection before the first event.
+    CrashesOnPart,    ///< Stops for good when it begins to answer on the part "deadly".
+    BreaksOnPart,     ///< Closes the connection when it begins to answer on the part "deadly".
 };
 
 std::string event(int id)
@@ -102,6 +105,12 @@
         const int first = last ? std::stoi(std::string(*last)) + 1 : 1;
         if (behaviour_ == Behaviour::StreamsNothing)
             return;
+        const auto parts = net::findHeader(exchange.request().headers, "Parts").value_or("");
+        if (parts.find("deadly") != std::string_view::npos) {
+            if (behaviour_ == Behaviour::CrashesOnPart)
+                server_->stopAccepting();
+            return;
+        }
         if (behaviour_ == Behaviour::StreamsHalf) {
             exchange.write(event(first) + event(first + 1).substr(0, 5), yield, error);
             return;
@@ -116,6 +125,15 @@
     std::vector<net::Request> received_;
 };
 
+std::vector<dispatch::PromptPart> testParts(const std::string &text)
+{
+    std::vector<dispatch::PromptPart> parts;
+    std::istringstream stream(text);
+    for (std::string id; stream >> id;)
+        parts.push_back({ .id = id, .tokens = 10 });
+    return parts;
+}
+
 Codec testCodec()
 {
     const auto field = [](const net::Headers &headers, std::string_view name) {
@@ -127,7 +145,9 @@
                                               .timeout = milliseconds(1500),
                                               .apiKey = field(request.headers, "Key"),
                                               .model = field(request.headers, "Model"),
-                                              .promptTokens = 100 };
+                                              .promptTokens = 100,
+                                              .promptParts =
+                                                      testParts(field(request.headers, "Parts")) };
                      },
              .encodeTargetHeaders =
                      [](const net::Request &request, const ForwardFields &fields) {
@@ -182,6 +202,7 @@
     milliseconds acceptFor{ 0 };
     /// Time until this instance exits; 0 if it does not shut down.
     milliseconds exitIn{ 0 };
+    admission::RetryBudgetOptions retryBudget = admission::kRetryBudget;
 };
 
 fleet::ViewPtr makeView(const Scenario &scenario,
@@ -221,7 +242,9 @@
     return result;
 }
 
-Outcome runScenario(const Scenario &scenario)
+// Sends a request for each entry of `prompts`, one after the other, to one relay. Returns the
+// outcome of each; `sends` counts all requests so far.
+std::vector<Outcome> runScenario(const Scenario &scenario, const std::vector<std::string> &prompts)
 {
     asio::io_context context;
     std::vector<std::unique_ptr<FakeTarget>> targets;
@@ -233,13 +256,15 @@
     dispatch::Placer placer("near", 1, { .otherDataCentreCost = dispatch::Seconds(1) });
     Metrics metrics;
     base::EventLog log({ .linesPerSecond = 0, .burst = 0 });
+    quarantine::PartQuarantine partQuarantine({ .minSpan = milliseconds(0) });
     Relay relay({ .codec = codec,
                   .client = targetClient,
                   .placer = placer,
                   .metrics = metrics,
                   .log = log,
                   .deploymentState = [&] { return deploymentState(scenario, view); },
-                  .options = {} });
+                  .partQuarantine = partQuarantine,
+                  .options = { .retryBudget = scenario.retryBudget } });
     const net::Handler handler = [&relay](net::Exchange &exchange, asio::yield_context yield) {
         relay.serve(exchange, yield);
     };
@@ -247,30 +272,41 @@
     std::error_code error;
     server.listen({ "127.0.0.1", 0 }, error);
 
-    Outcome outcome;
+    std::vector<Outcome> outcomes;
     net::HttpClient caller(context.get_executor(), {});
     net::spawnCoroutine(context, "[test]", [&](asio::yield_context yield) {
-        net::Request request{ .method = "POST",
-                              .target = "/x",
-                              .headers = { { "Host", "h" }, { "Id", "own" } },
-                              .body = "question",
-                              .idempotent = false };
-        if (!scenario.key.empty())
-            request.headers.push_back({ "Key", scenario.key });
-        std::error_code failure;
-        const auto stream = caller.open(server.localAddress(), request, seconds(5), yield, failure);
-        if (stream != nullptr) {
-            outcome.status = stream->status();
-            while (stream->read(outcome.body, seconds(5), yield, failure)) {
+        for (const std::string &parts : prompts) {
+            Outcome &outcome = outcomes.emplace_back();
+            const std::string id = "own" + std::to_string(outcomes.size());
+            net::Request request{ .method = "POST",
+                                  .target = "/x",
+                                  .headers = { { "Host", "h" }, { "Id", id }, { "Parts", parts } },
+                                  .body = "question",
+                                  .idempotent = false };
+            if (!scenario.key.empty())
+                request.headers.push_back({ "Key", scenario.key });
+            std::error_code failure;
+            const auto stream =
+                    caller.open(server.localAddress(), request, seconds(5), yield, failure);
+            if (stream != nullptr) {
+                outcome.status = stream->status();
+                while (stream->read(outcome.body, seconds(5), yield, failure)) {
+                }
+                outcome.isComplete = !failure;
             }
-            outcome.isComplete = !failure;
+            for (const auto &target : targets)
+                outcome.sends.push_back(target->received().size());
         }
         context.stop();
     });
     context.run_for(seconds(10));
-    for (const auto &target : targets)
-        outcome.sends.push_back(target->received().size());
-    return outcome;
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(scenario.name, prompts.size(), outcomes.size());
+    return outcomes;
+}
+
+Outcome runScenario(const Scenario &scenario)
+{
+    return runScenario(scenario, { "" }).front();
 }
 
 struct Row
@@ -302,6 +338,7 @@
     CPPUNIT_TEST(responsesReflectWhatTargetsDid);
     CPPUNIT_TEST(streamsAreCompleteOrVisiblyInterrupted);
     CPPUNIT_TEST(shutdownAcceptsOnlyRequestsThatCanFinish);
+    CPPUNIT_TEST(requestsWithDeadlyPartStopCrashingEngines);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -432,6 +469,80 @@
                 row("exit before the caller's timeout", milliseconds(-100), seconds(1), false),
         });
     }
+
+    // Guards against requests that crash engine after engine because they share a part.
+    void requestsWithDeadlyPartStopCrashingEngines()
+    {
+        using enum Behaviour;
+        struct PromptRow
+        {
+            std::string name;
+            Behaviour behaviour;
+            std::uint32_t maxTargets;
+            std::vector<std::string> prompts;
+            std::vector<int> statuses;
+            std::string lastBody;
+            std::size_t sends;
+        };
+        const std::string all = event(1) + event(2) + event(3);
+        const std::vector<std::string> deadly{ "a deadly 1", "a deadly 2", "a deadly 3",
+                                               "a deadly 4" };
+        const std::vector<PromptRow> rows{
+            { "four requests",
+              CrashesOnPart,
+              2,
+              deadly,
+              { 502, 502, 503, 503 },
+              "part-quarantined",
+              3 },
+            { "at most two engines crash under one request",
+              CrashesOnPart,
+              4,
+              { "a deadly 1" },
+              { 502 },
+              "target-failed",
+              2 },
+            { "sound request between",
+              CrashesOnPart,
+              2,
+              { "a deadly 1", "a b 2", "a deadly 3", "a deadly 4", "a b 5" },
+              { 502, 200, 502, 503, 200 },
+              all,
+              5 },
+            { "last part is deadly",
+              CrashesOnPart,
+              2,
+              { "a deadly", "b deadly" },
+              { 502, 502 },
+              "target-failed",
+              4 },
+            { "engines that keep running",
+              BreaksOnPart,
+              2,
+              deadly,
+              { 502, 502, 502, 502 },
+              "target-failed",
+              8 },
+        };
+        for (const PromptRow &row : rows) {
+            Scenario scenario{
+                .name = row.name,
+                .kind = fleet::RequestKind::Stream,
+                .maxTargets = row.maxTargets,
+                .isResumable = true,
+                .retryBudget = { .earnedPerRequest = 4, .earnedPerSecond = 1000, .maxSaved = 100 }
+            };
+            scenario.targets.assign(8, row.behaviour);
+            const std::vector<Outcome> outcomes = runScenario(scenario, row.prompts);
+            for (std::size_t i = 0; i < outcomes.size(); ++i)
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.statuses[i], outcomes[i].status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.lastBody, outcomes.back().body);
+            std::size_t sends = 0;
+            for (const std::size_t count : outcomes.back().sends)
+                sends += count;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.sends, sends);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
