Connect the relay's quarantine with the other instances and the store

Cause: each instance finds and quarantines parts alone, so engines crash once more for each instance that receives such requests.

Change: EntryApp passes crash reports, innocent parts, new and lifted quarantines of the relay to QuarantineSharing, and what comes back to the quarantine. RelayContext has a hook for lifted quarantines.

--- a/packages/entry/include/entry/entry_app.h
+++ b/packages/entry/include/entry/entry_app.h
@@ -25,7 +25,6 @@
 #include <string>
 #include <system_error>
 #include <thread>
-#include <vector>
 
 namespace chervilfield::entry {
 
@@ -59,8 +58,7 @@
     /// Returns the hooks through which the quarantine learns from other instances and the store.
     QuarantineSharing::TrafficHooks quarantineTrafficHooks();
     QuarantineSharing::PeerHooks quarantinePeerHooks();
-    /// Returns the quarantines in force. Must be called on the traffic thread.
-    std::vector<quarantine::QuarantinedPart> activeQuarantines();
+    relay::QuarantineHooks relayQuarantineHooks();
     /// Exchanges traffic state with the other instances, periodically. Runs on the traffic thread.
     void exchangeTraffic();
     /// Sends a notice to the other instances and applies it here.
--- a/packages/entry/include/entry/quarantine_sharing.h
+++ b/packages/entry/include/entry/quarantine_sharing.h
@@ -78,7 +78,6 @@
 
     boost::asio::io_context &controlContext_;
     boost::asio::io_context &trafficContext_;
-    base::EventLog &log_;
     TrafficHooks trafficHooks_;
     PeerHooks peerHooks_;
     QuarantineStore store_;
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -129,6 +129,7 @@
                                                           .drainSchedule = drainSchedule() };
                        },
                .partQuarantine = partQuarantine_,
+               .quarantineHooks = relayQuarantineHooks(),
                .options = relayOptions(options_) })
 {
 }
@@ -251,9 +252,38 @@
 
 QuarantineSharing::TrafficHooks EntryApp::quarantineTrafficHooks()
 {
-    return { .recordCrash = [](const quarantine::CrashReport &) {},
-             .recordInnocent = [](const std::vector<quarantine::PartKey> &) {},
-             .adopt = [](const quarantine::QuarantinedPart &) {} };
+    return { .recordCrash =
+                     [this](const quarantine::CrashReport &report) {
+                         partQuarantine_.recordCrash(report, Clock::now());
+                         relay_.reportQuarantines();
+                     },
+             .recordInnocent =
+                     [this](const std::vector<quarantine::PartKey> &parts) {
+                         partQuarantine_.recordInnocent(parts, Clock::now());
+                         relay_.reportQuarantines();
+                     },
+             .adopt =
+                     [this](const quarantine::QuarantinedPart &part) {
+                         partQuarantine_.adopt(part, Clock::now());
+                         relay_.reportQuarantines();
+                     } };
+}
+
+relay::QuarantineHooks EntryApp::relayQuarantineHooks()
+{
+    return { .crashed =
+                     [this](const quarantine::CrashReport &report) {
+                         quarantineSharing_.shareCrash(report);
+                     },
+             .innocent =
+                     [this](const std::vector<quarantine::PartKey> &parts) {
+                         quarantineSharing_.shareInnocent(parts);
+                     },
+             .quarantined =
+                     [this](const quarantine::QuarantinedPart &part) {
+                         quarantineSharing_.shareQuarantine(part);
+                     },
+             .lifted = [this](quarantine::PartKey part) { quarantineSharing_.lift(part); } };
 }
 
 QuarantineSharing::PeerHooks EntryApp::quarantinePeerHooks()
@@ -277,11 +307,6 @@
              .rank = [this] { return peerMesh_.rank(); } };
 }
 
-std::vector<quarantine::QuarantinedPart> EntryApp::activeQuarantines()
-{
-    return {};
-}
-
 void EntryApp::exchangeTraffic()
 {
     TrafficDigest digest{ .work = placer_.targetTracker().ownWork(),
@@ -289,7 +314,7 @@
     relay_.reportQuarantines();
     boost::asio::post(controlContext_,
                       [this, digest = std::move(digest)] { peerMesh_.exchangeDigest(digest); });
-    quarantineSharing_.exchange(activeQuarantines());
+    quarantineSharing_.exchange(partQuarantine_.active(Clock::now()));
     auto timer = std::make_shared<boost::asio::steady_timer>(trafficContext_, kExchangeInterval);
     timer->async_wait([this, timer](const auto &) { exchangeTraffic(); });
 }
--- a/packages/entry/src/quarantine_sharing.cpp
+++ b/packages/entry/src/quarantine_sharing.cpp
@@ -1,7 +1,5 @@
 #include "entry/quarantine_sharing.h"
 
-#include "base/hash.h"
-
 #include <boost/asio/post.hpp>
 
 #include <utility>
@@ -16,7 +14,7 @@
                                      boost::asio::io_context &trafficContext, fleet::Store &store,
                                      base::EventLog &log, TrafficHooks trafficHooks,
                                      PeerHooks peerHooks, QuarantineStoreOptions storeOptions)
-    : controlContext_(controlContext), trafficContext_(trafficContext), log_(log),
+    : controlContext_(controlContext), trafficContext_(trafficContext),
       trafficHooks_(std::move(trafficHooks)), peerHooks_(std::move(peerHooks)),
       store_(controlContext, store, log,
              { .rank = [this] { return peerHooks_.rank(); },
@@ -52,18 +50,13 @@
 void QuarantineSharing::shareQuarantine(const QuarantinedPart &part)
 {
     boost::asio::post(controlContext_, [this, part] {
-        log_.write("quarantine", "announced",
-                   { { "prompt_part", base::toHex(part.part) }, { "for_ms", part.remaining } });
         peerHooks_.announceQuarantines({ { .part = part, .isSaved = false } });
     });
 }
 
 void QuarantineSharing::lift(PartKey part)
 {
-    boost::asio::post(controlContext_, [this, part] {
-        log_.write("quarantine", "lifted", { { "prompt_part", base::toHex(part) } });
-        store_.lift(part, Clock::now());
-    });
+    boost::asio::post(controlContext_, [this, part] { store_.lift(part, Clock::now()); });
 }
 
 void QuarantineSharing::exchange(std::vector<QuarantinedPart> active)
--- a/packages/relay/include/relay/relay.h
+++ b/packages/relay/include/relay/relay.h
@@ -91,6 +91,8 @@
     std::function<void(const std::vector<quarantine::PartKey> &)> innocent{};
     /// A part that this instance quarantined by its own verdict.
     std::function<void(const quarantine::QuarantinedPart &)> quarantined{};
+    /// A part whose quarantine ended early because it is innocent.
+    std::function<void(quarantine::PartKey)> lifted{};
 };
 
 /// Components of the daemon that the relay uses. They must outlive the relay.
--- a/packages/relay/src/flow_crashes.cpp
+++ b/packages/relay/src/flow_crashes.cpp
@@ -107,6 +107,8 @@
                              { "remaining_ms", change.part.remaining } });
         if (change.isQuarantined && !change.isAdopted && context_.quarantineHooks.quarantined)
             context_.quarantineHooks.quarantined(change.part);
+        if (!change.isQuarantined && context_.quarantineHooks.lifted)
+            context_.quarantineHooks.lifted(change.part.part);
     }
     context_.metrics.setQuarantinedParts(
             partQuarantine.active(std::chrono::steady_clock::now()).size());
