--- a/packages/entry/include/entry/entry_app.h
+++ b/packages/entry/include/entry/entry_app.h
@@ -8,6 +8,7 @@
 #include "entry/options.h"
 #include "entry/peer_mesh.h"
 #include "entry/platform.h"
+#include "entry/quarantine_sharing.h"
 #include "entry/rollout.h"
 #include "entry/view_updater.h"
 #include "net/http_server.h"
@@ -55,6 +56,10 @@
     void serveMetrics(net::Exchange &exchange, const boost::asio::yield_context &yield);
     void handleViewPublished(const fleet::ViewPtr &view);
     PeerHooks peerHooks();
+    /// Returns the hooks through which the quarantine learns from other instances and the store.
+    QuarantineSharing::TrafficHooks quarantineTrafficHooks();
+    QuarantineSharing::PeerHooks quarantinePeerHooks();
+    relay::QuarantineHooks relayQuarantineHooks();
     /// Exchanges traffic state with the other instances, periodically. Runs on the traffic thread.
     void exchangeTraffic();
     /// Sends a notice to the other instances and applies it here.
@@ -94,6 +99,7 @@
     control::ControlSystem controlSystem_;
     ViewUpdater viewUpdater_;
     PeerMesh peerMesh_;
+    QuarantineSharing quarantineSharing_;
     Rollout rollout_;
     net::HttpClient httpClient_; ///< Used on the traffic thread.
     dispatch::Placer placer_;
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -95,6 +95,8 @@
                              } },
                    viewOptions(options_)),
       peerMesh_(controlContext_, options_, life_, timeLine_, log_, viewUpdater_, peerHooks()),
+      quarantineSharing_(controlContext_, trafficContext_, *store_, log_, quarantineTrafficHooks(),
+                         quarantinePeerHooks()),
       rollout_(controlContext_, *store_, *engineControl_, log_,
                { .view = [this] { return viewUpdater_.view(); },
                  .liveInstances = [this] { return peerMesh_.liveInstances(); },
@@ -123,6 +125,7 @@
                                                           .drainSchedule = drainSchedule() };
                        },
                .partQuarantine = partQuarantine_,
+               .quarantineHooks = relayQuarantineHooks(),
                .options = relayOptions(options_) })
 {
 }
@@ -198,6 +201,7 @@
                  { "callers", toString(options_.callerAddress) } });
     viewUpdater_.start();
     rollout_.start();
+    quarantineSharing_.start();
     waitForSignal();
     exchangeTraffic();
     trafficThread_ = std::thread([this] { trafficContext_.run(); });
@@ -227,7 +231,76 @@
                          });
                      },
              .applyWeightsNotice =
-                     [this](const peers::WeightsNotice &notice) { applyWeightsNotice(notice); } };
+                     [this](const peers::WeightsNotice &notice) { applyWeightsNotice(notice); },
+             .receiveCrash =
+                     [this](const quarantine::CrashReport &report) {
+                         quarantineSharing_.receiveCrash(report);
+                     },
+             .receiveInnocent =
+                     [this](const peers::InnocentParts &message) {
+                         quarantineSharing_.receiveInnocent(message);
+                     },
+             .receiveQuarantines =
+                     [this](const peers::QuarantinedParts &message) {
+                         quarantineSharing_.receiveQuarantines(message);
+                     } };
+}
+
+QuarantineSharing::TrafficHooks EntryApp::quarantineTrafficHooks()
+{
+    return { .recordCrash =
+                     [this](const quarantine::CrashReport &report) {
+                         partQuarantine_.recordCrash(report, Clock::now());
+                         relay_.reportQuarantines();
+                     },
+             .recordInnocent =
+                     [this](const std::vector<quarantine::PartKey> &parts) {
+                         partQuarantine_.recordInnocent(parts, Clock::now());
+                         relay_.reportQuarantines();
+                     },
+             .adopt =
+                     [this](const quarantine::QuarantinedPart &part) {
+                         partQuarantine_.adopt(part, Clock::now());
+                         relay_.reportQuarantines();
+                     } };
+}
+
+relay::QuarantineHooks EntryApp::relayQuarantineHooks()
+{
+    return { .crashed =
+                     [this](const quarantine::CrashReport &report) {
+                         quarantineSharing_.shareCrash(report);
+                     },
+             .innocent =
+                     [this](const std::vector<quarantine::PartKey> &parts) {
+                         quarantineSharing_.shareInnocent(parts);
+                     },
+             .quarantined =
+                     [this](const quarantine::QuarantinedPart &part) {
+                         quarantineSharing_.shareQuarantine(part);
+                     },
+             .lifted = [this](quarantine::PartKey part) { quarantineSharing_.lift(part); } };
+}
+
+QuarantineSharing::PeerHooks EntryApp::quarantinePeerHooks()
+{
+    return { .announceCrash =
+                     [this](const quarantine::CrashReport &report) {
+                         peerMesh_.announceCrash(report);
+                     },
+             .addInnocent =
+                     [this](const std::vector<quarantine::PartKey> &parts) {
+                         peerMesh_.addInnocent(parts);
+                     },
+             .announceQuarantines =
+                     [this](const std::vector<peers::SharedQuarantine> &quarantines) {
+                         peerMesh_.announceQuarantines(quarantines);
+                     },
+             .exchange =
+                     [this](std::vector<peers::SharedQuarantine> quarantines) {
+                         peerMesh_.exchangeQuarantines(std::move(quarantines));
+                     },
+             .rank = [this] { return peerMesh_.rank(); } };
 }
 
 void EntryApp::exchangeTraffic()
@@ -237,6 +310,7 @@
     relay_.reportQuarantines();
     boost::asio::post(controlContext_,
                       [this, digest = std::move(digest)] { peerMesh_.exchangeDigest(digest); });
+    quarantineSharing_.exchange(partQuarantine_.active(Clock::now()));
     auto timer = std::make_shared<boost::asio::steady_timer>(trafficContext_, kExchangeInterval);
     timer->async_wait([this, timer](const auto &) { exchangeTraffic(); });
 }
--- a/packages/entry/test/fake_store.h
+++ b/packages/entry/test/fake_store.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -25,8 +26,10 @@
     std::chrono::milliseconds responseDelay{ 0 }; ///< Time until a response has arrived.
     int fullReads = 0;                            ///< Calls of `readAll`.
     int answeredPolls = 0;                        ///< Polls for changes that got a response.
-    int unansweredPolls = 0; ///< Polls for changes while the store was unresponsive.
-    int refusedCalls = 0;    ///< Failed calls of `readAll` and `write`.
+    int unansweredPolls = 0;       ///< Polls for changes while the store was unresponsive.
+    int refusedCalls = 0;          ///< Failed calls of `readAll` and `write`.
+    int writes = 0;                ///< Calls of `write` that took effect.
+    std::function<void()> onWrite; ///< Called once, after the next write took effect.
 
     void put(const std::string &table, const std::string &key, const std::string &value)
     {
@@ -34,6 +37,13 @@
     }
     void erase(const std::string &table, const std::string &key) { setRow(table, key, {}, true); }
 
+    /// Returns the value of a row, empty if there is none.
+    std::string valueOf(const std::string &table, const std::string &key) const
+    {
+        const auto found = rows_.find({ table, key });
+        return found == rows_.end() ? std::string() : found->second.value;
+    }
+
     std::optional<fleet::StoreRows> readAll(const std::string &table,
                                             boost::asio::yield_context yield,
                                             std::error_code &error) override
@@ -103,7 +113,10 @@
             error = base::Result::RevisionConflict;
             return std::nullopt;
         }
+        ++writes;
         put(write.table, write.key, write.value);
+        if (const auto callback = std::exchange(onWrite, nullptr))
+            callback();
         if (dropsWriteReplies) {
             error = base::Result::WriteUndecided;
             return std::nullopt;
--- a/packages/quarantine/include/quarantine/part_quarantine.h
+++ b/packages/quarantine/include/quarantine/part_quarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/boot_clock.h"
+#include "quarantine/types.h"
 
 #include <chrono>
 #include <cstddef>
@@ -19,40 +20,9 @@
 
 using Time = base::BootClock::time_point;
 
-/// Hash of a model and of the id of a prompt part.
-using PartKey = std::uint64_t;
-
 /// Returns the key of a prompt part. The value is the same in all processes and releases.
 PartKey partKey(std::string_view model, std::string_view partId);
 
-/// One run of an engine process.
-struct EngineRun
-{
-    std::string target;          ///< Id of the engine.
-    std::uint64_t startedAt = 0; ///< Start of the run, in Unix milliseconds.
-};
-
-/// Request that was sent to an engine and had received no event when the engine crashed.
-struct SuspectRequest
-{
-    std::uint64_t request = 0;  ///< Hash of the request's id.
-    std::vector<PartKey> parts; ///< Parts in order that other requests may share: all but the last.
-};
-
-/// Requests of one instance without an event at an engine that crashed.
-struct CrashReport
-{
-    EngineRun run;
-    std::vector<SuspectRequest> suspects;
-};
-
-/// A part that is quarantined for the time `remaining`.
-struct QuarantinedPart
-{
-    PartKey part = 0;
-    std::chrono::milliseconds remaining{ 0 };
-};
-
 /// Start or early end of a quarantine at this instance.
 struct QuarantineChange
 {
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -27,7 +27,7 @@
 struct Relay::CrashCheck
 {
     quarantine::CrashReport report;
-    std::chrono::steady_clock::time_point startedAt;
+    base::BootClock::time_point startedAt;
     boost::asio::steady_timer finished; ///< Expires never; cancelled at the end of the check.
     std::optional<bool> hasCrashed;     ///< No value while the check is in progress.
 };
