Release the load slot of an engine that has not taken its order

Cause: an order to load weights without an answer kept one of the two load slots for loadTimeout (6 s) though the engine was idle, and the engine stayed announced as loading. An engine whose state could not be read was tried again before others that had not been tried.

Change: after Undecided or Busy the rollout polls the engine. If it is idle in a state from at least maxStateAge (500 ms) after the order, the slot is released and the announcement is withdrawn, as it is after Rejected and StaleFence and when a load ends without the weights. An engine that is found busy at the next attempt executes the late order, so it is announced and takes a slot. Engines are tried in the sequence of their last attempts, then of their versions. A second order is safe, because an engine checks the expected order count when it executes an order.

The withdrawal is a WeightsNotice that is not loading, with the version that the engine has; older builds record that version, so no field is added.

Measured: unansweredCallsDelayOtherEngines fails on the code before in the rows with late orders, lost orders and silent engines, and passes now; engineIsAvoidedAfterOrderNotTaken is new with the function that it tests.

--- a/packages/dispatch/include/dispatch/target_tracker.h
+++ b/packages/dispatch/include/dispatch/target_tracker.h
@@ -148,6 +148,10 @@
     /// to be complete.
     void recordLoadStart(const fleet::Target &target, Time now);
 
+    /// Records that the target does not load weights and has at least `version` of `model`.
+    void recordLoadEnd(const fleet::Target &target, const std::string &model,
+                       std::uint64_t version);
+
     /// Returns the weights version of `model` on the target, 0 if unknown: the later one of the
     /// version that the target registered and the one that it sent with an answer.
     std::uint64_t weightsOf(const fleet::Target &target, const std::string &model) const;
--- a/packages/dispatch/src/target_tracker.cpp
+++ b/packages/dispatch/src/target_tracker.cpp
@@ -117,6 +117,14 @@
     status(target).loadingUntil = now + options_.maxWeightsLoadTime;
 }
 
+void TargetTracker::recordLoadEnd(const fleet::Target &target, const std::string &model,
+                                  std::uint64_t version)
+{
+    status(target).loadingUntil = {};
+    if (version > weightsOf(target, model))
+        recordWeights(target, model, version);
+}
+
 double TargetTracker::estimatedRequests(const fleet::Target &target, Time now) const
 {
     const TargetStatus *entry = find(target);
--- a/packages/dispatch/test/placement_test.cpp
+++ b/packages/dispatch/test/placement_test.cpp
@@ -89,6 +89,7 @@
 {
     CPPUNIT_TEST_SUITE(PlacementTest);
     CPPUNIT_TEST(faultyAndLoadingTargetsAreAvoided);
+    CPPUNIT_TEST(engineIsAvoidedAfterOrderNotTaken);
     CPPUNIT_TEST(staleWeightsHaveALimit);
     CPPUNIT_TEST(nearAndConnectedTargetsComeFirst);
     CPPUNIT_TEST(instancesDoNotOverloadOneEngine);
@@ -147,6 +148,22 @@
         }
     }
 
+    // Guards against an engine that is avoided although it did not take its order to load weights.
+    void engineIsAvoidedAfterOrderNotTaken()
+    {
+        for (const bool isTaken : { true, false }) {
+            const auto view = makeView(2);
+            Placer placer("d", 1);
+            placer.targetTracker().recordLoadStart(view->targets()[0], kStart);
+            if (!isTaken)
+                placer.targetTracker().recordLoadEnd(view->targets()[0], "m", 1);
+            int chosen = 0;
+            for (int i = 0; i < 50; ++i)
+                chosen += choose(placer, shortRequest(), *view, Acceptance::InTime, kStart) == "e0";
+            CPPUNIT_ASSERT_EQUAL(isTaken, chosen == 0);
+        }
+    }
+
     // Tests that an engine with replaced weights gets requests only until `maxStaleWeightsAge`
     // minus twice the latency goal of 0.6 s, with a matching time limit. Guards against requests
     // that begin on replaced weights too late, also because they waited at the engine.
--- a/packages/entry/include/entry/rollout.h
+++ b/packages/entry/include/entry/rollout.h
@@ -41,6 +41,9 @@
     std::chrono::milliseconds statePollInterval{ 250 };
     /// Maximum wait for a load, which is then retried.
     std::chrono::milliseconds loadTimeout{ 6000 };
+    /// Maximum age of the state that an engine returns. If an order got no answer and the
+    /// engine is idle in a state polled this much later, the engine has not taken the order.
+    std::chrono::milliseconds maxStateAge{ 500 };
     /// Minimum time between two attempts at an engine.
     std::chrono::milliseconds retryDelay{ 400 };
     /// Minimum time between reads of the lease row by an instance that does not hold the lease.
@@ -60,6 +63,13 @@
     std::uint64_t desiredVersion = 0; ///< Version that the operator asks for.
 };
 
+/// Stage of a load of weights.
+enum class LoadStage {
+    Begun,    ///< The engine has been ordered to load the weights, or is already loading.
+    NotTaken, ///< The engine is not loading, so the load will be tried again.
+    Done,     ///< The engine has the weights.
+};
+
 /// Brings engines to the weight versions that the operator asks for. One instance at a time sends
 /// orders to engines, under a lease in the store. Runs on the control I/O thread.
 class Rollout
@@ -68,10 +78,9 @@
     /// Access to the other parts of the instance.
     struct Hooks
     {
-        std::function<fleet::ViewPtr()> view;                    ///< Returns the latest view.
-        std::function<std::vector<std::string>()> liveInstances; ///< Returns sorted names.
-        /// Called when an engine is ordered to load weights, and when it has them.
-        std::function<void(const LoadTask &, bool isDone)> progress;
+        std::function<fleet::ViewPtr()> view;                      ///< Returns the latest view.
+        std::function<std::vector<std::string>()> liveInstances;   ///< Returns sorted names.
+        std::function<void(const LoadTask &, LoadStage)> progress; ///< Called at each stage.
     };
 
     /// `store`, `engineControl` and `log` must outlive the object.
@@ -85,6 +94,14 @@
 private:
     using Clock = std::chrono::steady_clock;
 
+    /// What is known about an order to an engine before the engine's state is polled.
+    struct SentOrder
+    {
+        Clock::time_point sentAt;
+        bool isTaken = false; ///< The engine executes this order or an earlier one.
+        bool wasBusy = false; ///< The state of the engine has shown that it executes an order.
+    };
+
     void run(const boost::asio::yield_context &yield);
     /// Returns the loads that ready engines need, lowest loaded version first.
     std::vector<LoadTask> pendingTasks() const;
@@ -101,11 +118,15 @@
     void renewLease(const boost::asio::yield_context &yield);
     void releaseLease(const boost::asio::yield_context &yield);
     std::size_t maxParallelLoads() const;
-    void startLoads(const std::vector<LoadTask> &tasks);
+    /// Starts the loads of `tasks` that the limit permits. Engines that have not been tried come
+    /// first, then those whose last attempt ended first.
+    void startLoads(std::vector<LoadTask> tasks);
     void load(const LoadTask &task, const boost::asio::yield_context &yield);
-    /// Polls the engine until it has the desired version. Returns false if it does not respond or
-    /// takes longer than `loadTimeout`.
-    bool waitForLoad(const LoadTask &task, const boost::asio::yield_context &yield);
+    /// Polls the engine until it has the desired version or the load has ended otherwise, and
+    /// records the result.
+    void followLoad(const LoadTask &task, const SentOrder &order,
+                    const boost::asio::yield_context &yield);
+    void recordNotTaken(const LoadTask &task);
     void recordLoaded(const LoadTask &task, std::string_view how);
     void sleepFor(std::chrono::milliseconds time, const boost::asio::yield_context &yield);
 
@@ -130,8 +151,9 @@
     /// The registration of the engine follows later.
     std::map<std::pair<std::string, std::uint64_t>, std::map<std::string, std::uint64_t>>
             seenWeights_;
-    std::set<std::string> loadingEngines_;             ///< Ids of engines being loaded.
-    std::map<std::string, Clock::time_point> retryAt_; ///< Earliest next attempt by engine id.
+    std::set<std::string> loadingEngines_; ///< Ids of engines being loaded.
+    /// Earliest next attempt, by id of each engine that was tried since loads were last pending.
+    std::map<std::string, Clock::time_point> retryAt_;
 };
 
 } // namespace chervilfield::entry
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -99,12 +99,14 @@
                { .view = [this] { return viewUpdater_.view(); },
                  .liveInstances = [this] { return peerMesh_.liveInstances(); },
                  .progress =
-                         [this](const LoadTask &task, bool isDone) {
+                         [this](const LoadTask &task, LoadStage stage) {
+                             const bool isNotTaken = stage == LoadStage::NotTaken;
                              handleWeightsChange({ .target = task.target.id,
                                                    .startedAt = task.target.startedAt,
                                                    .model = task.model,
-                                                   .version = task.desiredVersion,
-                                                   .isLoading = !isDone });
+                                                   .version = isNotTaken ? task.currentVersion
+                                                                         : task.desiredVersion,
+                                                   .isLoading = stage == LoadStage::Begun });
                          } },
                rolloutOptions(options_)),
       httpClient_(trafficContext_.get_executor(), {}),
@@ -268,7 +270,7 @@
         if (notice.isLoading)
             placer_.targetTracker().recordLoadStart(*target, Clock::now());
         else
-            placer_.targetTracker().recordWeights(*target, notice.model, notice.version);
+            placer_.targetTracker().recordLoadEnd(*target, notice.model, notice.version);
     });
 }
 
--- a/packages/entry/src/rollout.cpp
+++ b/packages/entry/src/rollout.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace chervilfield::entry {
 
@@ -194,7 +195,7 @@
 void Rollout::recordLoaded(const LoadTask &task, std::string_view how)
 {
     seenWeights_[{ task.target.id, task.target.startedAt }][task.model] = task.desiredVersion;
-    hooks_.progress(task, true);
+    hooks_.progress(task, LoadStage::Done);
     log_.write("rollout", "weights-in-place",
                { { "target", task.target.id },
                  { "model", task.model },
@@ -202,33 +203,62 @@
                  { "how", how } });
 }
 
-bool Rollout::waitForLoad(const LoadTask &task, const yield_context &yield)
+void Rollout::recordNotTaken(const LoadTask &task)
 {
+    hooks_.progress(task, LoadStage::NotTaken);
+    log_.write("rollout", "order-not-taken",
+               { { "target", task.target.id },
+                 { "model", task.model },
+                 { "weights", task.desiredVersion } });
+}
+
+void Rollout::followLoad(const LoadTask &task, const SentOrder &order, const yield_context &yield)
+{
+    bool isTaken = order.isTaken;
+    bool wasBusy = order.wasBusy;
     const auto deadline = Clock::now() + options_.loadTimeout;
     while (Clock::now() < deadline) {
         sleepFor(options_.statePollInterval, yield);
+        const auto polledAt = Clock::now();
         std::error_code error;
         const auto state = engineControl_.state(task.target, yield, error);
-        if (!state)
-            return false;
+        if (!state) {
+            if (!isTaken)
+                recordNotTaken(task);
+            return;
+        }
         const auto weights = state->weights.find(task.model);
         if (weights != state->weights.end() && weights->second >= task.desiredVersion)
-            return true;
+            return recordLoaded(task, "loaded");
+        if (wasBusy && !state->isBusy)
+            return recordNotTaken(task);
+        wasBusy = state->isBusy;
+        isTaken = isTaken || wasBusy;
+        if (!isTaken && polledAt - order.sentAt >= options_.maxStateAge)
+            return recordNotTaken(task);
     }
-    return false;
+    recordNotTaken(task);
 }
 
 void Rollout::load(const LoadTask &task, const yield_context &yield)
 {
     std::error_code error;
     const auto state = engineControl_.state(task.target, yield, error);
-    if (!state || state->isBusy || !holdsLease())
+    if (!state)
         return;
     const auto weights = state->weights.find(task.model);
     if (weights != state->weights.end() && weights->second >= task.desiredVersion)
         return recordLoaded(task, "already");
-    lastOrderAt_ = Clock::now();
-    hooks_.progress(task, false);
+    const auto now = Clock::now();
+    if (state->isBusy) {
+        // An earlier order that got no answer is executed late.
+        hooks_.progress(task, LoadStage::Begun);
+        return followLoad(task, { .sentAt = now, .isTaken = true, .wasBusy = true }, yield);
+    }
+    if (!holdsLease())
+        return;
+    lastOrderAt_ = now;
+    hooks_.progress(task, LoadStage::Begun);
     const auto outcome = engineControl_.load(task.target,
                                              { .model = task.model,
                                                .version = task.desiredVersion,
@@ -248,15 +278,14 @@
         if (heldLease_)
             highestRefusedToken_ = std::max(highestRefusedToken_, heldLease_->row.fence);
         heldLease_.reset();
-        return;
+        return recordNotTaken(task);
+    case fleet::OrderOutcome::Rejected:
+        return recordNotTaken(task);
     case fleet::OrderOutcome::Accepted:
-    case fleet::OrderOutcome::Undecided:
-        if (waitForLoad(task, yield))
-            recordLoaded(task, "loaded");
-        return;
+        return followLoad(task, { .sentAt = now, .isTaken = true }, yield);
     case fleet::OrderOutcome::Busy:
-    case fleet::OrderOutcome::Rejected:
-        return;
+    case fleet::OrderOutcome::Undecided:
+        return followLoad(task, { .sentAt = now }, yield);
     }
 }
 
@@ -270,15 +299,20 @@
             static_cast<std::size_t>(options_.maxParallelShare * static_cast<double>(engineCount)));
 }
 
-void Rollout::startLoads(const std::vector<LoadTask> &tasks)
+void Rollout::startLoads(std::vector<LoadTask> tasks)
 {
+    std::ranges::stable_sort(tasks, {}, [this](const LoadTask &task) {
+        const auto found = retryAt_.find(task.target.id);
+        return found == retryAt_.end() ? Clock::time_point::min() : found->second;
+    });
     const std::size_t limit = maxParallelLoads();
     const auto now = Clock::now();
     for (const LoadTask &task : tasks) {
         const std::string &id = task.target.id;
         if (loadingEngines_.size() >= limit)
             return;
-        if (loadingEngines_.contains(id) || retryAt_[id] > now)
+        const auto retryAt = retryAt_.find(id);
+        if (loadingEngines_.contains(id) || (retryAt != retryAt_.end() && retryAt->second > now))
             continue;
         loadingEngines_.insert(id);
         net::spawnCoroutine(context_, "[entry]", [this, task](const yield_context &yield) {
@@ -294,16 +328,17 @@
     while (true) {
         sleepFor(options_.tickInterval, yield);
         const auto now = Clock::now();
-        const auto pending = pendingTasks();
+        auto pending = pendingTasks();
         if (pending.empty() && loadingEngines_.empty()) {
             pendingSince_.reset();
+            retryAt_.clear();
             if (heldLease_ && now - lastOrderAt_ > options_.leaseIdleTimeout)
                 releaseLease(yield);
             continue;
         }
         updateProgress(pending, now);
         if (mayLead(now) && ensureLease(yield))
-            startLoads(pending);
+            startLoads(std::move(pending));
     }
 }
 
--- a/packages/entry/test/rollout_test.cpp
+++ b/packages/entry/test/rollout_test.cpp
@@ -2,12 +2,16 @@
 
 #include "fake_store.h"
 
+#include <boost/algorithm/string/join.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chervilfield::entry {
@@ -16,6 +20,17 @@
 
 namespace {
 
+// Fates of the orders and calls to engines.
+struct Faults
+{
+    bool losesReplies = false; ///< The outcome of all orders is `Undecided`.
+    /// Time after which orders are executed if nothing else has changed the order count.
+    milliseconds orderDelay{ 0 };
+    std::size_t lostOrders = 0;          ///< Orders to each engine that are never executed.
+    std::set<std::string> silentEngines; ///< Ids of the engines that do not respond.
+    std::set<std::string> busyEngines;   ///< Ids of the engines that first execute another order.
+};
+
 // Engines that load weights in 20 ms and refuse orders with a fencing token below a minimum.
 class FakeEngines : public fleet::EngineControl
 {
@@ -26,34 +41,82 @@
     std::vector<std::string> orders; ///< Ids of the ordered engines, in the sequence of the orders.
     std::set<std::uint64_t> fencingTokens;
     std::uint64_t minFencingToken = 0;
-    std::size_t loading = 0;    ///< Number of loads in progress.
-    std::size_t maxLoading = 0; ///< Highest value of `loading`.
-    bool dropsReplies = false;  ///< Orders take effect, but their outcome is `Undecided`.
+    std::set<std::string> loading; ///< Ids of the engines that load.
+    std::size_t maxLoading = 0;    ///< Highest size of `loading`.
+    Faults faults;
+
+    /// Starts the other orders of `Faults::busyEngines`, which take 20 ms and load no weights.
+    void executeOtherOrders()
+    {
+        for (const std::string &id : faults.busyEngines)
+            execute(id, { .version = weights[id] });
+    }
 
-    std::optional<fleet::EngineState> state(const fleet::Target &target, boost::asio::yield_context,
-                                            std::error_code &) override
+    std::optional<fleet::EngineState> state(const fleet::Target &target,
+                                            boost::asio::yield_context yield,
+                                            std::error_code &error) override
     {
-        return fleet::EngineState{ .weights = { { "m", weights[target.id] } } };
+        if (faults.silentEngines.contains(target.id)) {
+            waitFor(kCallTimeout, yield);
+            error = base::Result::TargetFailed;
+            return std::nullopt;
+        }
+        return fleet::EngineState{ .isBusy = loading.contains(target.id),
+                                   .acceptedOrderCount = acceptedOrders_[target.id],
+                                   .weights = { { "m", weights[target.id] } } };
     }
 
     fleet::OrderOutcome load(const fleet::Target &target, const fleet::LoadOrder &order,
-                             boost::asio::yield_context) override
+                             boost::asio::yield_context yield) override
     {
         if (order.fencingToken < minFencingToken)
             return fleet::OrderOutcome::StaleFence;
         orders.push_back(target.id);
         fencingTokens.insert(order.fencingToken);
-        maxLoading = std::max(maxLoading, ++loading);
-        auto timer = std::make_shared<boost::asio::steady_timer>(context_, milliseconds(20));
-        timer->async_wait([this, timer, id = target.id, version = order.version](const auto &) {
+        const auto count = static_cast<std::size_t>(std::ranges::count(orders, target.id));
+        if (count > faults.lostOrders) {
+            if (faults.orderDelay == milliseconds(0))
+                execute(target.id, order);
+            else
+                after(faults.orderDelay, [this, id = target.id, order] { execute(id, order); });
+        }
+        if (!faults.losesReplies)
+            return fleet::OrderOutcome::Accepted;
+        waitFor(kCallTimeout, yield);
+        return fleet::OrderOutcome::Undecided;
+    }
+
+private:
+    static constexpr milliseconds kCallTimeout{ 10 };
+
+    void after(milliseconds time, std::function<void()> action)
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(context_, time);
+        timer->async_wait([timer, action = std::move(action)](const auto &) { action(); });
+    }
+
+    void waitFor(milliseconds time, boost::asio::yield_context yield)
+    {
+        boost::asio::steady_timer timer(context_, time);
+        boost::system::error_code ignored;
+        timer.async_wait(yield[ignored]);
+    }
+
+    void execute(const std::string &id, const fleet::LoadOrder &order)
+    {
+        if (acceptedOrders_[id] != order.expectedOrderCount || loading.contains(id))
+            return;
+        ++acceptedOrders_[id];
+        loading.insert(id);
+        maxLoading = std::max(maxLoading, loading.size());
+        after(milliseconds(20), [this, id, version = order.version] {
             weights[id] = version;
-            --loading;
+            loading.erase(id);
         });
-        return dropsReplies ? fleet::OrderOutcome::Undecided : fleet::OrderOutcome::Accepted;
     }
 
-private:
     boost::asio::io_context &context_;
+    std::map<std::string, std::uint64_t> acceptedOrders_; ///< Order count by engine id.
 };
 
 // Returns a view with one engine for each of the given weight versions; the desired one is 3.
@@ -83,6 +146,7 @@
                                 .tickInterval = milliseconds(2),
                                 .standbyDelay = milliseconds(60),
                                 .statePollInterval = milliseconds(5),
+                                .maxStateAge = milliseconds(10),
                                 .retryDelay = milliseconds(5),
                                 .leaseReadInterval = milliseconds(5),
                                 .leaseIdleTimeout = milliseconds(50) };
@@ -91,7 +155,14 @@
                 context, store, engines, log,
                 Rollout::Hooks{ .view = [this] { return view; },
                                 .liveInstances = [this] { return live; },
-                                .progress = [](const LoadTask &, bool) {} },
+                                .progress =
+                                        [this](const LoadTask &task, LoadStage stage) {
+                                            if (stage == LoadStage::Begun)
+                                                announced.insert(task.target.id);
+                                            else
+                                                announced.erase(task.target.id);
+                                            maxAnnounced = std::max(maxAnnounced, announced.size());
+                                        } },
                 options);
         rollout->start();
         return rollout;
@@ -99,7 +170,9 @@
 
     bool isDone() const
     {
-        return std::ranges::all_of(engines.weights, [](const auto &e) { return e.second == 3; });
+        return std::ranges::all_of(engines.weights, [this](const auto &e) {
+            return e.second == 3 || engines.faults.silentEngines.contains(e.first);
+        });
     }
 
     boost::asio::io_context context;
@@ -108,6 +181,8 @@
     base::EventLog log{ { .linesPerSecond = 0, .burst = 0 } };
     fleet::ViewPtr view;
     std::vector<std::string> live{ "a", "b" };
+    std::set<std::string> announced; ///< Ids of the engines that are announced as loading.
+    std::size_t maxAnnounced = 0;    ///< Highest size of `announced`.
 };
 
 } // namespace
@@ -120,6 +195,7 @@
     CPPUNIT_TEST(standbyTakesOver);
     CPPUNIT_TEST(noOrderWithoutStore);
     CPPUNIT_TEST(refusedFencingTokenIsNotReused);
+    CPPUNIT_TEST(unansweredCallsDelayOtherEngines);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -182,6 +258,46 @@
         CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.isDone(); }));
         CPPUNIT_ASSERT(*f.engines.fencingTokens.begin() >= 5);
     }
+
+    // Guards against engines that keep old weights because others hold up the rollout.
+    void unansweredCallsDelayOtherEngines()
+    {
+        struct Row
+        {
+            std::string name;
+            Faults faults;
+            std::size_t maxLoading; ///< Highest permitted number of engines that load at once.
+        };
+        constexpr std::size_t kEngines = 10;
+        const Row rows[] = {
+            { "no faults", {}, 2 },
+            { "answers lost", { .losesReplies = true }, 2 },
+            { "answers lost, orders late",
+              { .losesReplies = true, .orderDelay = milliseconds(1500) },
+              kEngines },
+            { "first orders lost", { .losesReplies = true, .lostOrders = 2 }, 2 },
+            { "engines silent", { .silentEngines = { "e0", "e1", "e2", "e3" } }, 2 },
+            { "engines busy with other orders", { .busyEngines = { "e0", "e1", "e2" } }, 3 },
+            { "engines silent, first orders lost",
+              { .losesReplies = true,
+                .lostOrders = 1,
+                .silentEngines = { "e0", "e3", "e4", "e5", "e9" } },
+              2 },
+        };
+        std::vector<std::string> failed;
+        for (const Row &row : rows) {
+            Fixture f(std::vector<std::uint64_t>(kEngines, 1));
+            f.engines.faults = row.faults;
+            f.engines.executeOtherOrders();
+            const auto rollout = f.makeRollout("a");
+            const bool isDone = runUntil(f.context, [&] { return f.isDone(); });
+            const bool areWithdrawn = runUntil(f.context, [&] { return f.announced.empty(); });
+            if (!isDone || !areWithdrawn || f.engines.maxLoading > row.maxLoading
+                || f.maxAnnounced > 2 || f.engines.fencingTokens.size() != 1)
+                failed.push_back(row.name);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), boost::algorithm::join(failed, "; "));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RolloutTest);
--- a/packages/peers/include/peers/datagram.h
+++ b/packages/peers/include/peers/datagram.h
@@ -58,7 +58,7 @@
     bool operator==(const PlacementHints &) const = default;
 };
 
-/// The weights that one run of an engine has or is loading.
+/// The weights that one run of an engine is loading, or those that it at least has.
 struct WeightsNotice
 {
     std::string target;          ///< Id of the engine.
--- a/packages/peers/thrift/peers.thrift
+++ b/packages/peers/thrift/peers.thrift
@@ -72,7 +72,8 @@
   1: list<TargetPlacements> targets
 }
 
-// Weights of one run of an engine, from the daemon that gives it orders.
+// Weights that one run of an engine is loading, or those that it at least has; from the daemon that
+// gives it orders.
 struct WeightsNotice {
   1: string target
   2: i64 startedAt
