End coroutines of the relay's test before what they use

A row that left a request open ended the test program with a segmentation fault: the context was destroyed last and unwound coroutines that used a destroyed relay. The fixture now ends suspended coroutines while the relay, placer and targets exist.

--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -234,9 +234,16 @@
     return result;
 }
 
+// Context that destroys suspended coroutines while the objects that they use still exist.
+class TestContext : public asio::io_context
+{
+public:
+    using execution_context::shutdown;
+};
+
 Outcome runScenario(const Scenario &scenario)
 {
-    asio::io_context context;
+    TestContext context;
     std::vector<std::unique_ptr<FakeTarget>> targets;
     for (const Behaviour behaviour : scenario.targets)
         targets.push_back(std::make_unique<FakeTarget>(context, behaviour));
@@ -290,6 +297,7 @@
     context.run_for(seconds(10));
     for (const auto &target : targets)
         outcome.sends.push_back(target->received().size());
+    context.shutdown();
     return outcome;
 }
 
