Test responses that end with their connection

No test covered bodies without framing, connections that are reset, and streams that end inside an event. The added rows use servers that send scripted raw bytes.

--- /dev/null
+++ b/packages/net/test/http_client_test.cpp
@@ -0,0 +1,240 @@
+#include "net/http_client.h"
+
+#include "base/result.h"
+#include "net/http_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+namespace chervilfield::net {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using base::Result;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+// What a scripted server does after it has sent its bytes.
+enum class Ending {
+    Close, ///< Closes the connection in order.
+    Reset, ///< Resets the connection.
+    Hold,  ///< Keeps the connection open until the client closes it.
+    Flood, ///< Repeats `filler` until the client closes the connection.
+    Drip,  ///< Sends one byte of `filler` every 40 ms until the client closes the connection.
+};
+
+struct Script
+{
+    std::string bytes;
+    Ending ending = Ending::Close;
+    std::string filler;
+};
+
+constexpr std::size_t kWriteBytes = 64U << 10U;
+constexpr std::size_t kMebibyte = 1U << 20U;
+
+// Server that reads one request for each connection and follows a script for the response. The last
+// script is repeated.
+class ScriptedServer
+{
+public:
+    ScriptedServer(asio::io_context &context, std::vector<Script> scripts)
+        : scripts_(std::move(scripts)), acceptor_(context, { tcp::v4(), 0 })
+    {
+        spawnCoroutine(context, "[test]", [this, &context](asio::yield_context yield) {
+            while (true) {
+                auto socket = std::make_shared<tcp::socket>(context);
+                acceptor_.async_accept(*socket, yield);
+                const Script &script = scripts_[std::min(connections, scripts_.size() - 1)];
+                ++connections;
+                spawnCoroutine(context, "[test]",
+                               [this, socket, &script](asio::yield_context inner) {
+                                   follow(*socket, script, inner);
+                               });
+            }
+        });
+    }
+
+    Address address() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+
+    std::size_t connections = 0;
+    std::size_t closedByClient = 0; ///< Connections that the client closed during an ending.
+    std::size_t bytesSent = 0;
+
+private:
+    void follow(tcp::socket &socket, const Script &script, asio::yield_context yield)
+    {
+        boost::system::error_code error;
+        std::string request;
+        asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", yield[error]);
+        send(socket, script.bytes, yield, error);
+        if (script.ending == Ending::Reset) {
+            // The client reads the bytes before it learns of the reset.
+            pause(milliseconds(50), yield);
+            socket.set_option(asio::socket_base::linger(true, 0));
+        }
+        if (script.ending == Ending::Close || script.ending == Ending::Reset) {
+            socket.close();
+            return;
+        }
+        std::string block;
+        while (script.ending == Ending::Flood && block.size() < kWriteBytes)
+            block += script.filler;
+        while (!error && script.ending == Ending::Flood)
+            send(socket, block, yield, error);
+        for (std::size_t i = 0; !error && script.ending == Ending::Drip; ++i) {
+            send(socket, script.filler.substr(i % script.filler.size(), 1), yield, error);
+            pause(milliseconds(40), yield);
+        }
+        char byte = 0;
+        if (!error)
+            socket.async_read_some(asio::buffer(&byte, 1), yield[error]);
+        ++closedByClient;
+    }
+
+    void send(tcp::socket &socket, const std::string &bytes, asio::yield_context yield,
+              boost::system::error_code &error)
+    {
+        if (!error)
+            bytesSent += asio::async_write(socket, asio::buffer(bytes), yield[error]);
+    }
+
+    static void pause(milliseconds time, asio::yield_context yield)
+    {
+        asio::steady_timer timer(yield.get_executor(), time);
+        timer.async_wait(yield);
+    }
+
+    std::vector<Script> scripts_;
+    tcp::acceptor acceptor_;
+};
+
+struct Outcome
+{
+    int status = 0; ///< 0 if no head arrived.
+    std::string body;
+    std::size_t bodyBytes = 0;
+    std::error_code error;
+};
+
+constexpr milliseconds kHeadTimeout{ 600 };
+constexpr milliseconds kReadTimeout{ 600 };
+
+// Sends one request and keeps at most the first KiB of the body.
+Outcome request(HttpClient &client, const Address &address, asio::yield_context yield)
+{
+    Outcome outcome;
+    const Request request{ .method = "POST", .body = "question", .idempotent = false };
+    const ExchangeOptions options{ .headTimeout = kHeadTimeout,
+                                   .maxIdleTime = seconds(10),
+                                   .isOwnResponse = [](const Headers &headers) {
+                                       return findHeader(headers, "Id").has_value();
+                                   } };
+    const auto stream = client.openOnce(address, request, options, yield, outcome.error);
+    if (stream == nullptr)
+        return outcome;
+    outcome.status = stream->status();
+    const auto deadline = Clock::now() + kReadTimeout;
+    std::string bytes;
+    while (Clock::now() < deadline
+           && stream->read(bytes, std::chrono::duration_cast<milliseconds>(deadline - Clock::now()),
+                           yield, outcome.error)) {
+        outcome.bodyBytes += bytes.size();
+        if (outcome.body.size() < 1024)
+            outcome.body += bytes;
+        bytes.clear();
+    }
+    return outcome;
+}
+
+// Calls `body` in a coroutine and stops the context afterwards. Passes on exceptions, and returns
+// false if the call takes too long.
+bool endsInTime(asio::io_context &context, const std::function<void(asio::yield_context)> &body)
+{
+    bool hasEnded = false;
+    std::exception_ptr failure;
+    spawnCoroutine(context, "[test]", [&](asio::yield_context yield) {
+        try {
+            body(yield);
+        } catch (const CppUnit::Exception &) {
+            failure = std::current_exception();
+        }
+        hasEnded = true;
+        context.stop();
+    });
+    context.run_for(seconds(10));
+    if (failure != nullptr)
+        std::rethrow_exception(failure);
+    return hasEnded;
+}
+
+void run(asio::io_context &context, const std::string &name,
+         const std::function<void(asio::yield_context)> &body)
+{
+    CPPUNIT_ASSERT_MESSAGE(name + ": timeout", endsInTime(context, body));
+}
+
+const std::string kOk = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+const std::string kChunked = kOk + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string kWhole = kOk + "Content-Length: 2\r\n\r\nok";
+
+} // namespace
+
+class HttpClientTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpClientTest);
+    CPPUNIT_TEST(endOfBodyIsCompleteOrInterrupted);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Tests each way in which a body can end. Guards against interrupted bodies that look complete,
+    // and bodies without a length that look interrupted.
+    void endOfBodyIsCompleteOrInterrupted()
+    {
+        struct Row
+        {
+            std::string name;
+            Script script;
+            std::string body;
+            bool isComplete;
+        };
+        const std::string large(300'000, 'x');
+        const Row rows[] = {
+            { "length", { kWhole, Ending::Hold, "" }, "ok", true },
+            { "length, closed early", { kOk + "Content-Length: 3\r\n\r\nok" }, "ok", false },
+            { "chunks", { kChunked + "2\r\nok\r\n0\r\n\r\n", Ending::Hold, "" }, "ok", true },
+            { "chunks, closed before the last", { kChunked + "2\r\nok\r\n" }, "ok", false },
+            { "no framing, closed", { kOk + "\r\nok" }, "ok", true },
+            { "no framing, HTTP/1.0", { "HTTP/1.0 200 OK\r\nId: 1\r\n\r\nok" }, "ok", true },
+            { "no framing, keep-alive", { kOk + "Connection: keep-alive\r\n\r\nok" }, "ok", true },
+            { "no framing, closed without a body", { kOk + "\r\n" }, "", true },
+            { "no framing, reset", { kOk + "\r\nok", Ending::Reset, "" }, "ok", false },
+            { "no framing, large", { kOk + "\r\n" + large }, large, true },
+        };
+        for (const Row &row : rows) {
+            asio::io_context context;
+            ScriptedServer server(context, { row.script });
+            HttpClient client(context.get_executor(), {});
+            run(context, row.name, [&](asio::yield_context yield) {
+                const Outcome outcome = request(client, server.address(), yield);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 200, outcome.status);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.body.size(), outcome.bodyBytes);
+                CPPUNIT_ASSERT_MESSAGE(row.name, row.body.starts_with(outcome.body));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isComplete, !outcome.error);
+            });
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
+
+} // namespace chervilfield::net
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -1,12 +1,18 @@
 #include "relay/relay.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <ctime>
 #include <map>
 #include <memory>
+#include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -116,6 +122,76 @@
     std::vector<net::Request> received_;
 };
 
+// Bytes that a target sends to each request, and what it does afterwards.
+struct RawResponse
+{
+    enum class Ending {
+        Close, ///< Closes the connection in order.
+        Reset, ///< Resets the connection.
+        Flood, ///< Repeats `filler` until the relay closes the connection.
+        Drip,  ///< Sends `filler` every 40 ms until the relay closes the connection.
+    };
+    std::string bytes;
+    Ending ending = Ending::Close;
+    std::string filler;
+};
+
+// Target that sends raw bytes to each request, which need not be a valid response.
+class RawTarget
+{
+public:
+    RawTarget(asio::io_context &context, const RawResponse &response)
+        : response_(response), acceptor_(context, { asio::ip::tcp::v4(), 0 })
+    {
+        net::spawnCoroutine(context, "[test]", [this, &context](asio::yield_context yield) {
+            while (true) {
+                auto socket = std::make_shared<asio::ip::tcp::socket>(context);
+                acceptor_.async_accept(*socket, yield);
+                ++connections;
+                net::spawnCoroutine(context, "[test]", [this, socket](asio::yield_context inner) {
+                    serve(*socket, inner);
+                });
+            }
+        });
+    }
+
+    net::Address address() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+
+    std::size_t connections = 0;
+    std::size_t closed = 0; ///< Connections that have ended.
+    std::size_t bytesSent = 0;
+
+private:
+    void serve(asio::ip::tcp::socket &socket, asio::yield_context yield)
+    {
+        using enum RawResponse::Ending;
+        boost::system::error_code error;
+        std::string request;
+        asio::async_read_until(socket, asio::dynamic_buffer(request), "question", yield[error]);
+        asio::async_write(socket, asio::buffer(response_.bytes), yield[error]);
+        asio::steady_timer timer(yield.get_executor());
+        std::string block = response_.filler;
+        while (response_.ending == Flood && block.size() < 65536)
+            block += response_.filler;
+        while (!error && (response_.ending == Flood || response_.ending == Drip)) {
+            bytesSent += asio::async_write(socket, asio::buffer(block), yield[error]);
+            timer.expires_after(milliseconds(response_.ending == Drip ? 40 : 0));
+            timer.async_wait(yield);
+        }
+        if (response_.ending == Reset) {
+            // The relay reads the bytes before it learns of the reset.
+            timer.expires_after(milliseconds(50));
+            timer.async_wait(yield);
+            socket.set_option(asio::socket_base::linger(true, 0));
+        }
+        socket.close();
+        ++closed;
+    }
+
+    RawResponse response_;
+    asio::ip::tcp::acceptor acceptor_;
+};
+
 Codec testCodec()
 {
     const auto field = [](const net::Headers &headers, std::string_view name) {
@@ -161,6 +237,9 @@
                      } };
 }
 
+// Timeout of a request and an allowance for a busy machine.
+constexpr milliseconds kMaxTime{ 2000 };
+
 // Response that a caller receives, and the number of requests that reached each target.
 struct Outcome
 {
@@ -168,6 +247,12 @@
     std::string body;
     bool isComplete = false;
     std::vector<std::size_t> sends;
+    // Set only if the first target is a `RawTarget`.
+    std::size_t rawConnections = 0;
+    std::size_t rawOpenConnections = 0; ///< Left open after the response.
+    std::size_t rawBytes = 0;
+    bool hasFault = false;      ///< Whether a fault of the first target was recorded.
+    milliseconds maxStall{ 0 }; ///< Longest work between two turns of a timer.
 };
 
 // Change of the view after the first target has received a request.
@@ -190,10 +275,12 @@
     /// Time until this instance exits; 0 if it does not shut down.
     milliseconds exitIn{ 0 };
     ViewChange change = ViewChange::None;
+    /// Replaces the behaviour of the first target.
+    std::optional<RawResponse> raw{};
 };
 
-fleet::ViewPtr makeView(const Scenario &scenario,
-                        const std::vector<std::unique_ptr<FakeTarget>> &targets, ViewChange change)
+fleet::ViewPtr makeView(const Scenario &scenario, const std::vector<net::Address> &targets,
+                        ViewChange change)
 {
     auto configuration = std::make_shared<fleet::Configuration>();
     configuration->version = 1;
@@ -214,7 +301,7 @@
         // The first target is the only one in the local data centre, so it is tried first.
         entries.push_back({ .id = "t" + std::to_string(i),
                             .pool = "p",
-                            .address = targets[i]->address(),
+                            .address = targets[i],
                             .dataCentre = i == 0 ? "near" : "far",
                             .weights = { { "m", 1 } } });
     }
@@ -241,14 +328,80 @@
     using execution_context::shutdown;
 };
 
+net::Request callerRequest(const Scenario &scenario)
+{
+    net::Request request{ .method = "POST",
+                          .target = "/x",
+                          .headers = { { "Host", "h" }, { "Id", "own" } },
+                          .body = "question",
+                          .idempotent = false };
+    if (!scenario.key.empty())
+        request.headers.push_back({ "Key", scenario.key });
+    if (scenario.change == ViewChange::WeightsReplaced)
+        request.headers.push_back({ "Model", "m" });
+    return request;
+}
+
+// Sends the request and reads the response to its end.
+void call(net::HttpClient &client, const net::Address &address, const Scenario &scenario,
+          Outcome &outcome, asio::yield_context yield)
+{
+    std::error_code error;
+    const auto stream = client.open(address, callerRequest(scenario), seconds(5), yield, error);
+    if (stream == nullptr)
+        return;
+    outcome.status = stream->status();
+    while (stream->read(outcome.body, seconds(5), yield, error)) {
+    }
+    outcome.isComplete = !error;
+}
+
+// Records the longest work that keeps a timer from its turn, in CPU time: the process has one
+// thread, and other processes do not count.
+void recordStalls(milliseconds &maxStall, asio::yield_context yield)
+{
+    asio::steady_timer timer(yield.get_executor());
+    while (true) {
+        const std::clock_t start = std::clock();
+        timer.expires_after(milliseconds(5));
+        timer.async_wait(yield);
+        const milliseconds busy((std::clock() - start) * 1000 / CLOCKS_PER_SEC);
+        maxStall = std::max(maxStall, busy);
+    }
+}
+
+// Records the state of the target once its connections have ended, at the latest at `limit`.
+void recordRawTarget(const RawTarget &target, std::chrono::steady_clock::time_point limit,
+                     Outcome &outcome, asio::yield_context yield)
+{
+    asio::steady_timer timer(yield.get_executor());
+    while (target.closed < target.connections && std::chrono::steady_clock::now() < limit) {
+        timer.expires_after(milliseconds(5));
+        timer.async_wait(yield);
+    }
+    outcome.rawConnections = target.connections;
+    outcome.rawOpenConnections = target.connections - target.closed;
+    outcome.rawBytes = target.bytesSent;
+}
+
 Outcome runScenario(const Scenario &scenario)
 {
+    const auto start = std::chrono::steady_clock::now();
     TestContext context;
     std::vector<std::unique_ptr<FakeTarget>> targets;
     for (const Behaviour behaviour : scenario.targets)
         targets.push_back(std::make_unique<FakeTarget>(context, behaviour));
-    const fleet::ViewPtr view = makeView(scenario, targets, ViewChange::None);
-    const fleet::ViewPtr laterView = makeView(scenario, targets, scenario.change);
+    std::vector<net::Address> addresses;
+    addresses.reserve(targets.size());
+    for (const auto &target : targets)
+        addresses.push_back(target->address());
+    std::unique_ptr<RawTarget> rawTarget;
+    if (scenario.raw) {
+        rawTarget = std::make_unique<RawTarget>(context, *scenario.raw);
+        addresses.front() = rawTarget->address();
+    }
+    const fleet::ViewPtr view = makeView(scenario, addresses, ViewChange::None);
+    const fleet::ViewPtr laterView = makeView(scenario, addresses, scenario.change);
     const Codec codec = testCodec();
     net::HttpClient targetClient(context.get_executor(), {});
     dispatch::Placer placer("near", 1, { .otherDataCentreCost = dispatch::Seconds(1) });
@@ -273,28 +426,18 @@
     server.listen({ "127.0.0.1", 0 }, error);
 
     Outcome outcome;
+    net::spawnCoroutine(context, "[test]",
+                        [&](asio::yield_context yield) { recordStalls(outcome.maxStall, yield); });
     net::HttpClient caller(context.get_executor(), {});
     net::spawnCoroutine(context, "[test]", [&](asio::yield_context yield) {
-        net::Request request{ .method = "POST",
-                              .target = "/x",
-                              .headers = { { "Host", "h" }, { "Id", "own" } },
-                              .body = "question",
-                              .idempotent = false };
-        if (!scenario.key.empty())
-            request.headers.push_back({ "Key", scenario.key });
-        if (scenario.change == ViewChange::WeightsReplaced)
-            request.headers.push_back({ "Model", "m" });
-        std::error_code failure;
-        const auto stream = caller.open(server.localAddress(), request, seconds(5), yield, failure);
-        if (stream != nullptr) {
-            outcome.status = stream->status();
-            while (stream->read(outcome.body, seconds(5), yield, failure)) {
-            }
-            outcome.isComplete = !failure;
-        }
+        call(caller, server.localAddress(), scenario, outcome, yield);
+        if (rawTarget != nullptr)
+            recordRawTarget(*rawTarget, start + kMaxTime, outcome, yield);
         context.stop();
     });
     context.run_for(seconds(10));
+    const auto *status = placer.targetTracker().find(view->targets().front());
+    outcome.hasFault = status != nullptr && status->faultCount > 0;
     for (const auto &target : targets)
         outcome.sends.push_back(target->received().size());
     context.shutdown();
@@ -322,6 +465,118 @@
     }
 }
 
+// Response that a caller receives after a request to a `RawTarget`.
+struct Expected
+{
+    int status;
+    std::string body;
+    bool isComplete;
+    std::size_t otherSends; ///< Requests that reach the second target.
+    bool hasFault;
+};
+
+const Expected kAnswered{ 200, "whole", true, 0, false };
+const Expected kRetried{ 200, "whole", true, 1, true };
+const Expected kFailed{ 502, "target-failed", true, 0, true };
+const Expected kStreamed{ 200, event(1) + event(2) + event(3), true, 0, false };
+const Expected kResumed{ 200, event(1) + event(2) + event(3), true, 1, true };
+const Expected kInterrupted{ 200, event(1), false, 0, true };
+
+struct RawRow
+{
+    std::string name;
+    fleet::RequestKind kind;
+    RawResponse raw;
+    Expected expected;
+    bool isResumable = false;
+    milliseconds maxTime = kMaxTime; ///< From the start of the scenario to its end.
+};
+
+constexpr auto kIdempotent = fleet::RequestKind::Idempotent;
+constexpr auto kOrder = fleet::RequestKind::NonIdempotent;
+constexpr auto kStream = fleet::RequestKind::Stream;
+const std::string kHead = "HTTP/1.1 200 OK\r\nId: own\r\nSigned: 1\r\n";
+const std::string kStreamHead = kHead + "Content-Type: text/event-stream\r\n";
+
+using enum RawResponse::Ending;
+
+std::vector<RawRow> answersThatEndWithTheConnection()
+{
+    return {
+        { "answer", kIdempotent, { kHead + "\r\nwhole" }, kAnswered },
+        { "order", kOrder, { kHead + "\r\nwhole" }, kAnswered },
+        { "answer, reset", kIdempotent, { kHead + "\r\npart", Reset, "" }, kRetried },
+        { "order, reset", kOrder, { kHead + "\r\npart", Reset, "" }, kFailed },
+    };
+}
+
+std::vector<RawRow> streamsThatEndWithTheConnection()
+{
+    const std::string head = kStreamHead + "\r\n";
+    const std::string all = event(1) + event(2) + event(3);
+    const Expected incomplete{ 200, all, false, 0, true };
+    return {
+        { "stream", kStream, { head + all }, kStreamed },
+        { "stream, reset", kStream, { head + all, Reset, "" }, incomplete },
+        { "stream, reset, resumable", kStream, { head + event(1), Reset, "" }, kResumed, true },
+    };
+}
+
+std::vector<RawRow> streamsThatEndWithinAnEvent()
+{
+    const std::string half = event(1) + event(2).substr(0, 5);
+    const std::string unframed = kStreamHead + "\r\n" + half;
+    const std::string noBlankLine = kStreamHead + "\r\n" + event(1) + "id: 2\ndata: e2\n";
+    const std::string length = std::to_string(half.size());
+    std::ostringstream chunk;
+    chunk << std::hex << half.size() << "\r\n" << half << "\r\n0\r\n\r\n";
+    const std::string chunked = kStreamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk.str();
+    const std::string framed = kStreamHead + "Content-Length: " + length + "\r\n\r\n" + half;
+    return {
+        { "ends inside an event", kStream, { unframed }, kInterrupted },
+        { "ends inside an event, resumable", kStream, { unframed }, kResumed, true },
+        { "ends before the blank line", kStream, { noBlankLine }, kInterrupted },
+        { "chunks end inside an event", kStream, { chunked }, kInterrupted },
+        { "chunks end inside an event, resumable", kStream, { chunked }, kResumed, true },
+        { "length ends inside an event", kStream, { framed }, kInterrupted },
+    };
+}
+
+// Checks all rows before it fails, so that one run shows every faulty row.
+void check(const std::vector<RawRow> &rows)
+{
+    constexpr std::size_t kMaxBytes = 24U << 20U; // Includes the kernel's buffers.
+    std::string failures;
+    for (const RawRow &row : rows) {
+        const auto start = std::chrono::steady_clock::now();
+        const auto second = row.kind == kStream ? Behaviour::StreamsAll : Behaviour::Answers;
+        const Outcome outcome = runScenario({ .name = row.name,
+                                              .kind = row.kind,
+                                              .targets = { Behaviour::Answers, second },
+                                              .isResumable = row.isResumable,
+                                              .raw = row.raw });
+        const auto expect = [&](const std::string &what, bool isTrue) {
+            if (!isTrue)
+                failures += row.name + ": " + what + '\n';
+        };
+        const Expected &expected = row.expected;
+        const auto elapsed =
+                std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - start);
+        expect("status " + std::to_string(outcome.status), outcome.status == expected.status);
+        expect("body " + outcome.body, outcome.body == expected.body);
+        expect("end", outcome.isComplete == expected.isComplete);
+        expect("retries", outcome.sends.back() == expected.otherSends);
+        expect("connections", outcome.rawConnections == 1);
+        expect("open connection", outcome.rawOpenConnections == 0);
+        expect("bytes " + std::to_string(outcome.rawBytes), outcome.rawBytes <= kMaxBytes);
+        expect("fault", outcome.hasFault == expected.hasFault);
+        expect("stall " + std::to_string(outcome.maxStall.count()) + " ms",
+               outcome.maxStall < milliseconds(200));
+        expect("time " + std::to_string(elapsed.count()) + " ms", elapsed < row.maxTime);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+}
+
 } // namespace
 
 class RelayTest : public CppUnit::TestFixture
@@ -331,6 +586,7 @@
     CPPUNIT_TEST(streamsAreCompleteOrVisiblyInterrupted);
     CPPUNIT_TEST(shutdownAcceptsOnlyRequestsThatCanFinish);
     CPPUNIT_TEST(laterAttemptsUseTheLatestView);
+    CPPUNIT_TEST(unframedResponsesAreCompleteOrInterrupted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -508,6 +764,15 @@
                 row("exit before the caller's timeout", milliseconds(-100), seconds(1), false),
         });
     }
+
+    // Tests responses that end with their connection, or within an event. Guards against complete
+    // responses that are refused, and incomplete ones that look complete.
+    void unframedResponsesAreCompleteOrInterrupted()
+    {
+        check(answersThatEndWithTheConnection());
+        check(streamsThatEndWithTheConnection());
+        check(streamsThatEndWithinAnEvent());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
