Limit the received bytes that wait to be parsed

A chunk header or a trailer without an end was kept whole: the receive buffer had no limit, and the deadline did not end a read while bytes kept arriving. The buffer of a connection is now limited.

--- a/packages/net/include/net/http_client.h
+++ b/packages/net/include/net/http_client.h
@@ -22,7 +22,10 @@
 {
     std::chrono::milliseconds connectTimeout{ 1000 }; ///< For `send()` and `open()`.
     std::size_t maxBodyBytes = 64U << 20U;            ///< Maximum size of a response body.
-    std::size_t maxIdleConnectionsPerAddress = 64;    ///< Further idle connections are closed.
+    /// Maximum number of received bytes that wait to be parsed. A head, a chunk header or a trailer
+    /// that does not fit ends the exchange. Heads are limited to 8 KiB.
+    std::size_t maxBufferedBytes = 64U << 10U;
+    std::size_t maxIdleConnectionsPerAddress = 64; ///< Further idle connections are closed.
     /// A connection is closed if the peer acknowledges nothing for about this time. TCP keep-alive
     /// probes detect a peer that has failed while a response is awaited.
     std::chrono::seconds unacknowledgedTimeout{ 3 };
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -35,7 +35,10 @@
 // Connection and the bytes that were read past the end of the last response.
 struct Connection
 {
-    explicit Connection(const asio::any_io_executor &executor) : stream(executor) {}
+    Connection(const asio::any_io_executor &executor, std::size_t maxBufferedBytes)
+        : stream(executor), buffer(maxBufferedBytes)
+    {
+    }
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
@@ -178,7 +181,7 @@
         connection->isReused = true;
         return connection;
     }
-    auto connection = std::make_shared<Connection>(executor_);
+    auto connection = std::make_shared<Connection>(executor_, options_.maxBufferedBytes);
     error_code failure;
     const auto host = asio::ip::make_address(address.host, failure);
     if (!failure) {
--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -183,6 +183,20 @@
     CPPUNIT_ASSERT_MESSAGE(name + ": timeout", endsInTime(context, body));
 }
 
+void waitFor(milliseconds time, asio::yield_context yield)
+{
+    asio::steady_timer timer(yield.get_executor(), time);
+    timer.async_wait(yield);
+}
+
+// Waits until the server has noticed the end of its connection, at most until `deadline`.
+void waitForClose(const ScriptedServer &server, Clock::time_point deadline,
+                  asio::yield_context yield)
+{
+    while (server.closedByClient == 0 && Clock::now() < deadline)
+        waitFor(milliseconds(5), yield);
+}
+
 const std::string kOk = "HTTP/1.1 200 OK\r\nId: 1\r\n";
 const std::string kChunked = kOk + "Transfer-Encoding: chunked\r\n\r\n";
 const std::string kWhole = kOk + "Content-Length: 2\r\n\r\nok";
@@ -193,6 +207,7 @@
 {
     CPPUNIT_TEST_SUITE(HttpClientTest);
     CPPUNIT_TEST(endOfBodyIsCompleteOrInterrupted);
+    CPPUNIT_TEST(endlessInputEndsTheExchange);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -233,6 +248,74 @@
             });
         }
     }
+
+    // Tests servers that send bytes without end. Guards against memory that grows until a timeout,
+    // connections that stay open, and exchanges that look complete.
+    void endlessInputEndsTheExchange()
+    {
+        struct Row
+        {
+            std::string name;
+            std::string head;
+            std::string filler;
+            int status;       ///< 0 if the head has no end.
+            bool isSizeBound; ///< Whether the size ends a flood before the timeout.
+        };
+        const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+        const Row rows[] = {
+            { "bytes that are no HTTP", "", "\x01\x02garbage", 0, true },
+            { "zero bytes", "", std::string(8, '\0'), 0, true },
+            { "status line", "HTTP/1.1 200 ", "O", 0, true },
+            { "header line", kOk + "A: ", "a", 0, true },
+            { "header lines", kOk, "A: a\r\n", 0, true },
+            { "interim responses", interim, interim, 0, true },
+            { "responses to other requests", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0, true },
+            { "body of another response", "HTTP/1.1 200 OK\r\n\r\n", "x", 0, true },
+            { "body without framing", kOk + "\r\n", "x", 200, true },
+            { "chunks", kChunked, "1\r\nx\r\n", 200, false },
+            { "chunk size", kChunked, "0", 200, true },
+            { "chunk extension", kChunked + "1;a=", "a", 200, true },
+            { "chunk extensions", kChunked + "1", ";a=a", 200, true },
+            { "extension of the last chunk", kChunked + "0;a=", "a", 200, true },
+            { "trailer line", kChunked + "0\r\nA: ", "a", 200, true },
+            { "trailer lines", kChunked + "0\r\n", "A: a\r\n", 200, true },
+        };
+        constexpr std::size_t kMaxBodyBytes = 8 * kMebibyte;
+        // Includes the bytes in the kernel's buffers.
+        constexpr std::size_t kMaxSent = kMaxBodyBytes + 16 * kMebibyte;
+        std::string failures;
+        const auto expect = [&failures](const std::string &name, bool isTrue) {
+            if (!isTrue)
+                failures += name + '\n';
+        };
+        for (const Row &row : rows) {
+            for (const Ending ending : { Ending::Flood, Ending::Drip }) {
+                const bool isFlood = ending == Ending::Flood;
+                const std::string name = row.name + (isFlood ? ", flood" : ", drip");
+                asio::io_context context;
+                ScriptedServer server(context, { { row.head, ending, row.filler } });
+                HttpClient client(context.get_executor(), { .maxBodyBytes = kMaxBodyBytes });
+                const bool hasEnded = endsInTime(context, [&](asio::yield_context yield) {
+                    const auto start = Clock::now();
+                    const Outcome outcome = request(client, server.address(), yield);
+                    const auto elapsed = Clock::now() - start;
+                    const auto limit = kHeadTimeout + kReadTimeout + milliseconds(300);
+                    expect(name + ": status", outcome.status == row.status);
+                    // A drip into a body may reach the caller's deadline without an error.
+                    expect(name + ": error", outcome.error || elapsed >= kReadTimeout);
+                    expect(name + ": time", elapsed < limit);
+                    waitForClose(server, start + limit, yield);
+                    expect(name + ": connections", server.connections == 1);
+                    expect(name + ": open connection", server.closedByClient == 1);
+                    expect(name + ": bytes sent " + std::to_string(server.bytesSent),
+                           !isFlood || !row.isSizeBound || server.bytesSent <= kMaxSent);
+                });
+                expect(name + ": end", hasEnded);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -478,6 +478,7 @@
 const Expected kAnswered{ 200, "whole", true, 0, false };
 const Expected kRetried{ 200, "whole", true, 1, true };
 const Expected kFailed{ 502, "target-failed", true, 0, true };
+const Expected kTimedOut{ 502, "route-timeout", true, 0, true };
 const Expected kStreamed{ 200, event(1) + event(2) + event(3), true, 0, false };
 const Expected kResumed{ 200, event(1) + event(2) + event(3), true, 1, true };
 const Expected kInterrupted{ 200, event(1), false, 0, true };
@@ -496,6 +497,7 @@
 constexpr auto kOrder = fleet::RequestKind::NonIdempotent;
 constexpr auto kStream = fleet::RequestKind::Stream;
 const std::string kHead = "HTTP/1.1 200 OK\r\nId: own\r\nSigned: 1\r\n";
+const std::string kChunkedHead = kHead + "Transfer-Encoding: chunked\r\n\r\n";
 const std::string kStreamHead = kHead + "Content-Type: text/event-stream\r\n";
 
 using enum RawResponse::Ending;
@@ -542,6 +544,23 @@
     };
 }
 
+std::vector<RawRow> endlessAnswers()
+{
+    const std::string chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+    return {
+        { "no HTTP", kIdempotent, { "", Flood, "garbage" }, kRetried },
+        { "order, no HTTP", kOrder, { "", Flood, "garbage" }, kFailed },
+        { "header line", kOrder, { kHead + "A: ", Flood, "a" }, kFailed },
+        { "header lines", kOrder, { kHead, Flood, "A: a\r\n" }, kFailed },
+        { "header line, drip", kOrder, { kHead + "A: ", Drip, "a" }, kTimedOut },
+        { "body", kIdempotent, { kHead + "\r\n", Flood, "x" }, kRetried },
+        { "order, body", kOrder, { kHead + "\r\n", Flood, "x" }, kFailed },
+        { "order, body, drip", kOrder, { kHead + "\r\n", Drip, "x" }, kTimedOut },
+        { "order, chunks", kOrder, { kChunkedHead, Flood, chunk }, kFailed },
+        { "order, trailers", kOrder, { kChunkedHead + "0\r\n", Flood, "A: a\r\n" }, kFailed },
+    };
+}
+
 // Checks all rows before it fails, so that one run shows every faulty row.
 void check(const std::vector<RawRow> &rows)
 {
@@ -587,6 +606,7 @@
     CPPUNIT_TEST(shutdownAcceptsOnlyRequestsThatCanFinish);
     CPPUNIT_TEST(laterAttemptsUseTheLatestView);
     CPPUNIT_TEST(unframedResponsesAreCompleteOrInterrupted);
+    CPPUNIT_TEST(endlessAnswersAreAbandoned);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -773,6 +793,10 @@
         check(streamsThatEndWithTheConnection());
         check(streamsThatEndWithinAnEvent());
     }
+
+    // Tests targets that send bytes without end. Guards against memory that grows with them,
+    // connections that outlast the request, and a thread that is kept from other requests.
+    void endlessAnswersAreAbandoned() { check(endlessAnswers()); }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
