End the discarding of a foreign response at the deadline

A target that kept sending small chunks of a response to another request held the exchange past its timeout: the timer of the stream does not end reads that complete at once. The clock is now checked after each read.

Failed on the code before: endlessInputEndsTheExchange, "chunks of another response, flood" (time, open connection). Measured after: the row passes.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -328,7 +328,8 @@
 }
 
 // Reads the rest of a response to an earlier request and discards it.
-void discardBody(Connection &connection, Parser &parser, asio::yield_context yield,
+void discardBody(Connection &connection, Parser &parser,
+                 std::chrono::steady_clock::time_point deadline, asio::yield_context yield,
                  error_code &error)
 {
     std::array<char, 4096> scratch{};
@@ -338,6 +339,9 @@
         http::async_read(connection.stream, connection.buffer, parser, yield[error]);
         if (error == http::error::need_buffer)
             error.clear();
+        // The timer of the stream does not end reads that complete at once.
+        if (!error && std::chrono::steady_clock::now() >= deadline)
+            error = beast::error::timeout;
     }
 }
 
@@ -347,8 +351,9 @@
 
 // Reads the head of the response to the current request and discards responses to earlier requests.
 std::unique_ptr<Parser> readOwnHead(Connection &connection, const ExchangeOptions &options,
-                                    std::size_t maxBodyBytes, asio::yield_context yield,
-                                    error_code &error)
+                                    std::size_t maxBodyBytes,
+                                    std::chrono::steady_clock::time_point deadline,
+                                    asio::yield_context yield, error_code &error)
 {
     for (int unrelated = 0; unrelated <= kMaxUnrelatedResponses && !error; ++unrelated) {
         auto parser = std::make_unique<Parser>();
@@ -358,7 +363,7 @@
             return nullptr;
         if (!options.isOwnResponse || options.isOwnResponse(fromWire(parser->get())))
             return parser;
-        discardBody(connection, *parser, yield, error);
+        discardBody(connection, *parser, deadline, yield, error);
     }
     // The caller reports every error except a timeout as `TargetFailed`.
     if (!error)
@@ -387,7 +392,7 @@
     std::unique_ptr<Parser> parser;
     {
         const AbortScope scope(options.cancellation, connection->stream);
-        parser = readOwnHead(*connection, options, options_.maxBodyBytes, yield, failure);
+        parser = readOwnHead(*connection, options, options_.maxBodyBytes, deadline, yield, failure);
     }
     if (parser != nullptr)
         return std::make_unique<ConnectionStream<Implementation>>(
--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -272,6 +272,8 @@
             { "responses to other requests", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
               "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0, true },
             { "body of another response", "HTTP/1.1 200 OK\r\n\r\n", "x", 0, true },
+            { "chunks of another response", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+              "1\r\nx\r\n", 0, false },
             { "body without framing", kOk + "\r\n", "x", 200, true },
             { "chunks", kChunked, "1\r\nx\r\n", 200, false },
             { "chunk size", kChunked, "0", 200, true },
