Skip interim responses of targets

An interim response (1xx) was passed on as the answer. Up to four of them and of responses to earlier requests are now skipped.

Failed on the code before: interimResponsesAreNoAnswer (status 100 instead of 200; the first row ends the test), and endlessAnswersAreAbandoned, "interim responses" (status 103, connection left open). Measured after: both pass.

--- a/packages/net/include/net/http_client.h
+++ b/packages/net/include/net/http_client.h
@@ -90,6 +90,7 @@
                                  boost::asio::yield_context yield, std::error_code &error);
 
     /// Sends `request` and returns once the head of the response has arrived, or sets `error`.
+    /// Interim responses (1xx) are skipped; a long series of them ends with `TargetFailed`.
     /// `timeout` bounds the time from the start of sending to the end of the head, once more if the
     /// request is repeated. It does not include the time to connect.
     std::unique_ptr<ResponseStream> open(const Address &address, const Request &request,
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -276,44 +276,6 @@
     Headers headers_;
 };
 
-} // namespace
-
-std::unique_ptr<ResponseStream> HttpClient::Implementation::open(const Address &address,
-                                                                 const Request &request,
-                                                                 milliseconds timeout,
-                                                                 asio::yield_context yield,
-                                                                 std::error_code &error)
-{
-    const WireRequest wire = toWire(address, request);
-    for (bool canReuse = request.idempotent;; canReuse = false) {
-        const ExchangeOptions exchange{ .connectTimeout = options_.connectTimeout,
-                                        .maxIdleTime =
-                                                canReuse ? kMaxIdleTime : milliseconds::zero() };
-        auto connection = acquire(address, exchange, yield, error);
-        if (connection == nullptr)
-            return nullptr;
-        error_code failure;
-        connection->stream.expires_after(timeout);
-        http::async_write(connection->stream, wire, yield[failure]);
-        auto parser = std::make_unique<Parser>();
-        parser->body_limit(options_.maxBodyBytes);
-        if (!failure) {
-            http::async_read_header(connection->stream, connection->buffer, *parser,
-                                    yield[failure]);
-        }
-        if (!failure) {
-            return std::make_unique<ConnectionStream<Implementation>>(
-                    shared_from_this(), address, std::move(connection), std::move(parser));
-        }
-        if (connection->isReused && failure != beast::error::timeout)
-            continue;
-        error = failure == beast::error::timeout ? Result::ProgressTimeout : Result::TargetFailed;
-        return nullptr;
-    }
-}
-
-namespace {
-
 // Starts writing the request without waiting for the end. The server may answer before it has read
 // the whole request, and continue to read it afterwards.
 void startWrite(const std::shared_ptr<Connection> &connection, WireRequest wire)
@@ -327,7 +289,7 @@
                       });
 }
 
-// Reads the rest of a response to an earlier request and discards it.
+// Reads the rest of a skipped response and discards it.
 void discardBody(Connection &connection, Parser &parser,
                  std::chrono::steady_clock::time_point deadline, asio::yield_context yield,
                  error_code &error)
@@ -345,23 +307,27 @@
     }
 }
 
-// Maximum number of responses to earlier requests that are discarded before the response to
-// the current request. More of them indicate a faulty server.
-constexpr int kMaxUnrelatedResponses = 4;
+// Maximum number of interim responses and responses to earlier requests that are discarded before
+// the response to the current request. More of them indicate a faulty server.
+constexpr int kMaxSkippedResponses = 4;
 
-// Reads the head of the response to the current request and discards responses to earlier requests.
+// Reads the head of the response to the current request. Discards interim responses and responses
+// to earlier requests.
 std::unique_ptr<Parser> readOwnHead(Connection &connection, const ExchangeOptions &options,
                                     std::size_t maxBodyBytes,
                                     std::chrono::steady_clock::time_point deadline,
                                     asio::yield_context yield, error_code &error)
 {
-    for (int unrelated = 0; unrelated <= kMaxUnrelatedResponses && !error; ++unrelated) {
+    for (int skipped = 0; skipped <= kMaxSkippedResponses && !error; ++skipped) {
         auto parser = std::make_unique<Parser>();
         parser->body_limit(maxBodyBytes);
         http::async_read_header(connection.stream, connection.buffer, *parser, yield[error]);
         if (error)
             return nullptr;
-        if (!options.isOwnResponse || options.isOwnResponse(fromWire(parser->get())))
+        const bool isInterim = http::to_status_class(parser->get().result_int())
+                               == http::status_class::informational;
+        if (!isInterim
+            && (!options.isOwnResponse || options.isOwnResponse(fromWire(parser->get()))))
             return parser;
         discardBody(connection, *parser, deadline, yield, error);
     }
@@ -373,6 +339,39 @@
 
 } // namespace
 
+std::unique_ptr<ResponseStream> HttpClient::Implementation::open(const Address &address,
+                                                                 const Request &request,
+                                                                 milliseconds timeout,
+                                                                 asio::yield_context yield,
+                                                                 std::error_code &error)
+{
+    const WireRequest wire = toWire(address, request);
+    for (bool canReuse = request.idempotent;; canReuse = false) {
+        const ExchangeOptions exchange{ .connectTimeout = options_.connectTimeout,
+                                        .maxIdleTime =
+                                                canReuse ? kMaxIdleTime : milliseconds::zero() };
+        auto connection = acquire(address, exchange, yield, error);
+        if (connection == nullptr)
+            return nullptr;
+        error_code failure;
+        const auto deadline = std::chrono::steady_clock::now() + timeout;
+        connection->stream.expires_at(deadline);
+        http::async_write(connection->stream, wire, yield[failure]);
+        std::unique_ptr<Parser> parser;
+        if (!failure)
+            parser = readOwnHead(*connection, exchange, options_.maxBodyBytes, deadline, yield,
+                                 failure);
+        if (parser != nullptr) {
+            return std::make_unique<ConnectionStream<Implementation>>(
+                    shared_from_this(), address, std::move(connection), std::move(parser));
+        }
+        if (connection->isReused && failure != beast::error::timeout)
+            continue;
+        error = failure == beast::error::timeout ? Result::ProgressTimeout : Result::TargetFailed;
+        return nullptr;
+    }
+}
+
 std::unique_ptr<ResponseStream> HttpClient::Implementation::openOnce(const Address &address,
                                                                      const Request &request,
                                                                      const ExchangeOptions &options,
--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -208,6 +208,7 @@
     CPPUNIT_TEST_SUITE(HttpClientTest);
     CPPUNIT_TEST(endOfBodyIsCompleteOrInterrupted);
     CPPUNIT_TEST(endlessInputEndsTheExchange);
+    CPPUNIT_TEST(interimResponsesAreNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -318,6 +319,34 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), failures);
     }
+
+    // Tests responses after interim ones. Guards against an interim response that is passed on as
+    // the answer.
+    void interimResponsesAreNoAnswer()
+    {
+        const Script scripts[] = {
+            { "HTTP/1.1 100 Continue\r\n\r\n" + kWhole, Ending::Hold, "" },
+            { "HTTP/1.1 103 Early Hints\r\nId: 1\r\n\r\n" + kWhole, Ending::Hold, "" },
+            { "HTTP/1.1 102 Processing\r\nId: 1\r\n\r\nHTTP/1.1 103 Early Hints\r\nId: 1\r\n\r\n"
+                      + kWhole,
+              Ending::Hold, "" },
+        };
+        for (const Script &script : scripts) {
+            asio::io_context context;
+            ScriptedServer server(context, { script });
+            HttpClient client(context.get_executor(), {});
+            run(context, script.bytes, [&](asio::yield_context yield) {
+                const Outcome outcome = request(client, server.address(), yield);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(script.bytes, 200, outcome.status);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(script.bytes, std::string("ok"), outcome.body);
+                std::error_code error;
+                const auto response =
+                        client.send(server.address(), {}, milliseconds(600), yield, error);
+                CPPUNIT_ASSERT_MESSAGE(script.bytes, response.has_value());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(script.bytes, 200, response->status);
+            });
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -546,6 +546,7 @@
 
 std::vector<RawRow> endlessAnswers()
 {
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nId: own\r\n\r\n";
     const std::string chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
     return {
         { "no HTTP", kIdempotent, { "", Flood, "garbage" }, kRetried },
@@ -553,6 +554,7 @@
         { "header line", kOrder, { kHead + "A: ", Flood, "a" }, kFailed },
         { "header lines", kOrder, { kHead, Flood, "A: a\r\n" }, kFailed },
         { "header line, drip", kOrder, { kHead + "A: ", Drip, "a" }, kTimedOut },
+        { "interim responses", kOrder, { "", Flood, interim }, kFailed },
         { "body", kIdempotent, { kHead + "\r\n", Flood, "x" }, kRetried },
         { "order, body", kOrder, { kHead + "\r\n", Flood, "x" }, kFailed },
         { "order, body, drip", kOrder, { kHead + "\r\n", Drip, "x" }, kTimedOut },
