Close connections whose response is followed by further bytes

Bytes received with the end of a response stayed in the buffer of a pooled connection, and the next request failed on them. Such a connection is now closed and reported by hasSurplusBytes().

Failed on the code before: surplusBytesDoNotReachTheNextRequest (status 0 instead of 200) and endlessInputAfterResponseClosesTheConnection (flood; connection left open). Measured after: both pass.

Bytes that arrive later on an idle connection are found when it is next taken from the pool, as before. A wait for each idle connection was tried and left out: no row fails without it, and it adds an event registration, an allocation and a handler to each request.

--- a/packages/net/include/net/http_client.h
+++ b/packages/net/include/net/http_client.h
@@ -50,6 +50,10 @@
     /// arrived within `timeout`, `StreamInterrupted` if the connection ended before the body did.
     virtual bool read(std::string &out, std::chrono::milliseconds timeout,
                       boost::asio::yield_context yield, std::error_code &error) = 0;
+
+    /// Returns true if the server sent bytes after the end of a complete body. The connection has
+    /// been closed in this case.
+    virtual bool hasSurplusBytes() const { return false; }
 };
 
 /// Options of `HttpClient::openOnce()`.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -227,6 +227,8 @@
     int status() const override { return parser_->get().result_int(); }
     const Headers &headers() const override { return headers_; }
 
+    bool hasSurplusBytes() const override { return hasSurplusBytes_; }
+
     void abort() override
     {
         if (connection_ != nullptr)
@@ -263,8 +265,10 @@
 private:
     void returnConnection()
     {
+        if (connection_ != nullptr)
+            hasSurplusBytes_ = connection_->buffer.size() > 0;
         if (connection_ != nullptr && parser_->get().keep_alive() && !parser_->need_eof()
-            && connection_->pendingWrite == nullptr)
+            && connection_->pendingWrite == nullptr && !hasSurplusBytes_)
             owner_->release(address_, std::move(connection_));
         connection_.reset();
     }
@@ -274,6 +278,7 @@
     std::shared_ptr<Connection> connection_;
     std::unique_ptr<Parser> parser_;
     Headers headers_;
+    bool hasSurplusBytes_ = false;
 };
 
 // Starts writing the request without waiting for the end. The server may answer before it has read
--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -209,6 +209,8 @@
     CPPUNIT_TEST(endOfBodyIsCompleteOrInterrupted);
     CPPUNIT_TEST(endlessInputEndsTheExchange);
     CPPUNIT_TEST(interimResponsesAreNoAnswer);
+    CPPUNIT_TEST(surplusBytesDoNotReachTheNextRequest);
+    CPPUNIT_TEST(endlessInputAfterResponseClosesTheConnection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -347,6 +349,48 @@
             });
         }
     }
+
+    // Tests the request after a response that is followed by further bytes. Guards against requests
+    // that fail because such bytes are read as their response.
+    void surplusBytesDoNotReachTheNextRequest()
+    {
+        for (const std::string surplus : { "x", "\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n" }) {
+            for (const std::string &response : { kWhole, kChunked + "2\r\nok\r\n0\r\n\r\n" }) {
+                asio::io_context context;
+                ScriptedServer server(context, { { response + surplus, Ending::Hold, "" },
+                                                 { kWhole, Ending::Hold, "" } });
+                HttpClient client(context.get_executor(), {});
+                run(context, surplus, [&](asio::yield_context yield) {
+                    for (int i = 0; i < 2; ++i) {
+                        const Outcome outcome = request(client, server.address(), yield);
+                        CPPUNIT_ASSERT_EQUAL_MESSAGE(surplus, 200, outcome.status);
+                        CPPUNIT_ASSERT_EQUAL_MESSAGE(surplus, std::string("ok"), outcome.body);
+                    }
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(surplus, std::size_t(2), server.connections);
+                });
+            }
+        }
+    }
+
+    // Tests bytes that arrive with the end of a response, without a further request. Guards against
+    // connections that stay open until the next request.
+    void endlessInputAfterResponseClosesTheConnection()
+    {
+        for (const Ending ending : { Ending::Flood, Ending::Drip }) {
+            asio::io_context context;
+            ScriptedServer server(context, { { kWhole, ending, "x" } });
+            HttpClient client(context.get_executor(), {});
+            const std::string name = ending == Ending::Flood ? "flood" : "drip";
+            run(context, name, [&](asio::yield_context yield) {
+                const Outcome outcome = request(client, server.address(), yield);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string("ok"), outcome.body);
+                CPPUNIT_ASSERT_MESSAGE(name, !outcome.error);
+                waitFor(milliseconds(300), yield);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t(1), server.closedByClient);
+                CPPUNIT_ASSERT_MESSAGE(name, server.bytesSent <= 16 * kMebibyte);
+            });
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
