Bound the refusals of targets in time and size

The body of a refusal was read with a timeout for each read and kept in memory, so that a target which sent bytes without end held the request past its deadline. It is now read for at most connectTimeout and maxAnswerBytes, and discarded.

--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -73,6 +73,8 @@
     bool forwardEvents(EventSplitter &splitter, const net::ResponseStream &response);
     /// Ends the caller's stream if the target's stream is complete.
     SendOutcome finishStream(bool isComplete, const EventSplitter &splitter);
+    /// Reads the rest of a refusal for a short time, so that the connection can be reused.
+    void discardRefusal(net::ResponseStream &response);
     /// Records what the response tells about the target.
     void recordResponse(const ResponseFields &fields, int status);
 
--- a/packages/relay/src/flow_answers.cpp
+++ b/packages/relay/src/flow_answers.cpp
@@ -1,5 +1,6 @@
 #include "flow.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace chervilfield::relay {
@@ -50,16 +51,30 @@
         targetTracker.recordFault(*target_, dispatch::Fault::Failed, now);
 }
 
+void Relay::Flow::discardRefusal(net::ResponseStream &response)
+{
+    const auto deadline = std::min(deadline_, Clock::now() + context_.options.connectTimeout);
+    std::size_t size = 0;
+    std::string ignored;
+    std::error_code error;
+    auto left = duration_cast<milliseconds>(deadline - Clock::now());
+    while (left > milliseconds::zero() && size <= context_.options.maxAnswerBytes
+           && response.read(ignored, left, yield_, error)) {
+        size += ignored.size();
+        ignored.clear();
+        left = duration_cast<milliseconds>(deadline - Clock::now());
+    }
+    if (size > context_.options.maxAnswerBytes)
+        context_.placer.targetTracker().recordFault(*target_, dispatch::Fault::Broken,
+                                                    Clock::now());
+}
+
 SendOutcome Relay::Flow::receive(net::ResponseStream &response)
 {
     const ResponseFields fields = context_.codec.decodeResponse(response.headers());
     recordResponse(fields, response.status());
     if (fields.isNotRun) {
-        // The rest of the response is read so that the connection can be reused.
-        std::string ignored;
-        std::error_code error;
-        while (response.read(ignored, context_.options.connectTimeout, yield_, error)) {
-        }
+        discardRefusal(response);
         result_ = Result::Overloaded;
         return SendOutcome::NotRun;
     }
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -609,6 +609,7 @@
     CPPUNIT_TEST(laterAttemptsUseTheLatestView);
     CPPUNIT_TEST(unframedResponsesAreCompleteOrInterrupted);
     CPPUNIT_TEST(endlessAnswersAreAbandoned);
+    CPPUNIT_TEST(endlessRefusalsAreAbandoned);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -799,6 +800,16 @@
     // Tests targets that send bytes without end. Guards against memory that grows with them,
     // connections that outlast the request, and a thread that is kept from other requests.
     void endlessAnswersAreAbandoned() { check(endlessAnswers()); }
+
+    // Tests endless bodies of refusals. Guards against requests that are held past their timeout.
+    void endlessRefusalsAreAbandoned()
+    {
+        const std::string refusal = "HTTP/1.1 503 Busy\r\nId: own\r\nNot-Run: 1\r\n\r\n";
+        check(std::vector<RawRow>{
+                { "refusal", kIdempotent, { refusal, Flood, "x" }, kRetried },
+                { "refusal, drip", kIdempotent, { refusal, Drip, "x" }, kRetried },
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
