Bound the size of an event of a target

An event without an end was kept up to the body limit of the client and searched from its start after each read, until the deadline. Events are now limited to maxEventBytes, and the splitter continues its search where it ended.

--- a/packages/relay/include/relay/event_splitter.h
+++ b/packages/relay/include/relay/event_splitter.h
@@ -27,8 +27,12 @@
     /// Returns true if and only if the bytes fed so far end within an event.
     bool hasPartialEvent() const { return !buffer_.empty(); }
 
+    /// Returns the number of bytes that do not belong to an event returned so far.
+    std::size_t pendingBytes() const { return buffer_.size(); }
+
 private:
     std::string buffer_;
+    std::size_t searchedBytes_ = 0; ///< Bytes of `buffer_` in which no event ends.
 };
 
 } // namespace chervilfield::relay
--- a/packages/relay/include/relay/relay.h
+++ b/packages/relay/include/relay/relay.h
@@ -66,6 +66,8 @@
     std::chrono::milliseconds defaultReuseTime{ 500 };
     /// Maximum body size of a response that is not a stream.
     std::size_t maxAnswerBytes = 4U << 20U;
+    /// Maximum size of one event of a stream.
+    std::size_t maxEventBytes = 1U << 20U;
     /// Retry-After while this instance lacks a complete or recent configuration, and of a refusal
     /// after the last permitted attempt.
     std::chrono::milliseconds notReadyRetryAfter{ 400 };
--- a/packages/relay/src/flow_answers.cpp
+++ b/packages/relay/src/flow_answers.cpp
@@ -163,6 +163,10 @@
         splitter.feed(bytes);
         bytes.clear();
         isCallerConnected = forwardEvents(splitter, response);
+        if (splitter.pendingBytes() > context_.options.maxEventBytes) {
+            error = Result::BodyTooLarge;
+            break;
+        }
     }
     cancellation_.setAbort({});
     if (!isCallerConnected || cancellation_.cancelled()) {
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -610,6 +610,7 @@
     CPPUNIT_TEST(unframedResponsesAreCompleteOrInterrupted);
     CPPUNIT_TEST(endlessAnswersAreAbandoned);
     CPPUNIT_TEST(endlessRefusalsAreAbandoned);
+    CPPUNIT_TEST(endlessEventsAreAbandoned);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -810,6 +811,25 @@
                 { "refusal, drip", kIdempotent, { refusal, Drip, "x" }, kRetried },
         });
     }
+
+    // Tests events without an end. Guards against memory and search time that grow with them.
+    void endlessEventsAreAbandoned()
+    {
+        const std::string head = kStreamHead + "\r\n" + event(1) + "data: ";
+        const std::string lines = kStreamHead + "\r\n" + event(1);
+        const std::string firstChunk = "10\r\n" + event(1) + "\r\n";
+        const std::string chunked = kStreamHead + "Transfer-Encoding: chunked\r\n\r\n" + firstChunk;
+        const std::string chunk = "100\r\n" + std::string(256, 'x') + "\r\n";
+        std::vector<RawRow> rows{
+            { "event", kStream, { head, Flood, "x" }, kInterrupted },
+            { "lines of an event", kStream, { lines, Flood, "data: x\n" }, kInterrupted },
+            { "small chunks of an event", kStream, { chunked, Flood, chunk }, kInterrupted },
+        };
+        for (RawRow &row : rows)
+            row.maxTime = milliseconds(1000); // The size ends these rows before the deadline.
+        rows.push_back({ "event, drip", kStream, { head, Drip, "x" }, kInterrupted });
+        check(rows);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
