Count bytes after the response as a fault of the target

A target whose response is followed by further bytes was recorded as successful. It now has a fault; the caller still receives the response.

--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -75,6 +75,8 @@
     SendOutcome finishStream(bool isComplete, const EventSplitter &splitter);
     /// Reads the rest of a refusal for a short time, so that the connection can be reused.
     void discardRefusal(net::ResponseStream &response);
+    /// Records a complete answer, or a fault if further bytes follow it.
+    void recordAnswer(const net::ResponseStream &response);
     /// Records what the response tells about the target.
     void recordResponse(const ResponseFields &fields, int status);
 
--- a/packages/relay/src/flow_answers.cpp
+++ b/packages/relay/src/flow_answers.cpp
@@ -83,6 +83,15 @@
     return receiveWhole(response, fields);
 }
 
+void Relay::Flow::recordAnswer(const net::ResponseStream &response)
+{
+    auto &targetTracker = context_.placer.targetTracker();
+    if (response.hasSurplusBytes())
+        targetTracker.recordFault(*target_, dispatch::Fault::Broken, Clock::now());
+    else
+        targetTracker.recordSuccess(*target_, Clock::now());
+}
+
 SendOutcome Relay::Flow::receiveWhole(net::ResponseStream &response, const ResponseFields &fields)
 {
     net::Response whole{ .status = response.status(),
@@ -109,7 +118,7 @@
         result_ = Result::TargetFailed;
         return SendOutcome::Failed;
     }
-    targetTracker.recordSuccess(*target_, Clock::now());
+    recordAnswer(response);
     std::error_code callerError;
     exchange_.respond(whole, yield_, callerError);
     hasResponseStarted_ = true;
@@ -176,7 +185,7 @@
     }
     const bool isComplete = !error && timeLeft() > milliseconds::zero();
     if (isComplete && !splitter.hasPartialEvent())
-        targetTracker.recordSuccess(*target_, Clock::now());
+        recordAnswer(response);
     else
         targetTracker.recordFault(*target_, dispatch::Fault::Broken, Clock::now());
     return finishStream(isComplete, splitter);
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -476,6 +476,7 @@
 };
 
 const Expected kAnswered{ 200, "whole", true, 0, false };
+const Expected kAnsweredWithFault{ 200, "whole", true, 0, true };
 const Expected kRetried{ 200, "whole", true, 1, true };
 const Expected kFailed{ 502, "target-failed", true, 0, true };
 const Expected kTimedOut{ 502, "route-timeout", true, 0, true };
@@ -548,6 +549,7 @@
 {
     const std::string interim = "HTTP/1.1 103 Early Hints\r\nId: own\r\n\r\n";
     const std::string chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+    const std::string whole = kHead + "Content-Length: 5\r\n\r\nwhole";
     return {
         { "no HTTP", kIdempotent, { "", Flood, "garbage" }, kRetried },
         { "order, no HTTP", kOrder, { "", Flood, "garbage" }, kFailed },
@@ -560,6 +562,7 @@
         { "order, body, drip", kOrder, { kHead + "\r\n", Drip, "x" }, kTimedOut },
         { "order, chunks", kOrder, { kChunkedHead, Flood, chunk }, kFailed },
         { "order, trailers", kOrder, { kChunkedHead + "0\r\n", Flood, "A: a\r\n" }, kFailed },
+        { "bytes after the response", kOrder, { whole, Flood, "x" }, kAnsweredWithFault },
     };
 }
 
