--- a/packages/net/include/net/http_client.h
+++ b/packages/net/include/net/http_client.h
@@ -22,7 +22,10 @@
 {
     std::chrono::milliseconds connectTimeout{ 1000 }; ///< For `send()` and `open()`.
     std::size_t maxBodyBytes = 64U << 20U;            ///< Maximum size of a response body.
-    std::size_t maxIdleConnectionsPerAddress = 64;    ///< Further idle connections are closed.
+    /// Maximum number of received bytes that wait to be parsed. A head, a chunk header or a trailer
+    /// that does not fit ends the exchange. Heads are limited to 8 KiB.
+    std::size_t maxBufferedBytes = 64U << 10U;
+    std::size_t maxIdleConnectionsPerAddress = 64; ///< Further idle connections are closed.
     /// A connection is closed if the peer acknowledges nothing for about this time. TCP keep-alive
     /// probes detect a peer that has failed while a response is awaited.
     std::chrono::seconds unacknowledgedTimeout{ 3 };
@@ -47,6 +50,10 @@
     /// arrived within `timeout`, `StreamInterrupted` if the connection ended before the body did.
     virtual bool read(std::string &out, std::chrono::milliseconds timeout,
                       boost::asio::yield_context yield, std::error_code &error) = 0;
+
+    /// Returns true if the server sent bytes after the end of a complete body. The connection has
+    /// been closed in this case.
+    virtual bool hasSurplusBytes() const { return false; }
 };
 
 /// Options of `HttpClient::openOnce()`.
@@ -87,6 +94,7 @@
                                  boost::asio::yield_context yield, std::error_code &error);
 
     /// Sends `request` and returns once the head of the response has arrived, or sets `error`.
+    /// Interim responses (1xx) are skipped; a long series of them ends with `TargetFailed`.
     /// `timeout` bounds the time from the start of sending to the end of the head, once more if the
     /// request is repeated. It does not include the time to connect.
     std::unique_ptr<ResponseStream> open(const Address &address, const Request &request,
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -35,7 +35,10 @@
 // Connection and the bytes that were read past the end of the last response.
 struct Connection
 {
-    explicit Connection(const asio::any_io_executor &executor) : stream(executor) {}
+    Connection(const asio::any_io_executor &executor, std::size_t maxBufferedBytes)
+        : stream(executor), buffer(maxBufferedBytes)
+    {
+    }
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
@@ -178,7 +181,7 @@
         connection->isReused = true;
         return connection;
     }
-    auto connection = std::make_shared<Connection>(executor_);
+    auto connection = std::make_shared<Connection>(executor_, options_.maxBufferedBytes);
     error_code failure;
     const auto host = asio::ip::make_address(address.host, failure);
     if (!failure) {
@@ -224,6 +227,8 @@
     int status() const override { return parser_->get().result_int(); }
     const Headers &headers() const override { return headers_; }
 
+    bool hasSurplusBytes() const override { return hasSurplusBytes_; }
+
     void abort() override
     {
         if (connection_ != nullptr)
@@ -260,8 +265,10 @@
 private:
     void returnConnection()
     {
+        if (connection_ != nullptr)
+            hasSurplusBytes_ = connection_->buffer.size() > 0;
         if (connection_ != nullptr && parser_->get().keep_alive() && !parser_->need_eof()
-            && connection_->pendingWrite == nullptr)
+            && connection_->pendingWrite == nullptr && !hasSurplusBytes_)
             owner_->release(address_, std::move(connection_));
         connection_.reset();
     }
@@ -271,46 +278,9 @@
     std::shared_ptr<Connection> connection_;
     std::unique_ptr<Parser> parser_;
     Headers headers_;
+    bool hasSurplusBytes_ = false;
 };
 
-} // namespace
-
-std::unique_ptr<ResponseStream> HttpClient::Implementation::open(const Address &address,
-                                                                 const Request &request,
-                                                                 milliseconds timeout,
-                                                                 asio::yield_context yield,
-                                                                 std::error_code &error)
-{
-    const WireRequest wire = toWire(address, request);
-    for (bool canReuse = request.idempotent;; canReuse = false) {
-        const ExchangeOptions exchange{ .connectTimeout = options_.connectTimeout,
-                                        .maxIdleTime =
-                                                canReuse ? kMaxIdleTime : milliseconds::zero() };
-        auto connection = acquire(address, exchange, yield, error);
-        if (connection == nullptr)
-            return nullptr;
-        error_code failure;
-        connection->stream.expires_after(timeout);
-        http::async_write(connection->stream, wire, yield[failure]);
-        auto parser = std::make_unique<Parser>();
-        parser->body_limit(options_.maxBodyBytes);
-        if (!failure) {
-            http::async_read_header(connection->stream, connection->buffer, *parser,
-                                    yield[failure]);
-        }
-        if (!failure) {
-            return std::make_unique<ConnectionStream<Implementation>>(
-                    shared_from_this(), address, std::move(connection), std::move(parser));
-        }
-        if (connection->isReused && failure != beast::error::timeout)
-            continue;
-        error = failure == beast::error::timeout ? Result::ProgressTimeout : Result::TargetFailed;
-        return nullptr;
-    }
-}
-
-namespace {
-
 // Starts writing the request without waiting for the end. The server may answer before it has read
 // the whole request, and continue to read it afterwards.
 void startWrite(const std::shared_ptr<Connection> &connection, WireRequest wire)
@@ -324,8 +294,9 @@
                       });
 }
 
-// Reads the rest of a response to an earlier request and discards it.
-void discardBody(Connection &connection, Parser &parser, asio::yield_context yield,
+// Reads the rest of a skipped response and discards it.
+void discardBody(Connection &connection, Parser &parser,
+                 std::chrono::steady_clock::time_point deadline, asio::yield_context yield,
                  error_code &error)
 {
     std::array<char, 4096> scratch{};
@@ -335,27 +306,35 @@
         http::async_read(connection.stream, connection.buffer, parser, yield[error]);
         if (error == http::error::need_buffer)
             error.clear();
+        // The timer of the stream does not end reads that complete at once.
+        if (!error && std::chrono::steady_clock::now() >= deadline)
+            error = beast::error::timeout;
     }
 }
 
-// Maximum number of responses to earlier requests that are discarded before the response to
-// the current request. More of them indicate a faulty server.
-constexpr int kMaxUnrelatedResponses = 4;
+// Maximum number of interim responses and responses to earlier requests that are discarded before
+// the response to the current request. More of them indicate a faulty server.
+constexpr int kMaxSkippedResponses = 4;
 
-// Reads the head of the response to the current request and discards responses to earlier requests.
+// Reads the head of the response to the current request. Discards interim responses and responses
+// to earlier requests.
 std::unique_ptr<Parser> readOwnHead(Connection &connection, const ExchangeOptions &options,
-                                    std::size_t maxBodyBytes, asio::yield_context yield,
-                                    error_code &error)
+                                    std::size_t maxBodyBytes,
+                                    std::chrono::steady_clock::time_point deadline,
+                                    asio::yield_context yield, error_code &error)
 {
-    for (int unrelated = 0; unrelated <= kMaxUnrelatedResponses && !error; ++unrelated) {
+    for (int skipped = 0; skipped <= kMaxSkippedResponses && !error; ++skipped) {
         auto parser = std::make_unique<Parser>();
         parser->body_limit(maxBodyBytes);
         http::async_read_header(connection.stream, connection.buffer, *parser, yield[error]);
         if (error)
             return nullptr;
-        if (!options.isOwnResponse || options.isOwnResponse(fromWire(parser->get())))
+        const bool isInterim = http::to_status_class(parser->get().result_int())
+                               == http::status_class::informational;
+        if (!isInterim
+            && (!options.isOwnResponse || options.isOwnResponse(fromWire(parser->get()))))
             return parser;
-        discardBody(connection, *parser, yield, error);
+        discardBody(connection, *parser, deadline, yield, error);
     }
     // The caller reports every error except a timeout as `TargetFailed`.
     if (!error)
@@ -365,6 +344,39 @@
 
 } // namespace
 
+std::unique_ptr<ResponseStream> HttpClient::Implementation::open(const Address &address,
+                                                                 const Request &request,
+                                                                 milliseconds timeout,
+                                                                 asio::yield_context yield,
+                                                                 std::error_code &error)
+{
+    const WireRequest wire = toWire(address, request);
+    for (bool canReuse = request.idempotent;; canReuse = false) {
+        const ExchangeOptions exchange{ .connectTimeout = options_.connectTimeout,
+                                        .maxIdleTime =
+                                                canReuse ? kMaxIdleTime : milliseconds::zero() };
+        auto connection = acquire(address, exchange, yield, error);
+        if (connection == nullptr)
+            return nullptr;
+        error_code failure;
+        const auto deadline = std::chrono::steady_clock::now() + timeout;
+        connection->stream.expires_at(deadline);
+        http::async_write(connection->stream, wire, yield[failure]);
+        std::unique_ptr<Parser> parser;
+        if (!failure)
+            parser = readOwnHead(*connection, exchange, options_.maxBodyBytes, deadline, yield,
+                                 failure);
+        if (parser != nullptr) {
+            return std::make_unique<ConnectionStream<Implementation>>(
+                    shared_from_this(), address, std::move(connection), std::move(parser));
+        }
+        if (connection->isReused && failure != beast::error::timeout)
+            continue;
+        error = failure == beast::error::timeout ? Result::ProgressTimeout : Result::TargetFailed;
+        return nullptr;
+    }
+}
+
 std::unique_ptr<ResponseStream> HttpClient::Implementation::openOnce(const Address &address,
                                                                      const Request &request,
                                                                      const ExchangeOptions &options,
@@ -384,7 +396,7 @@
     std::unique_ptr<Parser> parser;
     {
         const AbortScope scope(options.cancellation, connection->stream);
-        parser = readOwnHead(*connection, options, options_.maxBodyBytes, yield, failure);
+        parser = readOwnHead(*connection, options, options_.maxBodyBytes, deadline, yield, failure);
     }
     if (parser != nullptr)
         return std::make_unique<ConnectionStream<Implementation>>(
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -96,6 +96,10 @@
     std::optional<std::chrono::milliseconds> quarantineTime() const;
     /// Refuses the request because of a part of its prompt.
     void refuseQuarantined(std::chrono::milliseconds remaining);
+    /// Reads the rest of a refusal for a short time, so that the connection can be reused.
+    void discardRefusal(net::ResponseStream &response);
+    /// Records a complete answer, or a fault if further bytes follow it.
+    void recordAnswer(const net::ResponseStream &response);
     /// Records what the response tells about the target.
     void recordResponse(const ResponseFields &fields, int status);
 
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -1,12 +1,17 @@
 #include "relay/relay.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <ctime>
 #include <map>
 #include <memory>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -134,6 +139,76 @@
     return parts;
 }
 
+// Bytes that a target sends to each request, and what it does afterwards.
+struct RawResponse
+{
+    enum class Ending {
+        Close, ///< Closes the connection in order.
+        Reset, ///< Resets the connection.
+        Flood, ///< Repeats `filler` until the relay closes the connection.
+        Drip,  ///< Sends `filler` every 40 ms until the relay closes the connection.
+    };
+    std::string bytes;
+    Ending ending = Ending::Close;
+    std::string filler;
+};
+
+// Target that sends raw bytes to each request, which need not be a valid response.
+class RawTarget
+{
+public:
+    RawTarget(asio::io_context &context, const RawResponse &response)
+        : response_(response), acceptor_(context, { asio::ip::tcp::v4(), 0 })
+    {
+        net::spawnCoroutine(context, "[test]", [this, &context](asio::yield_context yield) {
+            while (true) {
+                auto socket = std::make_shared<asio::ip::tcp::socket>(context);
+                acceptor_.async_accept(*socket, yield);
+                ++connections;
+                net::spawnCoroutine(context, "[test]", [this, socket](asio::yield_context inner) {
+                    serve(*socket, inner);
+                });
+            }
+        });
+    }
+
+    net::Address address() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+
+    std::size_t connections = 0;
+    std::size_t closed = 0; ///< Connections that have ended.
+    std::size_t bytesSent = 0;
+
+private:
+    void serve(asio::ip::tcp::socket &socket, asio::yield_context yield)
+    {
+        using enum RawResponse::Ending;
+        boost::system::error_code error;
+        std::string request;
+        asio::async_read_until(socket, asio::dynamic_buffer(request), "question", yield[error]);
+        asio::async_write(socket, asio::buffer(response_.bytes), yield[error]);
+        asio::steady_timer timer(yield.get_executor());
+        std::string block = response_.filler;
+        while (response_.ending == Flood && block.size() < 65536)
+            block += response_.filler;
+        while (!error && (response_.ending == Flood || response_.ending == Drip)) {
+            bytesSent += asio::async_write(socket, asio::buffer(block), yield[error]);
+            timer.expires_after(milliseconds(response_.ending == Drip ? 40 : 0));
+            timer.async_wait(yield);
+        }
+        if (response_.ending == Reset) {
+            // The relay reads the bytes before it learns of the reset.
+            timer.expires_after(milliseconds(50));
+            timer.async_wait(yield);
+            socket.set_option(asio::socket_base::linger(true, 0));
+        }
+        socket.close();
+        ++closed;
+    }
+
+    RawResponse response_;
+    asio::ip::tcp::acceptor acceptor_;
+};
+
 Codec testCodec()
 {
     const auto field = [](const net::Headers &headers, std::string_view name) {
@@ -181,6 +256,9 @@
                      } };
 }
 
+// Timeout of a request and an allowance for a busy machine.
+constexpr milliseconds kMaxTime{ 2000 };
+
 // Response that a caller receives, and the number of requests that reached each target.
 struct Outcome
 {
@@ -188,6 +266,12 @@
     std::string body;
     bool isComplete = false;
     std::vector<std::size_t> sends;
+    // Set only if the first target is a `RawTarget`.
+    std::size_t rawConnections = 0;
+    std::size_t rawOpenConnections = 0; ///< Left open after the response.
+    std::size_t rawBytes = 0;
+    bool hasFault = false;      ///< Whether a fault of the first target was recorded.
+    milliseconds maxStall{ 0 }; ///< Longest work between two turns of a timer.
 };
 
 // Change of the view after the first target has received a request.
@@ -211,10 +295,12 @@
     milliseconds exitIn{ 0 };
     ViewChange change = ViewChange::None;
     admission::RetryBudgetOptions retryBudget = admission::kRetryBudget;
+    /// Replaces the behaviour of the first target.
+    std::optional<RawResponse> raw{};
 };
 
-fleet::ViewPtr makeView(const Scenario &scenario,
-                        const std::vector<std::unique_ptr<FakeTarget>> &targets, ViewChange change)
+fleet::ViewPtr makeView(const Scenario &scenario, const std::vector<net::Address> &targets,
+                        ViewChange change)
 {
     auto configuration = std::make_shared<fleet::Configuration>();
     configuration->version = 1;
@@ -235,7 +321,7 @@
         // The first target is the only one in the local data centre, so it is tried first.
         entries.push_back({ .id = "t" + std::to_string(i),
                             .pool = "p",
-                            .address = targets[i]->address(),
+                            .address = targets[i],
                             .dataCentre = i == 0 ? "near" : "far",
                             .weights = { { "m", 1 } } });
     }
@@ -255,16 +341,90 @@
     return result;
 }
 
+// Context that destroys suspended coroutines while the objects that they use still exist.
+class TestContext : public asio::io_context
+{
+public:
+    using execution_context::shutdown;
+};
+
+net::Request callerRequest(const Scenario &scenario, const std::string &id,
+                           const std::string &parts)
+{
+    net::Request request{ .method = "POST",
+                          .target = "/x",
+                          .headers = { { "Host", "h" }, { "Id", id }, { "Parts", parts } },
+                          .body = "question",
+                          .idempotent = false };
+    if (!scenario.key.empty())
+        request.headers.push_back({ "Key", scenario.key });
+    if (scenario.change == ViewChange::WeightsReplaced)
+        request.headers.push_back({ "Model", "m" });
+    return request;
+}
+
+// Sends the request and reads the response to its end.
+void call(net::HttpClient &client, const net::Address &address, const net::Request &request,
+          Outcome &outcome, asio::yield_context yield)
+{
+    std::error_code error;
+    const auto stream = client.open(address, request, seconds(5), yield, error);
+    if (stream == nullptr)
+        return;
+    outcome.status = stream->status();
+    while (stream->read(outcome.body, seconds(5), yield, error)) {
+    }
+    outcome.isComplete = !error;
+}
+
+// Records the longest work that keeps a timer from its turn, in CPU time: the process has one
+// thread, and other processes do not count.
+void recordStalls(milliseconds &maxStall, asio::yield_context yield)
+{
+    asio::steady_timer timer(yield.get_executor());
+    while (true) {
+        const std::clock_t start = std::clock();
+        timer.expires_after(milliseconds(5));
+        timer.async_wait(yield);
+        const milliseconds busy((std::clock() - start) * 1000 / CLOCKS_PER_SEC);
+        maxStall = std::max(maxStall, busy);
+    }
+}
+
+// Records the state of the target once its connections have ended, at the latest at `limit`.
+void recordRawTarget(const RawTarget &target, std::chrono::steady_clock::time_point limit,
+                     Outcome &outcome, asio::yield_context yield)
+{
+    asio::steady_timer timer(yield.get_executor());
+    while (target.closed < target.connections && std::chrono::steady_clock::now() < limit) {
+        timer.expires_after(milliseconds(5));
+        timer.async_wait(yield);
+    }
+    outcome.rawConnections = target.connections;
+    outcome.rawOpenConnections = target.connections - target.closed;
+    outcome.rawBytes = target.bytesSent;
+}
+
 // Sends a request for each entry of `prompts`, one after the other, to one relay. Returns the
 // outcome of each; `sends` counts all requests so far.
 std::vector<Outcome> runScenario(const Scenario &scenario, const std::vector<std::string> &prompts)
 {
-    asio::io_context context;
+    const auto start = std::chrono::steady_clock::now();
+    TestContext context;
     std::vector<std::unique_ptr<FakeTarget>> targets;
     for (const Behaviour behaviour : scenario.targets)
         targets.push_back(std::make_unique<FakeTarget>(context, behaviour));
-    const fleet::ViewPtr view = makeView(scenario, targets, ViewChange::None);
-    const fleet::ViewPtr laterView = makeView(scenario, targets, scenario.change);
+    std::vector<net::Address> addresses;
+    addresses.reserve(targets.size());
+    for (const auto &target : targets)
+        addresses.push_back(target->address());
+    std::unique_ptr<RawTarget> rawTarget;
+    if (scenario.raw) {
+        rawTarget = std::make_unique<RawTarget>(context, *scenario.raw);
+        addresses.front() = rawTarget->address();
+    }
+    const fleet::ViewPtr view = makeView(scenario, addresses, ViewChange::None);
+    const fleet::ViewPtr laterView = makeView(scenario, addresses, scenario.change);
     const Codec codec = testCodec();
     net::HttpClient targetClient(context.get_executor(), {});
     dispatch::Placer placer("near", 1, { .otherDataCentreCost = dispatch::Seconds(1) });
@@ -292,35 +452,29 @@
     server.listen({ "127.0.0.1", 0 }, error);
 
     std::vector<Outcome> outcomes;
+    milliseconds maxStall{ 0 };
+    net::spawnCoroutine(context, "[test]",
+                        [&](asio::yield_context yield) { recordStalls(maxStall, yield); });
     net::HttpClient caller(context.get_executor(), {});
     net::spawnCoroutine(context, "[test]", [&](asio::yield_context yield) {
         for (const std::string &parts : prompts) {
             Outcome &outcome = outcomes.emplace_back();
-            const std::string id = "own" + std::to_string(outcomes.size());
-            net::Request request{ .method = "POST",
-                                  .target = "/x",
-                                  .headers = { { "Host", "h" }, { "Id", id }, { "Parts", parts } },
-                                  .body = "question",
-                                  .idempotent = false };
-            if (!scenario.key.empty())
-                request.headers.push_back({ "Key", scenario.key });
-            if (scenario.change == ViewChange::WeightsReplaced)
-                request.headers.push_back({ "Model", "m" });
-            std::error_code failure;
-            const auto stream =
-                    caller.open(server.localAddress(), request, seconds(5), yield, failure);
-            if (stream != nullptr) {
-                outcome.status = stream->status();
-                while (stream->read(outcome.body, seconds(5), yield, failure)) {
-                }
-                outcome.isComplete = !failure;
-            }
+            // Raw targets answer with the id of the first request.
+            const std::string id =
+                    outcomes.size() == 1 ? "own" : "own" + std::to_string(outcomes.size());
+            call(caller, server.localAddress(), callerRequest(scenario, id, parts), outcome, yield);
             for (const auto &target : targets)
                 outcome.sends.push_back(target->received().size());
         }
+        if (rawTarget != nullptr)
+            recordRawTarget(*rawTarget, start + kMaxTime, outcomes.back(), yield);
         context.stop();
     });
     context.run_for(seconds(10));
+    const auto *status = placer.targetTracker().find(view->targets().front());
+    outcomes.back().hasFault = status != nullptr && status->faultCount > 0;
+    outcomes.back().maxStall = maxStall;
+    context.shutdown();
     CPPUNIT_ASSERT_EQUAL_MESSAGE(scenario.name, prompts.size(), outcomes.size());
     return outcomes;
 }
@@ -351,6 +505,142 @@
     }
 }
 
+// Response that a caller receives after a request to a `RawTarget`.
+struct Expected
+{
+    int status;
+    std::string body;
+    bool isComplete;
+    std::size_t otherSends; ///< Requests that reach the second target.
+    bool hasFault;
+};
+
+const Expected kAnswered{ 200, "whole", true, 0, false };
+const Expected kAnsweredWithFault{ 200, "whole", true, 0, true };
+const Expected kRetried{ 200, "whole", true, 1, true };
+const Expected kFailed{ 502, "target-failed", true, 0, true };
+const Expected kTimedOut{ 502, "route-timeout", true, 0, true };
+const Expected kStreamed{ 200, event(1) + event(2) + event(3), true, 0, false };
+const Expected kResumed{ 200, event(1) + event(2) + event(3), true, 1, true };
+const Expected kInterrupted{ 200, event(1), false, 0, true };
+
+struct RawRow
+{
+    std::string name;
+    fleet::RequestKind kind;
+    RawResponse raw;
+    Expected expected;
+    bool isResumable = false;
+    milliseconds maxTime = kMaxTime; ///< From the start of the scenario to its end.
+};
+
+constexpr auto kIdempotent = fleet::RequestKind::Idempotent;
+constexpr auto kOrder = fleet::RequestKind::NonIdempotent;
+constexpr auto kStream = fleet::RequestKind::Stream;
+const std::string kHead = "HTTP/1.1 200 OK\r\nId: own\r\nSigned: 1\r\n";
+const std::string kChunkedHead = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string kStreamHead = kHead + "Content-Type: text/event-stream\r\n";
+
+using enum RawResponse::Ending;
+
+std::vector<RawRow> answersThatEndWithTheConnection()
+{
+    return {
+        { "answer", kIdempotent, { kHead + "\r\nwhole" }, kAnswered },
+        { "order", kOrder, { kHead + "\r\nwhole" }, kAnswered },
+        { "answer, reset", kIdempotent, { kHead + "\r\npart", Reset, "" }, kRetried },
+        { "order, reset", kOrder, { kHead + "\r\npart", Reset, "" }, kFailed },
+    };
+}
+
+std::vector<RawRow> streamsThatEndWithTheConnection()
+{
+    const std::string head = kStreamHead + "\r\n";
+    const std::string all = event(1) + event(2) + event(3);
+    const Expected incomplete{ 200, all, false, 0, true };
+    return {
+        { "stream", kStream, { head + all }, kStreamed },
+        { "stream, reset", kStream, { head + all, Reset, "" }, incomplete },
+        { "stream, reset, resumable", kStream, { head + event(1), Reset, "" }, kResumed, true },
+    };
+}
+
+std::vector<RawRow> streamsThatEndWithinAnEvent()
+{
+    const std::string half = event(1) + event(2).substr(0, 5);
+    const std::string unframed = kStreamHead + "\r\n" + half;
+    const std::string noBlankLine = kStreamHead + "\r\n" + event(1) + "id: 2\ndata: e2\n";
+    const std::string length = std::to_string(half.size());
+    std::ostringstream chunk;
+    chunk << std::hex << half.size() << "\r\n" << half << "\r\n0\r\n\r\n";
+    const std::string chunked = kStreamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk.str();
+    const std::string framed = kStreamHead + "Content-Length: " + length + "\r\n\r\n" + half;
+    return {
+        { "ends inside an event", kStream, { unframed }, kInterrupted },
+        { "ends inside an event, resumable", kStream, { unframed }, kResumed, true },
+        { "ends before the blank line", kStream, { noBlankLine }, kInterrupted },
+        { "chunks end inside an event", kStream, { chunked }, kInterrupted },
+        { "chunks end inside an event, resumable", kStream, { chunked }, kResumed, true },
+        { "length ends inside an event", kStream, { framed }, kInterrupted },
+    };
+}
+
+std::vector<RawRow> endlessAnswers()
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nId: own\r\n\r\n";
+    const std::string chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+    const std::string whole = kHead + "Content-Length: 5\r\n\r\nwhole";
+    return {
+        { "no HTTP", kIdempotent, { "", Flood, "garbage" }, kRetried },
+        { "order, no HTTP", kOrder, { "", Flood, "garbage" }, kFailed },
+        { "header line", kOrder, { kHead + "A: ", Flood, "a" }, kFailed },
+        { "header lines", kOrder, { kHead, Flood, "A: a\r\n" }, kFailed },
+        { "header line, drip", kOrder, { kHead + "A: ", Drip, "a" }, kTimedOut },
+        { "interim responses", kOrder, { "", Flood, interim }, kFailed },
+        { "body", kIdempotent, { kHead + "\r\n", Flood, "x" }, kRetried },
+        { "order, body", kOrder, { kHead + "\r\n", Flood, "x" }, kFailed },
+        { "order, body, drip", kOrder, { kHead + "\r\n", Drip, "x" }, kTimedOut },
+        { "order, chunks", kOrder, { kChunkedHead, Flood, chunk }, kFailed },
+        { "order, trailers", kOrder, { kChunkedHead + "0\r\n", Flood, "A: a\r\n" }, kFailed },
+        { "bytes after the response", kOrder, { whole, Flood, "x" }, kAnsweredWithFault },
+    };
+}
+
+// Checks all rows before it fails, so that one run shows every faulty row.
+void check(const std::vector<RawRow> &rows)
+{
+    constexpr std::size_t kMaxBytes = 24U << 20U; // Includes the kernel's buffers.
+    std::string failures;
+    for (const RawRow &row : rows) {
+        const auto start = std::chrono::steady_clock::now();
+        const auto second = row.kind == kStream ? Behaviour::StreamsAll : Behaviour::Answers;
+        const Outcome outcome = runScenario({ .name = row.name,
+                                              .kind = row.kind,
+                                              .targets = { Behaviour::Answers, second },
+                                              .isResumable = row.isResumable,
+                                              .raw = row.raw });
+        const auto expect = [&](const std::string &what, bool isTrue) {
+            if (!isTrue)
+                failures += row.name + ": " + what + '\n';
+        };
+        const Expected &expected = row.expected;
+        const auto elapsed =
+                std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - start);
+        expect("status " + std::to_string(outcome.status), outcome.status == expected.status);
+        expect("body " + outcome.body, outcome.body == expected.body);
+        expect("end", outcome.isComplete == expected.isComplete);
+        expect("retries", outcome.sends.back() == expected.otherSends);
+        expect("connections", outcome.rawConnections == 1);
+        expect("open connection", outcome.rawOpenConnections == 0);
+        expect("bytes " + std::to_string(outcome.rawBytes), outcome.rawBytes <= kMaxBytes);
+        expect("fault", outcome.hasFault == expected.hasFault);
+        expect("stall " + std::to_string(outcome.maxStall.count()) + " ms",
+               outcome.maxStall < milliseconds(200));
+        expect("time " + std::to_string(elapsed.count()) + " ms", elapsed < row.maxTime);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+}
+
 } // namespace
 
 class RelayTest : public CppUnit::TestFixture
@@ -361,6 +651,10 @@
     CPPUNIT_TEST(shutdownAcceptsOnlyRequestsThatCanFinish);
     CPPUNIT_TEST(laterAttemptsUseTheLatestView);
     CPPUNIT_TEST(requestsWithDeadlyPartStopCrashingEngines);
+    CPPUNIT_TEST(unframedResponsesAreCompleteOrInterrupted);
+    CPPUNIT_TEST(endlessAnswersAreAbandoned);
+    CPPUNIT_TEST(endlessRefusalsAreAbandoned);
+    CPPUNIT_TEST(endlessEventsAreAbandoned);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -612,6 +906,48 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.sends, sends);
         }
     }
+
+    // Tests responses that end with their connection, or within an event. Guards against complete
+    // responses that are refused, and incomplete ones that look complete.
+    void unframedResponsesAreCompleteOrInterrupted()
+    {
+        check(answersThatEndWithTheConnection());
+        check(streamsThatEndWithTheConnection());
+        check(streamsThatEndWithinAnEvent());
+    }
+
+    // Tests targets that send bytes without end. Guards against memory that grows with them,
+    // connections that outlast the request, and a thread that is kept from other requests.
+    void endlessAnswersAreAbandoned() { check(endlessAnswers()); }
+
+    // Tests endless bodies of refusals. Guards against requests that are held past their timeout.
+    void endlessRefusalsAreAbandoned()
+    {
+        const std::string refusal = "HTTP/1.1 503 Busy\r\nId: own\r\nNot-Run: 1\r\n\r\n";
+        check(std::vector<RawRow>{
+                { "refusal", kIdempotent, { refusal, Flood, "x" }, kRetried },
+                { "refusal, drip", kIdempotent, { refusal, Drip, "x" }, kRetried },
+        });
+    }
+
+    // Tests events without an end. Guards against memory and search time that grow with them.
+    void endlessEventsAreAbandoned()
+    {
+        const std::string head = kStreamHead + "\r\n" + event(1) + "data: ";
+        const std::string lines = kStreamHead + "\r\n" + event(1);
+        const std::string firstChunk = "10\r\n" + event(1) + "\r\n";
+        const std::string chunked = kStreamHead + "Transfer-Encoding: chunked\r\n\r\n" + firstChunk;
+        const std::string chunk = "100\r\n" + std::string(256, 'x') + "\r\n";
+        std::vector<RawRow> rows{
+            { "event", kStream, { head, Flood, "x" }, kInterrupted },
+            { "lines of an event", kStream, { lines, Flood, "data: x\n" }, kInterrupted },
+            { "small chunks of an event", kStream, { chunked, Flood, chunk }, kInterrupted },
+        };
+        for (RawRow &row : rows)
+            row.maxTime = milliseconds(1000); // The size ends these rows before the deadline.
+        rows.push_back({ "event, drip", kStream, { head, Drip, "x" }, kInterrupted });
+        check(rows);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
