Clear a prompt part only when its answer has begun

Cause, found in review: any complete answer below status 500 cleared the request's prompt parts of all crashes, on all instances, although an engine may return an error before it begins on the prompt. A part that crashes engines could be cleared by one 404, and every crash had to be seen again (rule BUDGET).

Change: only a success clears the parts; for streams it is the first event, as before.

--- a/packages/relay/src/flow_answers.cpp
+++ b/packages/relay/src/flow_answers.cpp
@@ -119,7 +119,9 @@
         return SendOutcome::Failed;
     }
     recordAnswer(response);
-    recordBegin();
+    // An error may be returned before the engine begins on the prompt.
+    if (isSuccess(whole.status))
+        recordBegin();
     std::error_code callerError;
     exchange_.respond(whole, yield_, callerError);
     hasResponseStarted_ = true;
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -103,14 +103,18 @@
 
     void stream(net::Exchange &exchange, net::Headers headers, asio::yield_context yield) const
     {
-        headers.push_back({ "Content-Type", "text/event-stream" });
+        const auto parts = net::findHeader(exchange.request().headers, "Parts").value_or("");
         std::error_code error;
+        if (parts.find("rejected") != std::string_view::npos) {
+            exchange.respond({ .status = 404, .headers = { headers.front() } }, yield, error);
+            return;
+        }
+        headers.push_back({ "Content-Type", "text/event-stream" });
         exchange.startStream(200, headers, yield, error);
         const auto last = net::findHeader(exchange.request().headers, "Last-Event-Id");
         const int first = last ? std::stoi(std::string(*last)) + 1 : 1;
         if (behaviour_ == Behaviour::StreamsNothing)
             return;
-        const auto parts = net::findHeader(exchange.request().headers, "Parts").value_or("");
         if (parts.find("deadly") != std::string_view::npos) {
             if (behaviour_ == Behaviour::CrashesOnPart)
                 server_->stopAccepting();
@@ -872,6 +876,13 @@
               { 502, 200, 502, 503, 200 },
               all,
               5 },
+            { "rejected before it began",
+              CrashesOnPart,
+              2,
+              { "a deadly 1", "a deadly rejected 2", "a deadly 3", "a deadly 4" },
+              { 502, 404, 502, 503 },
+              "part-quarantined",
+              4 },
             { "last part is deadly",
               CrashesOnPart,
               2,
