--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -645,6 +645,69 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), failures);
 }
 
+struct PromptRow
+{
+    std::string name;
+    Behaviour behaviour;
+    std::uint32_t maxTargets;
+    std::vector<std::string> prompts;
+    std::vector<int> statuses;
+    std::string lastBody;
+    std::size_t sends;
+};
+
+// Series of requests to eight targets, and what becomes of them.
+std::vector<PromptRow> deadlyPrompts()
+{
+    using enum Behaviour;
+    const std::string all = event(1) + event(2) + event(3);
+    const std::vector<std::string> deadly{ "a deadly 1", "a deadly 2", "a deadly 3", "a deadly 4" };
+    return {
+        { "four requests",
+          CrashesOnPart,
+          2,
+          deadly,
+          { 502, 502, 503, 503 },
+          "part-quarantined",
+          3 },
+        { "at most two engines crash under one request",
+          CrashesOnPart,
+          4,
+          { "a deadly 1" },
+          { 502 },
+          "target-failed",
+          2 },
+        { "sound request between",
+          CrashesOnPart,
+          2,
+          { "a deadly 1", "a b 2", "a deadly 3", "a deadly 4", "a b 5" },
+          { 502, 200, 502, 503, 200 },
+          all,
+          5 },
+        { "rejected before it began",
+          CrashesOnPart,
+          2,
+          { "a deadly 1", "a deadly rejected 2", "a deadly 3", "a deadly 4" },
+          { 502, 404, 502, 503 },
+          "part-quarantined",
+          4 },
+        { "last part is deadly",
+          CrashesOnPart,
+          2,
+          { "a deadly", "b deadly" },
+          { 502, 502 },
+          "target-failed",
+          4 },
+        { "engines that keep running",
+          BreaksOnPart,
+          2,
+          deadly,
+          { 502, 502, 502, 502 },
+          "target-failed",
+          8 },
+    };
+}
+
 } // namespace
 
 class RelayTest : public CppUnit::TestFixture
@@ -840,65 +903,7 @@
     // Guards against requests that crash engine after engine because they share a part.
     void requestsWithDeadlyPartStopCrashingEngines()
     {
-        using enum Behaviour;
-        struct PromptRow
-        {
-            std::string name;
-            Behaviour behaviour;
-            std::uint32_t maxTargets;
-            std::vector<std::string> prompts;
-            std::vector<int> statuses;
-            std::string lastBody;
-            std::size_t sends;
-        };
-        const std::string all = event(1) + event(2) + event(3);
-        const std::vector<std::string> deadly{ "a deadly 1", "a deadly 2", "a deadly 3",
-                                               "a deadly 4" };
-        const std::vector<PromptRow> rows{
-            { "four requests",
-              CrashesOnPart,
-              2,
-              deadly,
-              { 502, 502, 503, 503 },
-              "part-quarantined",
-              3 },
-            { "at most two engines crash under one request",
-              CrashesOnPart,
-              4,
-              { "a deadly 1" },
-              { 502 },
-              "target-failed",
-              2 },
-            { "sound request between",
-              CrashesOnPart,
-              2,
-              { "a deadly 1", "a b 2", "a deadly 3", "a deadly 4", "a b 5" },
-              { 502, 200, 502, 503, 200 },
-              all,
-              5 },
-            { "rejected before it began",
-              CrashesOnPart,
-              2,
-              { "a deadly 1", "a deadly rejected 2", "a deadly 3", "a deadly 4" },
-              { 502, 404, 502, 503 },
-              "part-quarantined",
-              4 },
-            { "last part is deadly",
-              CrashesOnPart,
-              2,
-              { "a deadly", "b deadly" },
-              { 502, 502 },
-              "target-failed",
-              4 },
-            { "engines that keep running",
-              BreaksOnPart,
-              2,
-              deadly,
-              { 502, 502, 502, 502 },
-              "target-failed",
-              8 },
-        };
-        for (const PromptRow &row : rows) {
+        for (const PromptRow &row : deadlyPrompts()) {
             Scenario scenario{
                 .name = row.name,
                 .kind = fleet::RequestKind::Stream,
