--- /dev/null
+++ b/packages/relay/test/relay_fixture.h
@@ -0,0 +1,492 @@
+#pragma once
+
+#include "relay/relay.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <ctime>
+#include <map>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace chervilfield::relay {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Behaviour of a target towards the requests that reach it.
+enum class Behaviour {
+    Answers,
+    Fails,            ///< Responds with 500; the request has run.
+    Refuses,          ///< Responds with 503 and states that the request has not run.
+    Breaks,           ///< Starts a response and closes the connection.
+    Silent,           ///< Never responds.
+    Unsigned,         ///< Responds with 200 without a signature.
+    WithoutRequestId, ///< Responds with 200 without the request id.
+    StreamsAll,       ///< Sends all three events.
+    StreamsHalf,      ///< Closes the connection after one and a half events.
+    StreamsNothing,   ///< Closes the connection before the first event.
+    CrashesOnPart,    ///< Stops for good when it begins to answer on the part "deadly".
+    BreaksOnPart,     ///< Closes the connection when it begins to answer on the part "deadly".
+};
+
+inline std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+}
+
+constexpr int kEventCount = 3;
+
+// Target that treats all requests according to one behaviour and records them.
+class FakeTarget
+{
+public:
+    FakeTarget(asio::io_context &context, Behaviour behaviour) : behaviour_(behaviour)
+    {
+        const net::Handler handler = [this](net::Exchange &exchange, asio::yield_context yield) {
+            serve(exchange, yield);
+        };
+        server_ = std::make_unique<net::HttpServer>(
+                std::vector<net::ServerWorker>{ { &context, handler } }, net::ServerOptions{});
+        std::error_code error;
+        server_->listen({ "127.0.0.1", 0 }, error);
+        CPPUNIT_ASSERT_MESSAGE(error.message(), !error);
+    }
+
+    net::Address address() const { return server_->localAddress(); }
+    const std::vector<net::Request> &received() const { return received_; }
+
+private:
+    void serve(net::Exchange &exchange, asio::yield_context yield)
+    {
+        received_.push_back(exchange.request());
+        const net::Headers &headers = exchange.request().headers;
+        const std::string id(net::findHeader(headers, "Id").value_or(""));
+        const net::Headers signedHeaders{ { "Id", id }, { "Signed", "1" } };
+        std::error_code error;
+        if (behaviour_ == Behaviour::Answers)
+            exchange.respond({ .headers = signedHeaders, .body = "whole" }, yield, error);
+        else if (behaviour_ == Behaviour::Fails)
+            exchange.respond({ .status = 500, .headers = signedHeaders, .body = "bad" }, yield,
+                             error);
+        else if (behaviour_ == Behaviour::Refuses)
+            exchange.respond({ .status = 503, .headers = { { "Id", id }, { "Not-Run", "1" } } },
+                             yield, error);
+        else if (behaviour_ == Behaviour::Unsigned)
+            exchange.respond({ .headers = { { "Id", id } }, .body = "x" }, yield, error);
+        else if (behaviour_ == Behaviour::WithoutRequestId)
+            exchange.respond({ .headers = { { "Signed", "1" } }, .body = "y" }, yield, error);
+        else if (behaviour_ == Behaviour::Breaks)
+            exchange.startStream(200, {}, yield, error); // The response is never finished.
+        else if (behaviour_ == Behaviour::Silent)
+            wait(yield);
+        else
+            stream(exchange, signedHeaders, yield);
+    }
+
+    static void wait(asio::yield_context yield)
+    {
+        asio::steady_timer timer(yield.get_executor(), seconds(30));
+        boost::system::error_code ignored;
+        timer.async_wait(yield[ignored]);
+    }
+
+    void stream(net::Exchange &exchange, net::Headers headers, asio::yield_context yield) const
+    {
+        const auto parts = net::findHeader(exchange.request().headers, "Parts").value_or("");
+        std::error_code error;
+        if (parts.find("rejected") != std::string_view::npos) {
+            exchange.respond({ .status = 404, .headers = { headers.front() } }, yield, error);
+            return;
+        }
+        headers.push_back({ "Content-Type", "text/event-stream" });
+        exchange.startStream(200, headers, yield, error);
+        const auto last = net::findHeader(exchange.request().headers, "Last-Event-Id");
+        const int first = last ? std::stoi(std::string(*last)) + 1 : 1;
+        if (behaviour_ == Behaviour::StreamsNothing)
+            return;
+        if (parts.find("deadly") != std::string_view::npos) {
+            if (behaviour_ == Behaviour::CrashesOnPart)
+                server_->stopAccepting();
+            return;
+        }
+        if (behaviour_ == Behaviour::StreamsHalf) {
+            exchange.write(event(first) + event(first + 1).substr(0, 5), yield, error);
+            return;
+        }
+        for (int id = first; id <= kEventCount; ++id)
+            exchange.write(event(id), yield, error);
+        exchange.finish(yield, error);
+    }
+
+    Behaviour behaviour_;
+    std::unique_ptr<net::HttpServer> server_;
+    std::vector<net::Request> received_;
+};
+
+inline std::vector<dispatch::PromptPart> testParts(const std::string &text)
+{
+    std::vector<dispatch::PromptPart> parts;
+    std::istringstream stream(text);
+    for (std::string id; stream >> id;)
+        parts.push_back({ .id = id, .tokens = 10 });
+    return parts;
+}
+
+// Bytes that a target sends to each request, and what it does afterwards.
+struct RawResponse
+{
+    enum class Ending {
+        Close, ///< Closes the connection in order.
+        Reset, ///< Resets the connection.
+        Flood, ///< Repeats `filler` until the relay closes the connection.
+        Drip,  ///< Sends `filler` every 40 ms until the relay closes the connection.
+    };
+    std::string bytes;
+    Ending ending = Ending::Close;
+    std::string filler;
+};
+
+// Target that sends raw bytes to each request, which need not be a valid response.
+class RawTarget
+{
+public:
+    RawTarget(asio::io_context &context, const RawResponse &response)
+        : response_(response), acceptor_(context, { asio::ip::tcp::v4(), 0 })
+    {
+        net::spawnCoroutine(context, "[test]", [this, &context](asio::yield_context yield) {
+            while (true) {
+                auto socket = std::make_shared<asio::ip::tcp::socket>(context);
+                acceptor_.async_accept(*socket, yield);
+                ++connections;
+                net::spawnCoroutine(context, "[test]", [this, socket](asio::yield_context inner) {
+                    serve(*socket, inner);
+                });
+            }
+        });
+    }
+
+    net::Address address() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+
+    std::size_t connections = 0;
+    std::size_t closed = 0; ///< Connections that have ended.
+    std::size_t bytesSent = 0;
+
+private:
+    void serve(asio::ip::tcp::socket &socket, asio::yield_context yield)
+    {
+        using enum RawResponse::Ending;
+        boost::system::error_code error;
+        std::string request;
+        asio::async_read_until(socket, asio::dynamic_buffer(request), "question", yield[error]);
+        asio::async_write(socket, asio::buffer(response_.bytes), yield[error]);
+        asio::steady_timer timer(yield.get_executor());
+        std::string block = response_.filler;
+        while (response_.ending == Flood && block.size() < 65536)
+            block += response_.filler;
+        while (!error && (response_.ending == Flood || response_.ending == Drip)) {
+            bytesSent += asio::async_write(socket, asio::buffer(block), yield[error]);
+            timer.expires_after(milliseconds(response_.ending == Drip ? 40 : 0));
+            timer.async_wait(yield);
+        }
+        if (response_.ending == Reset) {
+            // The relay reads the bytes before it learns of the reset.
+            timer.expires_after(milliseconds(50));
+            timer.async_wait(yield);
+            socket.set_option(asio::socket_base::linger(true, 0));
+        }
+        socket.close();
+        ++closed;
+    }
+
+    RawResponse response_;
+    asio::ip::tcp::acceptor acceptor_;
+};
+
+inline Codec testCodec()
+{
+    const auto field = [](const net::Headers &headers, std::string_view name) {
+        return std::string(net::findHeader(headers, name).value_or(""));
+    };
+    return { .decodeRequest =
+                     [field](const net::Request &request) {
+                         return CallerFields{ .requestId = field(request.headers, "Id"),
+                                              .timeout = milliseconds(1500),
+                                              .apiKey = field(request.headers, "Key"),
+                                              .model = field(request.headers, "Model"),
+                                              .promptTokens = 100,
+                                              .promptParts =
+                                                      testParts(field(request.headers, "Parts")) };
+                     },
+             .encodeTargetHeaders =
+                     [](const net::Request &request, const ForwardFields &fields) {
+                         net::Headers headers = request.headers;
+                         headers.push_back({ "Customer", fields.customer });
+                         if (!fields.lastEventId.empty())
+                             headers.push_back({ "Last-Event-Id", fields.lastEventId });
+                         return headers;
+                     },
+             .decodeResponse =
+                     [field](const net::Headers &headers) {
+                         return ResponseFields{ .requestId = field(headers, "Id"),
+                                                .isNotRun = !field(headers, "Not-Run").empty(),
+                                                .isSigned = !field(headers, "Signed").empty() };
+                     },
+             .encodeCallerHeaders =
+                     [](const net::Headers &headers) {
+                         net::Headers kept;
+                         for (const net::Header &header : headers) {
+                             if (header.name == "Id" || header.name == "Content-Type")
+                                 kept.push_back(header);
+                         }
+                         return kept;
+                     },
+             .encodeFailure =
+                     [](const Failure &failure) {
+                         return net::Response{
+                             .status = failure.work == base::WorkStatus::NotRun ? 503 : 502,
+                             .body = std::string(base::resultInfo(failure.code).name)
+                         };
+                     } };
+}
+
+// Timeout of a request and an allowance for a busy machine.
+constexpr milliseconds kMaxTime{ 2000 };
+
+// Response that a caller receives, and the number of requests that reached each target.
+struct Outcome
+{
+    int status = 0;
+    std::string body;
+    bool isComplete = false;
+    std::vector<std::size_t> sends;
+    // Set only if the first target is a `RawTarget`.
+    std::size_t rawConnections = 0;
+    std::size_t rawOpenConnections = 0; ///< Left open after the response.
+    std::size_t rawBytes = 0;
+    bool hasFault = false;      ///< Whether a fault of the first target was recorded.
+    milliseconds maxStall{ 0 }; ///< Longest work between two turns of a timer.
+};
+
+// Change of the view after the first target has received a request.
+enum class ViewChange {
+    None,
+    OthersLeave,     ///< All targets but the first leave.
+    WeightsReplaced, ///< Newer weights have been desired for too long to begin on the present ones.
+};
+
+struct Scenario
+{
+    std::string name;
+    fleet::RequestKind kind = fleet::RequestKind::Idempotent;
+    std::vector<Behaviour> targets;
+    std::uint32_t maxTargets = 2;
+    bool isResumable = false;
+    std::string key = "good";
+    /// Time until this instance accepts only requests that end before its exit.
+    milliseconds acceptFor{ 0 };
+    /// Time until this instance exits; 0 if it does not shut down.
+    milliseconds exitIn{ 0 };
+    ViewChange change = ViewChange::None;
+    admission::RetryBudgetOptions retryBudget = admission::kRetryBudget;
+    /// Replaces the behaviour of the first target.
+    std::optional<RawResponse> raw{};
+};
+
+inline fleet::ViewPtr makeView(const Scenario &scenario, const std::vector<net::Address> &targets,
+                               ViewChange change)
+{
+    auto configuration = std::make_shared<fleet::Configuration>();
+    configuration->version = 1;
+    configuration->routes = { { .name = "r",
+                                .host = "h",
+                                .prefix = "/",
+                                .kind = scenario.kind,
+                                .pools = { { "p", 1 } },
+                                .timeout = milliseconds(1500),
+                                .latencyGoal = milliseconds(300),
+                                .maxTargets = scenario.maxTargets,
+                                .isResumable = scenario.isResumable } };
+    configuration->pools = { { .name = "p" } };
+    configuration->customers = { { .name = "c", .keys = { "good" } } };
+    std::vector<fleet::Target> entries;
+    const std::size_t count = change == ViewChange::OthersLeave ? 1 : targets.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        // The first target is the only one in the local data centre, so it is tried first.
+        entries.push_back({ .id = "t" + std::to_string(i),
+                            .pool = "p",
+                            .address = targets[i],
+                            .dataCentre = i == 0 ? "near" : "far",
+                            .weights = { { "m", 1 } } });
+    }
+    fleet::WeightsHistory history;
+    if (change == ViewChange::WeightsReplaced)
+        history["m"] = { { .version = 2, .setAfter = base::BootClock::now() - seconds(60) } };
+    return std::make_shared<const fleet::View>(configuration, entries, history, 1);
+}
+
+inline DeploymentState deploymentState(const Scenario &scenario, const fleet::ViewPtr &view)
+{
+    DeploymentState result{ .view = view, .isFresh = true };
+    const auto now = base::BootClock::now();
+    if (scenario.exitIn > milliseconds(0))
+        result.drainSchedule = { .acceptUntil = now + scenario.acceptFor,
+                                 .exitAt = now + scenario.exitIn };
+    return result;
+}
+
+// Context that destroys suspended coroutines while the objects that they use still exist.
+class TestContext : public asio::io_context
+{
+public:
+    using execution_context::shutdown;
+};
+
+inline net::Request callerRequest(const Scenario &scenario, const std::string &id,
+                                  const std::string &parts)
+{
+    net::Request request{ .method = "POST",
+                          .target = "/x",
+                          .headers = { { "Host", "h" }, { "Id", id }, { "Parts", parts } },
+                          .body = "question",
+                          .idempotent = false };
+    if (!scenario.key.empty())
+        request.headers.push_back({ "Key", scenario.key });
+    if (scenario.change == ViewChange::WeightsReplaced)
+        request.headers.push_back({ "Model", "m" });
+    return request;
+}
+
+// Sends the request and reads the response to its end.
+inline void call(net::HttpClient &client, const net::Address &address, const net::Request &request,
+                 Outcome &outcome, asio::yield_context yield)
+{
+    std::error_code error;
+    const auto stream = client.open(address, request, seconds(5), yield, error);
+    if (stream == nullptr)
+        return;
+    outcome.status = stream->status();
+    while (stream->read(outcome.body, seconds(5), yield, error)) {
+    }
+    outcome.isComplete = !error;
+}
+
+// Records the longest work that keeps a timer from its turn, in CPU time: the process has one
+// thread, and other processes do not count.
+inline void recordStalls(milliseconds &maxStall, asio::yield_context yield)
+{
+    asio::steady_timer timer(yield.get_executor());
+    while (true) {
+        const std::clock_t start = std::clock();
+        timer.expires_after(milliseconds(5));
+        timer.async_wait(yield);
+        const milliseconds busy((std::clock() - start) * 1000 / CLOCKS_PER_SEC);
+        maxStall = std::max(maxStall, busy);
+    }
+}
+
+// Records the state of the target once its connections have ended, at the latest at `limit`.
+inline void recordRawTarget(const RawTarget &target, std::chrono::steady_clock::time_point limit,
+                            Outcome &outcome, asio::yield_context yield)
+{
+    asio::steady_timer timer(yield.get_executor());
+    while (target.closed < target.connections && std::chrono::steady_clock::now() < limit) {
+        timer.expires_after(milliseconds(5));
+        timer.async_wait(yield);
+    }
+    outcome.rawConnections = target.connections;
+    outcome.rawOpenConnections = target.connections - target.closed;
+    outcome.rawBytes = target.bytesSent;
+}
+
+// Sends a request for each entry of `prompts`, one after the other, to one relay. Returns the
+// outcome of each; `sends` counts all requests so far.
+inline std::vector<Outcome> runScenario(const Scenario &scenario,
+                                        const std::vector<std::string> &prompts)
+{
+    const auto start = std::chrono::steady_clock::now();
+    TestContext context;
+    std::vector<std::unique_ptr<FakeTarget>> targets;
+    for (const Behaviour behaviour : scenario.targets)
+        targets.push_back(std::make_unique<FakeTarget>(context, behaviour));
+    std::vector<net::Address> addresses;
+    addresses.reserve(targets.size());
+    for (const auto &target : targets)
+        addresses.push_back(target->address());
+    std::unique_ptr<RawTarget> rawTarget;
+    if (scenario.raw) {
+        rawTarget = std::make_unique<RawTarget>(context, *scenario.raw);
+        addresses.front() = rawTarget->address();
+    }
+    const fleet::ViewPtr view = makeView(scenario, addresses, ViewChange::None);
+    const fleet::ViewPtr laterView = makeView(scenario, addresses, scenario.change);
+    const Codec codec = testCodec();
+    net::HttpClient targetClient(context.get_executor(), {});
+    dispatch::Placer placer("near", 1, { .otherDataCentreCost = dispatch::Seconds(1) });
+    Metrics metrics;
+    base::EventLog log({ .linesPerSecond = 0, .burst = 0 });
+    quarantine::PartQuarantine partQuarantine(
+            { .minSpan = milliseconds(0), .settleTime = milliseconds(0) });
+    Relay relay({ .codec = codec,
+                  .client = targetClient,
+                  .placer = placer,
+                  .metrics = metrics,
+                  .log = log,
+                  .deploymentState =
+                          [&] {
+                              const bool isLater = !targets.front()->received().empty();
+                              return deploymentState(scenario, isLater ? laterView : view);
+                          },
+                  .partQuarantine = partQuarantine,
+                  .options = { .retryBudget = scenario.retryBudget } });
+    const net::Handler handler = [&relay](net::Exchange &exchange, asio::yield_context yield) {
+        relay.serve(exchange, yield);
+    };
+    net::HttpServer server({ { &context, handler } }, {});
+    std::error_code error;
+    server.listen({ "127.0.0.1", 0 }, error);
+
+    std::vector<Outcome> outcomes;
+    milliseconds maxStall{ 0 };
+    net::spawnCoroutine(context, "[test]",
+                        [&](asio::yield_context yield) { recordStalls(maxStall, yield); });
+    net::HttpClient caller(context.get_executor(), {});
+    net::spawnCoroutine(context, "[test]", [&](asio::yield_context yield) {
+        for (const std::string &parts : prompts) {
+            Outcome &outcome = outcomes.emplace_back();
+            // Raw targets answer with the id of the first request.
+            const std::string id =
+                    outcomes.size() == 1 ? "own" : "own" + std::to_string(outcomes.size());
+            call(caller, server.localAddress(), callerRequest(scenario, id, parts), outcome, yield);
+            for (const auto &target : targets)
+                outcome.sends.push_back(target->received().size());
+        }
+        if (rawTarget != nullptr)
+            recordRawTarget(*rawTarget, start + kMaxTime, outcomes.back(), yield);
+        context.stop();
+    });
+    context.run_for(seconds(10));
+    const auto *status = placer.targetTracker().find(view->targets().front());
+    outcomes.back().hasFault = status != nullptr && status->faultCount > 0;
+    outcomes.back().maxStall = maxStall;
+    context.shutdown();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(scenario.name, prompts.size(), outcomes.size());
+    return outcomes;
+}
+
+inline Outcome runScenario(const Scenario &scenario)
+{
+    return runScenario(scenario, { "" }).front();
+}
+
+} // namespace chervilfield::relay
