Log each transfer of rows between instances and the time to build a view

Cause: the logs had no line for a copy of rows, so that a copy that never gets through looked like a store that does not answer. Change: the copy moves from PeerMesh to RowFetcher, without a change of its logic, and writes `rows fetched` and `fetch-failed`; `view published` gets `build_ms`.

--- a/packages/entry/include/entry/peer_mesh.h
+++ b/packages/entry/include/entry/peer_mesh.h
@@ -6,6 +6,7 @@
 #include "control/member_actor.h"
 #include "dispatch/placement.h"
 #include "entry/options.h"
+#include "entry/row_fetcher.h"
 #include "entry/view_updater.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -120,9 +121,6 @@
     /// Returns the peer addresses of the instances that follow the store. The list is empty if this
     /// instance is one of them, or if so few instances are live that each follows the store.
     std::vector<net::Address> followers() const;
-    /// Fetches the changed rows from a peer and merges them. Returns true if the peer is up to
-    /// date.
-    bool fetchRows(const net::Address &peer, const boost::asio::yield_context &yield);
     /// Polls random peers while the view is not current, without end.
     void pollPeers(const boost::asio::yield_context &yield);
     /// Returns the peer addresses of the other members, or the seeds if none is known.
@@ -145,6 +143,7 @@
     fleet::ViewPtr assignedView_;
     std::vector<net::Address> seeds_;
     net::HttpClient client_;
+    RowFetcher rowFetcher_;
     std::mt19937_64 random_;
     std::size_t firstFollower_ = 0; ///< Index of the follower to poll first, modulo their number.
     std::unique_ptr<net::HttpServer> server_;
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -59,6 +59,7 @@
               [this](const std::string &to, const auto &datagram) { sendTo(to, datagram); },
               std::random_device{}()),
       client_(context.get_executor(), { .connectTimeout = kPeerTimeout }),
+      rowFetcher_(client_, viewUpdater, log),
       random_(std::random_device{}())
 {
 }
@@ -131,7 +132,7 @@
                              return;
                          net::spawnCoroutine(context_, "[entry]",
                                              [this, peer = *peer](const yield_context &yield) {
-                                                 fetchRows(peer, yield);
+                                                 rowFetcher_.fetch(peer, yield);
                                              });
                      } };
 }
@@ -263,15 +264,6 @@
     });
 }
 
-bool PeerMesh::fetchRows(const net::Address &peer, const yield_context &yield)
-{
-    const auto requestedAt = ViewUpdater::Clock::now();
-    std::error_code error;
-    const auto entries =
-            peers::fetchEntries(client_, peer, viewUpdater_.version(), kPeerTimeout, yield, error);
-    return entries && viewUpdater_.merge(*entries, requestedAt);
-}
-
 std::vector<net::Address> PeerMesh::followers() const
 {
     const auto snapshot = actor_->snapshot();
@@ -305,7 +297,7 @@
     // waiting cannot know yet that it is out of date.
     ++firstFollower_;
     for (std::size_t i = 0; i < addresses.size(); ++i) {
-        if (fetchRows(addresses[(firstFollower_ + i) % addresses.size()], yield))
+        if (rowFetcher_.fetch(addresses[(firstFollower_ + i) % addresses.size()], yield))
             return FollowerResult::UpToDate;
     }
     return FollowerResult::Failed;
@@ -335,7 +327,7 @@
             continue;
         const auto peers = otherPeerAddresses();
         if (!peers.empty())
-            fetchRows(peers[random_() % peers.size()], yield);
+            rowFetcher_.fetch(peers[random_() % peers.size()], yield);
     }
 }
 
--- a/packages/entry/src/view_updater.cpp
+++ b/packages/entry/src/view_updater.cpp
@@ -390,6 +390,7 @@
 
 void ViewUpdater::rebuildView(const WeightsEvidence &evidence)
 {
+    const auto startedAt = Clock::now();
     fleet::Deployment deployment = schema_.readDeployment(tables_);
     for (const fleet::RejectedRow &row : deployment.rejectedRows) {
         std::string &previous = reportedReasons_[row.table + '/' + row.key];
@@ -412,7 +413,8 @@
                { { "version", view->storeVersion() },
                  { "configuration", configurationVersion(*view) },
                  { "before", configurationVersion(*previousView) },
-                 { "targets", view->targets().size() } });
+                 { "targets", view->targets().size() },
+                 { "build_ms", Clock::now() - startedAt } });
     hooks_.published(view);
 }
 
