--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -59,8 +59,7 @@
               [this](const std::string &to, const auto &datagram) { sendTo(to, datagram); },
               std::random_device{}()),
       client_(context.get_executor(), { .connectTimeout = kPeerTimeout }),
-      rowFetcher_(client_, viewUpdater, log),
-      random_(std::random_device{}())
+      rowFetcher_(client_, viewUpdater, log), random_(std::random_device{}())
 {
 }
 
