Limit copies of rows by progress instead of total time

On a link of 10 Mbit/s, 300 ms carry 375 KB, a configuration with 1,400 routes more has about 700 KB: it never arrived, and callers were served by the configuration before.

--- a/packages/daemon/src/peer_link.cpp
+++ b/packages/daemon/src/peer_link.cpp
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr milliseconds kPeerRequestTimeout{ 300 };
+constexpr net::TransferLimits kEntriesLimits{ .headTimeout = kPeerRequestTimeout,
+                                              .progressTimeout = milliseconds(1000),
+                                              .maxTime = milliseconds(5000) };
 constexpr milliseconds kLoadExchangeInterval{ 100 };
 constexpr std::size_t kMaxPeersAsked = 3;
 // TCP and UDP use the same port. The free TCP port that the kernel chooses may be taken for UDP, so
@@ -225,8 +228,7 @@
         if (!peer.has_value() || asked.size() == kMaxPeersAsked || !asked.insert(candidate).second)
             continue;
         std::error_code error;
-        auto entries =
-                peers::fetchEntries(client_, *peer, after, kPeerRequestTimeout, yield, error);
+        auto entries = peers::fetchEntries(client_, *peer, after, kEntriesLimits, yield, error);
         if (!entries.has_value() || entries->entries.empty())
             continue;
         if (best.empty() || entries->entries.back().revision > best.back().revision)
--- a/packages/entry/src/row_fetcher.cpp
+++ b/packages/entry/src/row_fetcher.cpp
@@ -13,7 +13,11 @@
 
 namespace {
 
-constexpr milliseconds kTimeout{ 300 }; // Several round trips between data centres.
+// The head timeout is several round trips between data centres. Many instances may share the link
+// of the peer.
+constexpr net::TransferLimits kLimits{ .headTimeout = milliseconds(300),
+                                       .progressTimeout = milliseconds(1000),
+                                       .maxTime = milliseconds(5000) };
 // Smaller transfers are frequent, and a line for each would hide the others.
 constexpr std::size_t kMinLoggedBytes = 16U << 10U;
 
@@ -37,7 +41,7 @@
     const auto requestedAt = ViewUpdater::Clock::now();
     const std::uint64_t after = viewUpdater_.version();
     std::error_code error;
-    const auto entries = peers::fetchEntries(client_, peer, after, kTimeout, yield, error);
+    const auto entries = peers::fetchEntries(client_, peer, after, kLimits, yield, error);
     const std::size_t bytes = entries ? valueBytes(*entries) : 0;
     if (!entries || bytes >= kMinLoggedBytes)
         log_.write("rows", entries ? "fetched" : "fetch-failed",
--- a/packages/net/include/net/http_client.h
+++ b/packages/net/include/net/http_client.h
@@ -31,6 +31,17 @@
     std::chrono::seconds unacknowledgedTimeout{ 3 };
 };
 
+/// Limits on the time of a call whose response may be large. A response that keeps arriving is not
+/// given up before `maxTime`, because a repeated call would start at its first byte again.
+struct TransferLimits
+{
+    /// Maximum time from the start of sending to the end of the head of the response.
+    std::chrono::milliseconds headTimeout{ 1000 };
+    /// Maximum time in which nothing of the body arrives.
+    std::chrono::milliseconds progressTimeout{ 1000 };
+    std::chrono::milliseconds maxTime{ 1000 }; ///< From the call to the end of the body.
+};
+
 /// Response whose body is read while it arrives. The destructor closes the connection unless the
 /// body was read to its end.
 class ResponseStream
@@ -93,6 +104,11 @@
                                  std::chrono::milliseconds timeout,
                                  boost::asio::yield_context yield, std::error_code &error);
 
+    /// As above, but the error is also `ProgressTimeout` if a limit of `limits` is reached.
+    std::optional<Response> send(const Address &address, const Request &request,
+                                 const TransferLimits &limits, boost::asio::yield_context yield,
+                                 std::error_code &error);
+
     /// Sends `request` and returns once the head of the response has arrived, or sets `error`.
     /// Interim responses (1xx) are skipped; a long series of them ends with `TargetFailed`.
     /// `timeout` bounds the time from the start of sending to the end of the head, once more if the
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -435,8 +435,18 @@
                                          milliseconds timeout, asio::yield_context yield,
                                          std::error_code &error)
 {
-    const auto deadline = std::chrono::steady_clock::now() + timeout;
-    auto stream = open(address, request, timeout, yield, error);
+    const TransferLimits limits{ .headTimeout = timeout,
+                                 .progressTimeout = timeout,
+                                 .maxTime = timeout };
+    return send(address, request, limits, std::move(yield), error);
+}
+
+std::optional<Response> HttpClient::send(const Address &address, const Request &request,
+                                         const TransferLimits &limits, asio::yield_context yield,
+                                         std::error_code &error)
+{
+    const auto deadline = std::chrono::steady_clock::now() + limits.maxTime;
+    auto stream = open(address, request, limits.headTimeout, yield, error);
     if (stream == nullptr)
         return std::nullopt;
     Response response{ .status = stream->status(), .headers = stream->headers() };
@@ -447,7 +457,7 @@
             error = Result::ProgressTimeout;
             return std::nullopt;
         }
-        if (!stream->read(response.body, left, yield, error))
+        if (!stream->read(response.body, std::min(left, limits.progressTimeout), yield, error))
             break;
     }
     if (error)
--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -207,6 +207,7 @@
 {
     CPPUNIT_TEST_SUITE(HttpClientTest);
     CPPUNIT_TEST(endOfBodyIsCompleteOrInterrupted);
+    CPPUNIT_TEST(bodyThatKeepsArrivingIsNotGivenUp);
     CPPUNIT_TEST(endlessInputEndsTheExchange);
     CPPUNIT_TEST(interimResponsesAreNoAnswer);
     CPPUNIT_TEST(surplusBytesDoNotReachTheNextRequest);
@@ -252,6 +253,37 @@
         }
     }
 
+    // Guards against large bodies on slow links that are never received as a whole.
+    void bodyThatKeepsArrivingIsNotGivenUp()
+    {
+        struct Row
+        {
+            std::string name;
+            Ending ending;
+            TransferLimits limits;
+            bool isComplete;
+        };
+        // The server takes 800 ms for the body.
+        const std::string head = kOk + "Content-Length: 20\r\n\r\n";
+        const Row rows[] = {
+            { "progress", Ending::Drip, { kHeadTimeout, milliseconds(500), seconds(5) }, true },
+            { "silence", Ending::Hold, { kHeadTimeout, milliseconds(100), seconds(5) }, false },
+            { "too slow", Ending::Drip, { kHeadTimeout, kReadTimeout, milliseconds(300) }, false },
+        };
+        for (const Row &row : rows) {
+            asio::io_context context;
+            ScriptedServer server(context, { { head, row.ending, "x" } });
+            HttpClient client(context.get_executor(), {});
+            run(context, row.name, [&](asio::yield_context yield) {
+                std::error_code error;
+                const auto response = client.send(server.address(), {}, row.limits, yield, error);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isComplete, response.has_value());
+                CPPUNIT_ASSERT_MESSAGE(row.name,
+                                       row.isComplete ? !error : error == Result::ProgressTimeout);
+            });
+        }
+    }
+
     // Tests servers that send bytes without end. Guards against memory that grows until a timeout,
     // connections that stay open, and exchanges that look complete.
     void endlessInputEndsTheExchange()
--- a/packages/peers/include/peers/exchange.h
+++ b/packages/peers/include/peers/exchange.h
@@ -34,11 +34,12 @@
               const std::vector<membership::Member> &table, std::chrono::milliseconds timeout,
               boost::asio::yield_context yield, std::error_code &error);
 
-/// Returns the peer's configuration entries with a revision greater than `after`. Errors and thread
-/// are the same as for `exchangeTable`.
+/// Returns the peer's configuration entries with a revision greater than `after`. They may hold a
+/// whole configuration, so the call is limited by progress. Errors and thread are the same as for
+/// `exchangeTable`.
 std::optional<ConfigurationEntries> fetchEntries(net::HttpClient &client, const net::Address &peer,
                                                  std::uint64_t after,
-                                                 std::chrono::milliseconds timeout,
+                                                 const net::TransferLimits &limits,
                                                  boost::asio::yield_context yield,
                                                  std::error_code &error);
 
--- a/packages/peers/src/exchange.cpp
+++ b/packages/peers/src/exchange.cpp
@@ -62,10 +62,10 @@
 
 // Sends the request and returns the body of a response with status 200; otherwise sets `error`.
 std::optional<std::string> fetch(net::HttpClient &client, const net::Address &peer,
-                                 const net::Request &request, std::chrono::milliseconds timeout,
+                                 const net::Request &request, const net::TransferLimits &limits,
                                  boost::asio::yield_context yield, std::error_code &error)
 {
-    auto response = client.send(peer, request, timeout, std::move(yield), error);
+    auto response = client.send(peer, request, limits, std::move(yield), error);
     if (!response || error)
         return std::nullopt;
     if (response->status != 200) {
@@ -96,7 +96,10 @@
                                 .target = std::string(kMembersPath),
                                 .headers = { { "Content-Type", kContentType } },
                                 .body = encodeTable(table) };
-    const auto body = fetch(client, peer, request, timeout, std::move(yield), error);
+    const net::TransferLimits limits{ .headTimeout = timeout,
+                                      .progressTimeout = timeout,
+                                      .maxTime = timeout };
+    const auto body = fetch(client, peer, request, limits, std::move(yield), error);
     if (!body)
         return std::nullopt;
     auto members = decodeTable(*body);
@@ -107,7 +110,7 @@
 
 std::optional<ConfigurationEntries> fetchEntries(net::HttpClient &client, const net::Address &peer,
                                                  std::uint64_t after,
-                                                 std::chrono::milliseconds timeout,
+                                                 const net::TransferLimits &limits,
                                                  boost::asio::yield_context yield,
                                                  std::error_code &error)
 {
@@ -116,7 +119,7 @@
                                           + "?after=" + std::to_string(after),
                                 .headers = {},
                                 .body = {} };
-    const auto body = fetch(client, peer, request, timeout, std::move(yield), error);
+    const auto body = fetch(client, peer, request, limits, std::move(yield), error);
     if (!body)
         return std::nullopt;
     auto entries = decodeEntries(*body);
--- a/packages/peers/test/transport_test.cpp
+++ b/packages/peers/test/transport_test.cpp
@@ -90,8 +90,7 @@
                     exchangeTable(client, server.localAddress(), localTable, 1000ms, yield, error);
             CPPUNIT_ASSERT(table == peerTable);
             CPPUNIT_ASSERT(receivedTable == localTable);
-            const auto entries =
-                    fetchEntries(client, server.localAddress(), 4, 1000ms, yield, error);
+            const auto entries = fetchEntries(client, server.localAddress(), 4, {}, yield, error);
             CPPUNIT_ASSERT(entries && entries->entries.front().revision == 5);
             const net::Request malformed{ .method = "POST",
                                           .target = "/peer/v1/members",
