Copy each table of the store between instances on its own

Cause: one response carried the rows of all tables in the order of their versions, so that the deregistration of an engine arrived behind the configuration, and callers' requests went to engines that had left 3.2 s before. Each membership packet with the newer revision also started another copy of the same rows beside the one in progress. Change: a query names the table; each table is polled, dated and confirmed on its own; RowFetcher runs one copy of a table at a time. Why it works: a copy of the targets is a few KB and waits for no other row. An older instance ignores the name and sends all rows, of which those of the table are used.

--- a/packages/daemon/src/peer_link.cpp
+++ b/packages/daemon/src/peer_link.cpp
@@ -98,12 +98,12 @@
                     actor_->receiveTable(std::move(table));
                     return actor_->snapshot()->members;
                 },
-        .entriesAfter =
-                [&configuration](std::uint64_t after) {
+        .entries =
+                [&configuration](const peers::EntriesQuery &query) {
                     peers::ConfigurationEntries entries{
                         .revisionInForce = configuration.current()->revision()
                     };
-                    for (auto &entry : configuration.entriesAfter(after))
+                    for (auto &entry : configuration.entriesAfter(query.after))
                         entries.entries.push_back({ entry.revision, std::move(entry.value) });
                     return entries;
                 }
@@ -228,7 +228,8 @@
         if (!peer.has_value() || asked.size() == kMaxPeersAsked || !asked.insert(candidate).second)
             continue;
         std::error_code error;
-        auto entries = peers::fetchEntries(client_, *peer, after, kEntriesLimits, yield, error);
+        auto entries = peers::fetchEntries(client_, *peer, { .after = after }, kEntriesLimits,
+                                           yield, error);
         if (!entries.has_value() || entries->entries.empty())
             continue;
         if (best.empty() || entries->entries.back().revision > best.back().revision)
--- a/packages/entry/include/entry/peer_mesh.h
+++ b/packages/entry/include/entry/peer_mesh.h
@@ -20,6 +20,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -103,8 +104,9 @@
     /// Replaces the addresses through which this instance joins.
     void setSeeds(const std::vector<net::Address> &seeds);
 
-    /// Fetches changes from the instances that follow the store, until one of them is up to date.
-    FollowerResult pollFollower(const boost::asio::yield_context &yield);
+    /// Fetches changes of a table from the instances that follow the store, until one of them is up
+    /// to date.
+    FollowerResult pollFollower(const std::string &table, const boost::asio::yield_context &yield);
 
     /// Sets the revision of the view that this instance reports to the others.
     void setRevision(std::uint64_t revision) { actor_->setRevision(revision); }
@@ -121,6 +123,9 @@
     /// Returns the peer addresses of the instances that follow the store. The list is empty if this
     /// instance is one of them, or if so few instances are live that each follows the store.
     std::vector<net::Address> followers() const;
+    /// Fetches rows other than targets from a peer that has a newer revision.
+    void fetchNewerRows(const net::Address &peer, std::uint64_t revision,
+                        const boost::asio::yield_context &yield);
     /// Polls random peers while the view is not current, without end.
     void pollPeers(const boost::asio::yield_context &yield);
     /// Returns the peer addresses of the other members, or the seeds if none is known.
@@ -145,7 +150,8 @@
     net::HttpClient client_;
     RowFetcher rowFetcher_;
     std::mt19937_64 random_;
-    std::size_t firstFollower_ = 0; ///< Index of the follower to poll first, modulo their number.
+    /// Index of the follower to poll first, modulo their number, by table.
+    std::map<std::string, std::size_t> firstFollowers_;
     std::unique_ptr<net::HttpServer> server_;
     std::unique_ptr<peers::UdpTransport> transport_;
     std::unique_ptr<control::MemberActor> actor_;
--- a/packages/entry/include/entry/view_updater.h
+++ b/packages/entry/include/entry/view_updater.h
@@ -6,7 +6,7 @@
 #include "fleet/store.h"
 #include "fleet/store_clock.h"
 #include "fleet/view.h"
-#include "peers/transfer.h"
+#include "peers/exchange.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
@@ -75,9 +75,10 @@
     {
         /// Called with each new view.
         std::function<void(const fleet::ViewPtr &)> published;
-        /// Polls the instances that follow the store, unless this instance is one of them. May be
-        /// empty.
-        std::function<FollowerResult(const boost::asio::yield_context &)> pollFollower;
+        /// Polls the instances that follow the store for one table, unless this instance is one of
+        /// them. May be empty.
+        std::function<FollowerResult(const std::string &table, const boost::asio::yield_context &)>
+                pollFollower;
     };
 
     /// `store`, `schema` and `log` must outlive the object.
@@ -117,20 +118,25 @@
     /// so that one that missed a change learns of it.
     std::uint64_t revision() const;
 
-    /// Returns the rows that changed after a version of the store, for a peer. `revisionInForce` is
-    /// the version of the store up to which they are complete, or 0 if they may be out of date.
-    peers::ConfigurationEntries entriesAfter(std::uint64_t version) const;
+    /// Returns the rows that a peer asks for. `revisionInForce` is the version of the store up to
+    /// which they are complete, or 0 if they may be out of date.
+    peers::ConfigurationEntries entries(const peers::EntriesQuery &query) const;
 
-    /// Applies the rows of a peer, which were requested at `requestedAt`. Returns true if they are
-    /// up to date, because the peer reaches the store.
-    bool merge(const peers::ConfigurationEntries &entries, Clock::time_point requestedAt);
+    /// Applies the rows of `table` that a peer has sent, or those of all tables if `table` is
+    /// empty. They were requested at `requestedAt`. Returns true if they are up to date, because
+    /// the peer reaches the store.
+    bool merge(const peers::ConfigurationEntries &entries, Clock::time_point requestedAt,
+               const std::string &table = {});
 
     /// Returns true if this instance has just started and assumes the age of a weights version that
     /// a peer may know.
     bool needsWeightsAges() const;
 
-    /// Returns the version of the store up to which the changes of every table are known.
-    std::uint64_t version() const;
+    /// Returns the version of the store up to which the changes of `table` are known, or of every
+    /// table if it is empty.
+    std::uint64_t version(const std::string &table = {}) const;
+
+    const fleet::DeploymentSchema &schema() const { return schema_; }
 
 private:
     /// Returns the time since the oldest confirmation of a table.
@@ -147,7 +153,7 @@
     /// Records that the store, or a peer that reaches it, confirmed the table of targets. Detects
     /// the end of an outage.
     void recordTargetsConfirmed();
-    void recordFollowerResult(FollowerResult result);
+    void recordFollowerResult(const std::string &table, FollowerResult result);
     void recordStoreFailure(const std::string &table, Clock::time_point pollStartedAt,
                             const std::error_code &error);
     /// What is known about the times at which new weights versions were set.
@@ -164,9 +170,13 @@
     void rebuildView(const WeightsEvidence &evidence = {});
     /// Records that the copy of the table was the newest one at `time` or later.
     void recordCopy(const std::string &table, Clock::time_point time);
+    /// Returns `table`, or all tables if it is empty. The list is empty for an unknown table.
+    std::vector<std::string> selectTables(const std::string &table) const;
+    /// Returns true if the store responded for the table within `maxCurrentAge`.
+    bool isStoreResponding(const std::string &table) const;
     /// Returns the time up to which all changes of the tables are known, or no value if a table has
     /// not been read yet.
-    std::optional<Clock::time_point> completeUntil() const;
+    std::optional<Clock::time_point> completeUntil(const std::vector<std::string> &tables) const;
     /// Adds ready targets of the last view that have no row, while registrations may be missing
     /// because of an outage.
     void retainUnlistedTargets(std::vector<fleet::Target> &targets);
@@ -193,8 +203,9 @@
     fleet::TableReplicas tables_;
     /// Last response of the store by table.
     std::map<std::string, Clock::time_point> storeRespondedAt_;
-    Clock::time_point peerRespondedAt_{}; ///< Last response of a peer that reaches the store.
-    FollowerResult followerResult_ = FollowerResult::NotPolled; ///< Result of the last poll.
+    /// Last response of a peer that reaches the store, by table.
+    std::map<std::string, Clock::time_point> peerRespondedAt_;
+    std::map<std::string, FollowerResult> followerResults_; ///< Of the last poll, by table.
     std::map<std::string, bool> failingTables_; ///< Whether the last poll failed, by table.
     Clock::time_point targetsConfirmedAt_{};    ///< Confirmation by the store or a peer.
     /// Start of the first failed poll for targets since they were last confirmed. Until the next
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -90,8 +90,8 @@
       viewUpdater_(controlContext_, *store_, platform_.schema, log_,
                    { .published = [this](const fleet::ViewPtr &view) { handleViewPublished(view); },
                      .pollFollower =
-                             [this](const yield_context &yield) {
-                                 return peerMesh_.pollFollower(yield);
+                             [this](const std::string &table, const yield_context &yield) {
+                                 return peerMesh_.pollFollower(table, yield);
                              } },
                    viewOptions(options_)),
       peerMesh_(controlContext_, options_, life_, timeLine_, log_, viewUpdater_, peerHooks()),
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -73,7 +73,7 @@
                     actor_->receiveTable(std::move(table));
                     return actor_->snapshot()->members;
                 },
-        .entriesAfter = [this](std::uint64_t after) { return viewUpdater_.entriesAfter(after); }
+        .entries = [this](const peers::EntriesQuery &query) { return viewUpdater_.entries(query); }
     };
     server_ = std::make_unique<net::HttpServer>(
             std::vector<net::ServerWorker>{ { &context_, peers::makeExchangeHandler(source) } },
@@ -125,17 +125,29 @@
                                     { { "members", snapshot->members.size() }, { "live", live } });
                      },
              .revisionSeen =
-                     [this](std::uint64_t, const std::string &from) {
+                     [this](std::uint64_t revision, const std::string &from) {
                          const auto peer = net::parseAddress(from);
                          if (!peer)
                              return;
                          net::spawnCoroutine(context_, "[entry]",
-                                             [this, peer = *peer](const yield_context &yield) {
-                                                 rowFetcher_.fetch(peer, yield);
+                                             [=, this](const yield_context &yield) {
+                                                 fetchNewerRows(*peer, revision, yield);
                                              });
                      } };
 }
 
+void PeerMesh::fetchNewerRows(const net::Address &peer, std::uint64_t revision,
+                              const yield_context &yield)
+{
+    const fleet::DeploymentSchema &schema = viewUpdater_.schema();
+    for (const std::string &table : schema.tables) {
+        // Every packet of every instance with the revision leads here until the rows have arrived.
+        if (table != schema.targetTable && !rowFetcher_.isFetching(table)
+            && viewUpdater_.revision() < revision)
+            rowFetcher_.fetch(peer, table, yield);
+    }
+}
+
 void PeerMesh::sendTo(const std::string &address, const peers::Datagram &datagram)
 {
     if (const auto to = net::parseAddress(address))
@@ -287,16 +299,16 @@
     return addresses;
 }
 
-FollowerResult PeerMesh::pollFollower(const yield_context &yield)
+FollowerResult PeerMesh::pollFollower(const std::string &table, const yield_context &yield)
 {
     const auto addresses = actor_ == nullptr ? std::vector<net::Address>() : followers();
     if (addresses.empty())
         return FollowerResult::NotPolled;
     // The followers are polled in rotation: one whose poll of an unresponsive store is still
     // waiting cannot know yet that it is out of date.
-    ++firstFollower_;
+    const std::size_t first = ++firstFollowers_[table];
     for (std::size_t i = 0; i < addresses.size(); ++i) {
-        if (rowFetcher_.fetch(addresses[(firstFollower_ + i) % addresses.size()], yield))
+        if (rowFetcher_.fetch(addresses[(first + i) % addresses.size()], table, yield))
             return FollowerResult::UpToDate;
     }
     return FollowerResult::Failed;
@@ -325,8 +337,15 @@
         if (viewUpdater_.isCurrent() && !viewUpdater_.needsWeightsAges())
             continue;
         const auto peers = otherPeerAddresses();
-        if (!peers.empty())
-            rowFetcher_.fetch(peers[random_() % peers.size()], yield);
+        if (peers.empty())
+            continue;
+        const net::Address peer = peers[random_() % peers.size()];
+        const fleet::DeploymentSchema &schema = viewUpdater_.schema();
+        rowFetcher_.fetch(peer, schema.targetTable, yield);
+        for (const std::string &table : schema.tables) {
+            if (table != schema.targetTable)
+                rowFetcher_.fetch(peer, table, yield);
+        }
     }
 }
 
--- a/packages/entry/src/row_fetcher.cpp
+++ b/packages/entry/src/row_fetcher.cpp
@@ -3,9 +3,13 @@
 #include "base/result.h"
 #include "peers/exchange.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <chrono>
+#include <memory>
 #include <numeric>
 #include <system_error>
+#include <utility>
 
 namespace chervilfield::entry {
 
@@ -18,6 +22,7 @@
 constexpr net::TransferLimits kLimits{ .headTimeout = milliseconds(300),
                                        .progressTimeout = milliseconds(1000),
                                        .maxTime = milliseconds(5000) };
+constexpr milliseconds kWaitInterval{ 20 };
 // Smaller transfers are frequent, and a line for each would hide the others.
 constexpr std::size_t kMinLoggedBytes = 16U << 10U;
 
@@ -29,6 +34,24 @@
                            });
 }
 
+// Removes the table from the active ones at the end of a fetch, which may be after the end of the
+// fetcher, when the context destroys its coroutines.
+class ActiveTable
+{
+public:
+    ActiveTable(std::shared_ptr<std::set<std::string>> tables, std::string table)
+        : tables_(std::move(tables)), table_(std::move(table))
+    {
+    }
+    ~ActiveTable() { tables_->erase(table_); }
+    ActiveTable(const ActiveTable &) = delete;
+    ActiveTable &operator=(const ActiveTable &) = delete;
+
+private:
+    std::shared_ptr<std::set<std::string>> tables_;
+    std::string table_;
+};
+
 } // namespace
 
 RowFetcher::RowFetcher(net::HttpClient &client, ViewUpdater &viewUpdater, base::EventLog &log)
@@ -36,21 +59,30 @@
 {
 }
 
-bool RowFetcher::fetch(const net::Address &peer, const boost::asio::yield_context &yield)
+bool RowFetcher::fetch(const net::Address &peer, const std::string &table,
+                       const boost::asio::yield_context &yield)
 {
+    // A second copy of the same rows would halve the bandwidth of the first one.
+    while (!activeTables_->insert(table).second) {
+        boost::asio::steady_timer timer(yield.get_executor(), kWaitInterval);
+        boost::system::error_code ignored;
+        timer.async_wait(yield[ignored]);
+    }
+    const ActiveTable active(activeTables_, table);
     const auto requestedAt = ViewUpdater::Clock::now();
-    const std::uint64_t after = viewUpdater_.version();
+    const peers::EntriesQuery query{ .after = viewUpdater_.version(table), .table = table };
     std::error_code error;
-    const auto entries = peers::fetchEntries(client_, peer, after, kLimits, yield, error);
+    const auto entries = peers::fetchEntries(client_, peer, query, kLimits, yield, error);
     const std::size_t bytes = entries ? valueBytes(*entries) : 0;
     if (!entries || bytes >= kMinLoggedBytes)
         log_.write("rows", entries ? "fetched" : "fetch-failed",
                    { { "peer", toString(peer) },
-                     { "after", after },
+                     { "table", table },
+                     { "after", query.after },
                      { "bytes", bytes },
                      { "took_ms", ViewUpdater::Clock::now() - requestedAt },
                      { "result", base::resultInfo(base::toResult(error)).name } });
-    return entries && viewUpdater_.merge(*entries, requestedAt);
+    return entries && viewUpdater_.merge(*entries, requestedAt, table);
 }
 
 } // namespace chervilfield::entry
--- a/packages/entry/src/view_updater.cpp
+++ b/packages/entry/src/view_updater.cpp
@@ -84,13 +84,24 @@
     }
 }
 
+bool ViewUpdater::isStoreResponding(const std::string &table) const
+{
+    const auto found = storeRespondedAt_.find(table);
+    return found != storeRespondedAt_.end()
+           && Clock::now() - found->second < options_.maxCurrentAge;
+}
+
 bool ViewUpdater::isStoreReachable() const
 {
-    const auto now = Clock::now();
-    return std::ranges::all_of(schema_.tables, [&](const std::string &table) {
-        const auto found = storeRespondedAt_.find(table);
-        return found != storeRespondedAt_.end() && now - found->second < options_.maxCurrentAge;
-    });
+    return std::ranges::all_of(
+            schema_.tables, [this](const std::string &table) { return isStoreResponding(table); });
+}
+
+std::vector<std::string> ViewUpdater::selectTables(const std::string &table) const
+{
+    if (table.empty())
+        return schema_.tables;
+    return tables_.contains(table) ? std::vector{ table } : std::vector<std::string>();
 }
 
 bool ViewUpdater::isFresh() const
@@ -100,20 +111,25 @@
 
 void ViewUpdater::updateConfirmedAt()
 {
+    const auto timeOf = [](const auto &times, const std::string &table) {
+        const auto found = times.find(table);
+        return found == times.end() ? Clock::time_point{} : found->second;
+    };
     auto oldest = Clock::now();
-    for (const std::string &table : schema_.tables) {
-        const auto found = storeRespondedAt_.find(table);
-        const auto own = found == storeRespondedAt_.end() ? Clock::time_point{} : found->second;
-        oldest = std::min(oldest, std::max(own, peerRespondedAt_));
-    }
+    for (const std::string &table : schema_.tables)
+        oldest = std::min(oldest, std::max(timeOf(storeRespondedAt_, table),
+                                           timeOf(peerRespondedAt_, table)));
     confirmedAt_ = oldest;
 }
 
-std::uint64_t ViewUpdater::version() const
+std::uint64_t ViewUpdater::version(const std::string &table) const
 {
+    const auto names = selectTables(table);
+    if (names.empty())
+        return 0;
     std::uint64_t lowest = std::numeric_limits<std::uint64_t>::max();
-    for (const auto &[name, table] : tables_)
-        lowest = std::min(lowest, table.version());
+    for (const std::string &name : names)
+        lowest = std::min(lowest, tables_.at(name).version());
     return lowest;
 }
 
@@ -160,14 +176,17 @@
                { { "silent_ms", std::chrono::duration_cast<milliseconds>(timeUnconfirmed) } });
 }
 
-void ViewUpdater::recordFollowerResult(FollowerResult result)
+void ViewUpdater::recordFollowerResult(const std::string &table, FollowerResult result)
 {
-    if (std::exchange(followerResult_, result) == result)
+    FollowerResult &last =
+            followerResults_.try_emplace(table, FollowerResult::NotPolled).first->second;
+    if (std::exchange(last, result) == result)
         return;
     constexpr std::array<std::string_view, 3> kNames{ "store", "followers", "none-up-to-date" };
     log_.write("store", "source-changed",
-               { { "source", kNames.at(static_cast<std::size_t>(result)) },
-                 { "version", version() },
+               { { "table", table },
+                 { "source", kNames.at(static_cast<std::size_t>(result)) },
+                 { "version", version(table) },
                  { "age_ms", std::chrono::duration_cast<milliseconds>(age()) } });
 }
 
@@ -226,10 +245,12 @@
         const std::uint64_t previousVersion = tables_[table].version();
         boost::system::error_code ignored;
         const bool mayPollFollower = storeRespondedAt_.contains(table) && hooks_.pollFollower;
-        // A poll of a follower covers all tables, so only the coroutine of the targets does it.
-        if (mayPollFollower && table == schema_.targetTable)
-            recordFollowerResult(hooks_.pollFollower(yield));
-        if (mayPollFollower && followerResult_ == FollowerResult::UpToDate) {
+        // Each table is copied on its own, so that deregistrations do not wait behind a large
+        // configuration.
+        const FollowerResult followerResult =
+                mayPollFollower ? hooks_.pollFollower(table, yield) : FollowerResult::NotPolled;
+        recordFollowerResult(table, followerResult);
+        if (followerResult == FollowerResult::UpToDate) {
             timer.expires_after(options_.pollInterval);
             timer.async_wait(yield[ignored]);
             continue;
@@ -237,7 +258,7 @@
         // A store that has just failed may be unresponsive. A long poll would then block until its
         // timeout, although the store or a follower may be back long before.
         const bool mayLongPoll =
-                followerResult_ == FollowerResult::NotPolled && !isPollFailing(table);
+                followerResult == FollowerResult::NotPolled && !isPollFailing(table);
         if (pollStore(table, mayLongPoll ? options_.longPollTimeout : milliseconds(0), yield)) {
             backoff = options_.minBackoff;
             const bool hasNewTargets =
@@ -367,10 +388,11 @@
     known = std::max(known, time);
 }
 
-std::optional<ViewUpdater::Clock::time_point> ViewUpdater::completeUntil() const
+std::optional<ViewUpdater::Clock::time_point>
+ViewUpdater::completeUntil(const std::vector<std::string> &tables) const
 {
     std::optional<Clock::time_point> oldest;
-    for (const std::string &table : schema_.tables) {
+    for (const std::string &table : tables) {
         const auto found = completeUntil_.find(table);
         if (found == completeUntil_.end())
             return std::nullopt;
@@ -418,54 +440,62 @@
     hooks_.published(view);
 }
 
-peers::ConfigurationEntries ViewUpdater::entriesAfter(std::uint64_t version) const
+peers::ConfigurationEntries ViewUpdater::entries(const peers::EntriesQuery &query) const
 {
+    const auto names = selectTables(query.table);
     std::map<std::uint64_t, std::vector<const fleet::StoreRow *>> rowsByVersion;
     std::vector<fleet::StoreRows> changes;
-    changes.reserve(tables_.size());
-    for (const auto &[name, table] : tables_)
-        changes.push_back(table.changesAfter(version));
+    changes.reserve(names.size());
+    for (const std::string &name : names)
+        changes.push_back(tables_.at(name).changesAfter(query.after));
     for (const fleet::StoreRows &rows : changes) {
         for (const fleet::StoreRow &row : rows.rows)
             rowsByVersion[row.version].push_back(&row);
     }
     // Revision 0 tells the peer that the rows may be out of date.
-    const bool isUpToDate = isStoreReachable() && !targetsUnconfirmedSince_;
-    peers::ConfigurationEntries entries{ .revisionInForce = isUpToDate ? this->version() : 0,
-                                         .entries = {},
-                                         .weightsAges = weightsAges() };
-    if (const auto time = completeUntil())
-        entries.age = std::chrono::ceil<milliseconds>(Clock::now() - *time);
+    const bool isUpToDate = std::ranges::all_of(names, [this](const std::string &name) {
+        return isStoreResponding(name)
+               && !(name == schema_.targetTable && targetsUnconfirmedSince_);
+    });
+    peers::ConfigurationEntries result{ .revisionInForce = isUpToDate ? version(query.table) : 0,
+                                        .entries = {},
+                                        .weightsAges = weightsAges() };
+    if (const auto time = completeUntil(names))
+        result.age = std::chrono::ceil<milliseconds>(Clock::now() - *time);
     for (const auto &[rowVersion, rows] : rowsByVersion)
-        entries.entries.push_back({ rowVersion, encodeRows(rows) });
-    return entries;
+        result.entries.push_back({ rowVersion, encodeRows(rows) });
+    return result;
 }
 
-bool ViewUpdater::merge(const peers::ConfigurationEntries &entries, Clock::time_point requestedAt)
+bool ViewUpdater::merge(const peers::ConfigurationEntries &entries, Clock::time_point requestedAt,
+                        const std::string &table)
 {
     std::map<std::string, fleet::StoreRows> byTable;
     for (const peers::ConfigurationEntry &entry : entries.entries) {
         for (fleet::StoreRow &row : decodeRows(entry))
             byTable[row.table].rows.push_back(std::move(row));
     }
+    const auto names = selectTables(table);
     bool hasChanged = false;
-    for (auto &[name, table] : tables_) {
+    for (const std::string &name : names) {
         fleet::StoreRows &rows = byTable[name];
         rows.version = entries.revisionInForce;
-        hasChanged = table.apply(rows) || hasChanged;
+        hasChanged = tables_.at(name).apply(rows) || hasChanged;
     }
     const bool isUpToDate = entries.revisionInForce > 0;
-    const WeightsEvidence evidence{ .setAfter = completeUntil(),
+    const WeightsEvidence evidence{ .setAfter = completeUntil(names),
                                     .peerAges = entries.weightsAges,
                                     .requestedAt = requestedAt };
     if (isUpToDate) {
         // A peer that sends no age has heard from the store within `maxCurrentAge`.
         const auto copiedAt = requestedAt - entries.age.value_or(options_.maxCurrentAge);
-        for (const std::string &table : schema_.tables)
-            recordCopy(table, copiedAt);
-        peerRespondedAt_ = Clock::now();
+        for (const std::string &name : names) {
+            recordCopy(name, copiedAt);
+            peerRespondedAt_[name] = Clock::now();
+            if (name == schema_.targetTable)
+                recordTargetsConfirmed();
+        }
         updateConfirmedAt();
-        recordTargetsConfirmed();
     }
     if (hasChanged) {
         log_.write("view", "taken-from-peer", { { "version", entries.revisionInForce } });
--- a/packages/entry/test/row_fetcher_test.cpp
+++ b/packages/entry/test/row_fetcher_test.cpp
@@ -58,7 +58,10 @@
         : context(ioContext), peer(std::move(peerAddress)),
           updater(context, store, schema, log,
                   { .published = [](const auto &) {},
-                    .pollFollower = [this](const yield_context &yield) { return poll(yield); } },
+                    .pollFollower =
+                            [this](const std::string &table, const yield_context &yield) {
+                                return poll(table, yield);
+                            } },
                   { .longPollTimeout = milliseconds(100),
                     .pollInterval = milliseconds(600),
                     .maxCurrentAge = milliseconds(1500) }),
@@ -69,11 +72,12 @@
         updater.start();
     }
 
-    FollowerResult poll(const yield_context &yield)
+    FollowerResult poll(const std::string &table, const yield_context &yield)
     {
         if (peer.port == 0)
             return FollowerResult::NotPolled;
-        return fetcher.fetch(peer, yield) ? FollowerResult::UpToDate : FollowerResult::Failed;
+        return fetcher.fetch(peer, table, yield) ? FollowerResult::UpToDate
+                                                 : FollowerResult::Failed;
     }
     std::uint64_t configuration() const
     {
@@ -140,9 +144,9 @@
             net::HttpServer server(
                     { { &context, peers::makeExchangeHandler(
                                           { .exchangeTable = {},
-                                            .entriesAfter =
-                                                    [&](std::uint64_t after) {
-                                                        return sender.updater.entriesAfter(after);
+                                            .entries =
+                                                    [&](const peers::EntriesQuery &query) {
+                                                        return sender.updater.entries(query);
                                                     } }) } },
                     {});
             std::error_code error;
--- a/packages/entry/test/view_updater_test.cpp
+++ b/packages/entry/test/view_updater_test.cpp
@@ -44,7 +44,7 @@
                                                     .outageThreshold = milliseconds(50) })
         : updater(context, store, schema, log,
                   { .published = [this](const auto &) { ++publishedViewCount; },
-                    .pollFollower = [this](const auto &) { return pollFollower(); } },
+                    .pollFollower = [this](const auto &, const auto &) { return pollFollower(); } },
                   options)
     {
     }
@@ -175,7 +175,7 @@
         peer.updater.start();
         CPPUNIT_ASSERT(runUntil(peer.context,
                                 [&] { return peer.configuration() == 4 && peer.hasTarget("t1"); }));
-        const auto older = peer.updater.entriesAfter(0);
+        const auto older = peer.updater.entries({});
         Fixture f;
         f.store.isUnreachable = true;
         f.updater.start();
@@ -187,7 +187,7 @@
         peer.store.erase("targets", "t1");
         CPPUNIT_ASSERT(runUntil(
                 peer.context, [&] { return peer.configuration() == 5 && !peer.hasTarget("t1"); }));
-        f.merge(peer.updater.entriesAfter(f.updater.version()));
+        f.merge(peer.updater.entries({ .after = f.updater.version() }));
         f.merge(older);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), f.configuration());
         CPPUNIT_ASSERT(!f.hasTarget("t1"));
@@ -217,7 +217,7 @@
         f.pollPeer = [&] {
             ++polls;
             peer.context.run_for(milliseconds(1));
-            return f.merge(peer.updater.entriesAfter(f.updater.version()));
+            return f.merge(peer.updater.entries({ .after = f.updater.version() }));
         };
         // From the second poll on, all rows come from the peer alone.
         CPPUNIT_ASSERT(runUntil(f.context, [&] { return polls >= 2; }));
@@ -287,10 +287,10 @@
         f.store.put("targets", "t1", "p");
         f.updater.start();
         CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.updater.isCurrent(); }));
-        CPPUNIT_ASSERT(f.updater.entriesAfter(0).revisionInForce > 0);
+        CPPUNIT_ASSERT(f.updater.entries({}).revisionInForce > 0);
         f.store.isUnresponsive = true;
         CPPUNIT_ASSERT(runUntil(f.context, [&] { return !f.updater.isCurrent(); }));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), f.updater.entriesAfter(0).revisionInForce);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), f.updater.entries({}).revisionInForce);
         CPPUNIT_ASSERT(!f.updater.isPollFailing("targets"));
     }
 
@@ -472,9 +472,9 @@
                                        return f.updater.view()->desiredWeights("m") == 3;
                                    }));
             CPPUNIT_ASSERT_MESSAGE(each.name, f.updater.needsWeightsAges());
-            CPPUNIT_ASSERT(f.updater.entriesAfter(0).weightsAges.empty());
+            CPPUNIT_ASSERT(f.updater.entries({}).weightsAges.empty());
             const auto requestedAt = Clock::now();
-            f.merge(peer.updater.entriesAfter(0), requestedAt);
+            f.merge(peer.updater.entries({}), requestedAt);
             CPPUNIT_ASSERT_MESSAGE(each.name, !f.updater.needsWeightsAges());
             for (std::uint64_t old = 1; old <= 2; ++old) {
                 const auto replacedAt = f.updater.view()->replacedAt("m", old);
--- a/packages/peers/src/exchange.cpp
+++ b/packages/peers/src/exchange.cpp
@@ -47,7 +47,9 @@
     const auto parsed = std::from_chars(text.data(), end, after);
     if (parsed.ec != std::errc() || parsed.ptr != end)
         return errorResponse(base::Result::InvalidField);
-    return thriftResponse(encodeEntries(source.entriesAfter(after)));
+    const EntriesQuery query{ .after = after,
+                              .table = net::queryParameter(request.target, "table").value_or("") };
+    return thriftResponse(encodeEntries(source.entries(query)));
 }
 
 net::Response answer(const ExchangeSource &source, const net::Request &request)
@@ -109,16 +111,18 @@
 }
 
 std::optional<ConfigurationEntries> fetchEntries(net::HttpClient &client, const net::Address &peer,
-                                                 std::uint64_t after,
+                                                 const EntriesQuery &query,
                                                  const net::TransferLimits &limits,
                                                  boost::asio::yield_context yield,
                                                  std::error_code &error)
 {
-    const net::Request request{ .method = "GET",
-                                .target = std::string(kConfigurationPath)
-                                          + "?after=" + std::to_string(after),
-                                .headers = {},
-                                .body = {} };
+    net::Request request{ .method = "GET",
+                          .target = std::string(kConfigurationPath)
+                                    + "?after=" + std::to_string(query.after),
+                          .headers = {},
+                          .body = {} };
+    if (!query.table.empty())
+        request.target += "&table=" + net::percentEncode(query.table);
     const auto body = fetch(client, peer, request, limits, std::move(yield), error);
     if (!body)
         return std::nullopt;
--- a/packages/peers/test/transport_test.cpp
+++ b/packages/peers/test/transport_test.cpp
@@ -69,16 +69,17 @@
         std::vector<membership::Member> receivedTable;
         net::HttpServer server(
                 { { &context,
-                    makeExchangeHandler(
-                            { .exchangeTable =
-                                      [&](auto members) {
-                                          receivedTable = members;
-                                          return peerTable;
-                                      },
-                              .entriesAfter =
-                                      [](std::uint64_t after) {
-                                          return ConfigurationEntries{ 9, { { after + 1, "x" } } };
-                                      } }) } },
+                    makeExchangeHandler({ .exchangeTable =
+                                                  [&](auto members) {
+                                                      receivedTable = members;
+                                                      return peerTable;
+                                                  },
+                                          .entries =
+                                                  [](const EntriesQuery &query) {
+                                                      return ConfigurationEntries{
+                                                          9, { { query.after + 1, query.table } }
+                                                      };
+                                                  } }) } },
                 {});
         std::error_code error;
         server.listen(anyPort_, error);
@@ -90,8 +91,10 @@
                     exchangeTable(client, server.localAddress(), localTable, 1000ms, yield, error);
             CPPUNIT_ASSERT(table == peerTable);
             CPPUNIT_ASSERT(receivedTable == localTable);
-            const auto entries = fetchEntries(client, server.localAddress(), 4, {}, yield, error);
-            CPPUNIT_ASSERT(entries && entries->entries.front().revision == 5);
+            const auto entries = fetchEntries(client, server.localAddress(),
+                                              { .after = 4, .table = "a b&c" }, {}, yield, error);
+            CPPUNIT_ASSERT(entries);
+            CPPUNIT_ASSERT(entries->entries.front() == ConfigurationEntry({ 5, "a b&c" }));
             const net::Request malformed{ .method = "POST",
                                           .target = "/peer/v1/members",
                                           .headers = {},
