Compress large rows that instances copy from each other

Cause: the followers sent the configuration in clear text, encoded again for each request, to half of the instances each: 700 KB for 1,400 routes more, 25 MB from a link of 1.25 MB/s. Callers were served by the version before, and with the next 1,400 routes a follower ran out of memory. Change: large values travel as Zstandard frames, if the request accepts that, and the sender keeps the frames of the latest versions. Decompressed values are bounded. Why it works: a frame carries little more than the names.

--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -9,6 +9,7 @@
 pkg_check_modules(thrift REQUIRED IMPORTED_TARGET thrift)
 pkg_check_modules(cppunit REQUIRED IMPORTED_TARGET cppunit)
 pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(zstd REQUIRED IMPORTED_TARGET libzstd)
 
 # CAF ships no CMake package file.
 find_library(CAF_CORE_LIBRARY caf_core REQUIRED)
--- a/packages/entry/include/entry/view_updater.h
+++ b/packages/entry/include/entry/view_updater.h
@@ -193,6 +193,10 @@
     /// Returns the ages of versions in the history that are known, for a peer.
     std::vector<peers::WeightsAge> weightsAges() const;
     void scheduleRebuild(std::chrono::milliseconds delay);
+    /// Returns the rows of one version as an entry, compressed if it is large.
+    peers::ConfigurationEntry
+    compressedEntry(const std::string &table, std::uint64_t version,
+                    const std::vector<const fleet::StoreRow *> &rows) const;
 
     boost::asio::io_context &context_;
     fleet::Store &store_;
@@ -215,6 +219,17 @@
     fleet::StoreClock storeClock_;
     /// Time up to which all changes are known, by table.
     std::map<std::string, Clock::time_point> completeUntil_;
+    /// Key of a compressed entry. The rows of a version do not change, but each may be replaced by
+    /// a later version, so that their number identifies those that are left.
+    struct EntryKey
+    {
+        std::uint64_t version = 0;
+        std::size_t rowCount = 0;
+        std::string table;
+        auto operator<=>(const EntryKey &) const = default;
+    };
+    /// Large entries of the latest versions, since many peers ask for the same ones.
+    mutable std::map<EntryKey, peers::ConfigurationEntry> compressedEntries_;
     Clock::time_point startedAt_ = Clock::now();
     fleet::WeightsHistory weightsHistory_;
     std::map<std::string, std::string> reportedReasons_; ///< Last logged reason by rejected row.
--- a/packages/entry/src/row_fetcher.cpp
+++ b/packages/entry/src/row_fetcher.cpp
@@ -70,7 +70,9 @@
     }
     const ActiveTable active(activeTables_, table);
     const auto requestedAt = ViewUpdater::Clock::now();
-    const peers::EntriesQuery query{ .after = viewUpdater_.version(table), .table = table };
+    const peers::EntriesQuery query{ .after = viewUpdater_.version(table),
+                                     .table = table,
+                                     .acceptsCompressed = true };
     std::error_code error;
     const auto entries = peers::fetchEntries(client_, peer, query, kLimits, yield, error);
     const std::size_t bytes = entries ? valueBytes(*entries) : 0;
--- a/packages/entry/src/view_updater.cpp
+++ b/packages/entry/src/view_updater.cpp
@@ -38,8 +38,11 @@
 std::vector<fleet::StoreRow> decodeRows(const peers::ConfigurationEntry &entry)
 {
     std::vector<fleet::StoreRow> rows;
+    const auto text = peers::decompressedValue(entry);
+    if (!text)
+        return rows;
     json::error_code error;
-    const json::value value = json::parse(entry.value, error);
+    const json::value value = json::parse(*text, error);
     if (error || !value.is_array())
         return rows;
     for (const json::value &item : value.get_array()) {
@@ -462,11 +465,33 @@
                                         .weightsAges = weightsAges() };
     if (const auto time = completeUntil(names))
         result.age = std::chrono::ceil<milliseconds>(Clock::now() - *time);
-    for (const auto &[rowVersion, rows] : rowsByVersion)
-        result.entries.push_back({ rowVersion, encodeRows(rows) });
+    for (const auto &[rowVersion, rows] : rowsByVersion) {
+        if (query.acceptsCompressed)
+            result.entries.push_back(compressedEntry(query.table, rowVersion, rows));
+        else
+            result.entries.push_back({ rowVersion, encodeRows(rows) });
+    }
     return result;
 }
 
+peers::ConfigurationEntry
+ViewUpdater::compressedEntry(const std::string &table, std::uint64_t version,
+                             const std::vector<const fleet::StoreRow *> &rows) const
+{
+    const EntryKey key{ .version = version, .rowCount = rows.size(), .table = table };
+    const auto found = compressedEntries_.find(key);
+    if (found != compressedEntries_.end())
+        return found->second;
+    peers::ConfigurationEntry entry{ .revision = version, .value = encodeRows(rows) };
+    peers::compressValue(entry);
+    if (!entry.isCompressed)
+        return entry;
+    constexpr std::size_t kMaxEntries = 8;
+    if (compressedEntries_.size() == kMaxEntries)
+        compressedEntries_.erase(compressedEntries_.begin());
+    return compressedEntries_.emplace(key, std::move(entry)).first->second;
+}
+
 bool ViewUpdater::merge(const peers::ConfigurationEntries &entries, Clock::time_point requestedAt,
                         const std::string &table)
 {
--- a/packages/peers/include/peers/exchange.h
+++ b/packages/peers/include/peers/exchange.h
@@ -20,6 +20,7 @@
     /// Name of a table of the store; only its rows are selected. Empty for the entries of all
     /// tables. The product's own configuration has no tables.
     std::string table;
+    bool acceptsCompressed = false; ///< Whether values may be compressed.
 };
 
 /// Functions that supply the responses to requests of peers over TCP. They run on the thread of the
@@ -33,7 +34,8 @@
 };
 
 /// Returns the handler for the HTTP server on the peer address. It serves `POST /peer/v1/members`
-/// and `GET /peer/v1/configuration?after=<revision>&table=<name>`, in which `table` is optional.
+/// and `GET /peer/v1/configuration?after=<revision>&table=<name>&compression=zstd`, in which
+/// `table` and `compression` are optional.
 net::Handler makeExchangeHandler(ExchangeSource source);
 
 /// Sends the member table of this daemon and returns the table of the peer. On failure, returns no
--- a/packages/peers/include/peers/transfer.h
+++ b/packages/peers/include/peers/transfer.h
@@ -18,6 +18,8 @@
 constexpr std::size_t kMaxTableMembers = 2048;
 /// Maximum number of entries in one `ConfigurationEntries`.
 constexpr std::size_t kMaxConfigurationEntries = 4096;
+/// Maximum size of the value of a compressed entry after decompression.
+constexpr std::size_t kMaxValueBytes = 16U << 20U;
 /// Maximum number of weights ages in one `ConfigurationEntries`.
 constexpr std::size_t kMaxWeightsAges = 256;
 
@@ -28,9 +30,18 @@
 {
     std::uint64_t revision = 0;
     std::string value;
+    bool isCompressed = false; ///< Whether `value` is a Zstandard frame.
     bool operator==(const ConfigurationEntry &) const = default;
 };
 
+/// Compresses the value of the entry, unless it is compressed already or so small that the saving
+/// does not count.
+void compressValue(ConfigurationEntry &entry);
+
+/// Returns the value of the entry, decompressed if necessary. Returns no value if it is malformed
+/// or larger than `kMaxValueBytes`.
+std::optional<std::string> decompressedValue(const ConfigurationEntry &entry);
+
 /// Upper bound of the time since the operator set a version of a model's weights.
 struct WeightsAge
 {
--- a/packages/peers/src/exchange.cpp
+++ b/packages/peers/src/exchange.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::string_view kMembersPath = "/peer/v1/members";
 constexpr std::string_view kConfigurationPath = "/peer/v1/configuration";
+constexpr std::string_view kCompression = "zstd";
 constexpr const char *kContentType = "application/x-thrift";
 
 net::Response thriftResponse(std::string body)
@@ -47,8 +48,11 @@
     const auto parsed = std::from_chars(text.data(), end, after);
     if (parsed.ec != std::errc() || parsed.ptr != end)
         return errorResponse(base::Result::InvalidField);
-    const EntriesQuery query{ .after = after,
-                              .table = net::queryParameter(request.target, "table").value_or("") };
+    const EntriesQuery query{
+        .after = after,
+        .table = net::queryParameter(request.target, "table").value_or(""),
+        .acceptsCompressed = net::queryParameter(request.target, "compression") == kCompression
+    };
     return thriftResponse(encodeEntries(source.entries(query)));
 }
 
@@ -123,6 +127,8 @@
                           .body = {} };
     if (!query.table.empty())
         request.target += "&table=" + net::percentEncode(query.table);
+    if (query.acceptsCompressed)
+        request.target += "&compression=" + std::string(kCompression);
     const auto body = fetch(client, peer, request, limits, std::move(yield), error);
     if (!body)
         return std::nullopt;
--- a/packages/peers/src/transfer.cpp
+++ b/packages/peers/src/transfer.cpp
@@ -3,6 +3,8 @@
 #include "internal/compact.h"
 #include "internal/member_wire.h"
 
+#include <zstd.h>
+
 namespace chervilfield::peers {
 
 namespace {
@@ -27,6 +29,36 @@
 
 } // namespace
 
+void compressValue(ConfigurationEntry &entry)
+{
+    constexpr std::size_t kMinBytes = 1U << 10U;
+    if (entry.isCompressed || entry.value.size() < kMinBytes)
+        return;
+    std::string frame(ZSTD_compressBound(entry.value.size()), '\0');
+    const std::size_t size = ZSTD_compress(frame.data(), frame.size(), entry.value.data(),
+                                           entry.value.size(), ZSTD_CLEVEL_DEFAULT);
+    if (ZSTD_isError(size) != 0 || size >= entry.value.size())
+        return;
+    frame.resize(size);
+    frame.shrink_to_fit();
+    entry.value = std::move(frame);
+    entry.isCompressed = true;
+}
+
+std::optional<std::string> decompressedValue(const ConfigurationEntry &entry)
+{
+    if (!entry.isCompressed)
+        return entry.value;
+    const auto size = ZSTD_getFrameContentSize(entry.value.data(), entry.value.size());
+    // Unknown sizes and errors are greater than every limit.
+    if (size > kMaxValueBytes)
+        return std::nullopt;
+    std::string value(size, '\0');
+    const std::size_t result =
+            ZSTD_decompress(value.data(), value.size(), entry.value.data(), entry.value.size());
+    return result == value.size() ? std::optional(std::move(value)) : std::nullopt;
+}
+
 std::string encodeTable(const std::vector<membership::Member> &members)
 {
     wire::MemberTable message;
@@ -65,6 +97,8 @@
         wire::ConfigurationEntry item;
         item.revision = static_cast<std::int64_t>(entry.revision);
         item.value = entry.value;
+        if (entry.isCompressed)
+            item.__set_isCompressed(true);
         message.entries.push_back(item);
     }
     if (entries.age)
@@ -87,7 +121,7 @@
         const auto revision = static_cast<std::uint64_t>(entry.revision);
         if (!result.entries.empty() && revision <= result.entries.back().revision)
             return std::nullopt;
-        result.entries.push_back({ revision, std::move(entry.value) });
+        result.entries.push_back({ revision, std::move(entry.value), entry.isCompressed });
     }
     if (message.__isset.ageMs && message.ageMs >= 0 && message.ageMs <= kMaxAgeMs)
         result.age = std::chrono::milliseconds(message.ageMs);
--- a/packages/peers/test/transport_test.cpp
+++ b/packages/peers/test/transport_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST_SUITE(TransportTest);
     CPPUNIT_TEST(datagramArrivesAfterMalformedOnes);
     CPPUNIT_TEST(tablesAndEntriesAreExchanged);
+    CPPUNIT_TEST(damagedOrHugeCompressedValuesAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
     const net::Address anyPort_{ "127.0.0.1", 0 };
@@ -110,6 +111,40 @@
             context.run_for(10ms);
         CPPUNIT_ASSERT(done);
     }
+
+    // Guards against a peer whose compressed rows exhaust the memory, and against lost values.
+    void damagedOrHugeCompressedValuesAreRejected()
+    {
+        struct Row
+        {
+            std::string name;
+            std::string value;
+            bool isCompressed;
+            std::size_t keptBytes; ///< Part of the frame that arrives.
+            bool isAccepted;
+        };
+        constexpr std::size_t kAll = std::string::npos;
+        const Row rows[] = {
+            { "empty", "", false, kAll, true },
+            { "small", "row", false, kAll, true },
+            { "large", std::string(700'000, 'x'), true, kAll, true },
+            { "largest", std::string(kMaxValueBytes, 'x'), true, kAll, true },
+            { "too large", std::string(kMaxValueBytes + 1, 'x'), true, kAll, false },
+            { "truncated", std::string(700'000, 'x'), true, 20, false },
+            { "no frame", std::string(700'000, 'x'), true, 0, false },
+        };
+        for (const Row &row : rows) {
+            ConfigurationEntry entry{ .revision = 1, .value = row.value };
+            compressValue(entry);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isCompressed, entry.isCompressed);
+            entry.value = entry.value.substr(0, row.keptBytes);
+            const auto received = decodeEntries(encodeEntries({ .entries = { entry } }));
+            CPPUNIT_ASSERT_MESSAGE(row.name, received && received->entries.size() == 1);
+            const auto value = decompressedValue(received->entries.front());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isAccepted, value.has_value());
+            CPPUNIT_ASSERT_MESSAGE(row.name, !value || *value == row.value);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TransportTest);
--- a/packages/peers/thrift/peers.thrift
+++ b/packages/peers/thrift/peers.thrift
@@ -130,6 +130,8 @@
 struct ConfigurationEntry {
   1: i64 revision
   2: binary value
+  // Whether the value is a Zstandard frame; only if the request accepts that.
+  3: optional bool isCompressed
 }
 
 // Upper bound of the time since the operator set a version of a model's weights.
@@ -139,7 +141,7 @@
   3: i64 maxAgeMs
 }
 
-// Response of GET /peer/v1/configuration?after=<revision>.
+// Response of GET /peer/v1/configuration?after=<revision>&table=<name>&compression=zstd.
 struct ConfigurationEntries {
   1: i64 revisionInForce
   2: list<ConfigurationEntry> entries
