Let the instances with the widest links follow the store

Cause: the two followers were chosen by a hash of their names. Change: instances tell each other the bandwidth of their link (`entry.link_mbps`, from the platform's settings), and the widest ones are followers; the hash decides among equals. Why it works: the reads of the store and the copies for the others no longer share a narrow link. Instances of the build before send no bandwidth and rank last.

--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <fstream>
 #include <functional>
+#include <limits>
 #include <set>
 #include <sstream>
 
@@ -115,11 +116,12 @@
     };
 }
 
-auto entryNumberReader(double EntrySettings::*member)
+auto entryNumberReader(double EntrySettings::*member,
+                       double maximum = std::numeric_limits<double>::max())
 {
-    return [member](const toml::node &node, Settings &settings) {
+    return [=](const toml::node &node, Settings &settings) {
         const auto value = node.value<double>();
-        if (!node.is_number() || *value < 0)
+        if (!node.is_number() || !(*value >= 0 && *value <= maximum))
             return false;
         entrySettings(settings).*member = *value;
         return true;
@@ -215,6 +217,8 @@
         { "entry", "settle_ms", false, kNumber, entryDurationReader(&E::settleTime, kMillisecond) },
         { "entry", "drain_ms", false, kNumber,
           entryDurationReader(&E::targetDrainTime, kMillisecond) },
+        { "entry", "link_mbps", false, "a number from 0 to 1000000",
+          entryNumberReader(&E::linkMbps, 1e6) },
         { "entry", "retry_ratio", false, kNumber, entryNumberReader(&E::retryRatio) },
         { "entry", "retry_burst", false, kNumber, entryNumberReader(&E::retryBurst) },
         { "entry", "retry_window_s", false, kNumber,
--- a/packages/entry/include/entry/options.h
+++ b/packages/entry/include/entry/options.h
@@ -15,12 +15,14 @@
 {
     std::string instance;
     std::string dataCentre;
-    net::Address callerAddress;      ///< Address for callers' requests.
-    net::Address readinessAddress;   ///< Address for the readiness check of the platform.
-    net::Address directoryAddress;   ///< Address for callers' queries for instance addresses.
-    net::Address peerAddress;        ///< Address for other instances, TCP and UDP.
-    net::Address metricsAddress;     ///< Address for reads of the metrics.
-    net::Address storeAddress;       ///< Address of the platform's store.
+    net::Address callerAddress;    ///< Address for callers' requests.
+    net::Address readinessAddress; ///< Address for the readiness check of the platform.
+    net::Address directoryAddress; ///< Address for callers' queries for instance addresses.
+    net::Address peerAddress;      ///< Address for other instances, TCP and UDP.
+    net::Address metricsAddress;   ///< Address for reads of the metrics.
+    net::Address storeAddress;     ///< Address of the platform's store.
+    /// Bandwidth of this instance's network link in Mbit/s; 0 if unknown.
+    std::uint32_t linkMbps = 0;
     std::vector<net::Address> seeds; ///< Peer addresses through which this instance joins.
 
     /// Time for which callers may use a list of addresses.
--- a/packages/entry/include/entry/peer_mesh.h
+++ b/packages/entry/include/entry/peer_mesh.h
@@ -23,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <span>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -55,6 +56,12 @@
     std::function<void(const peers::QuarantinedParts &)> receiveQuarantines;
 };
 
+/// Returns the members that follow the store for all others. All instances that know the same
+/// members choose the same ones. A follower sends each change to many instances, so those with the
+/// widest links are chosen. The list is empty if so few members are live that each follows the
+/// store itself.
+std::vector<membership::Member> chooseFollowers(std::span<const membership::Member> members);
+
 /// Connects an entry instance with the others. Membership, loads, hints, notices about weights and
 /// quarantines travel over UDP; member tables and copies of the store's rows over TCP, for
 /// instances that do not poll the store or cannot reach it. All functions must be called on the
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -110,7 +110,8 @@
                        .peerAddress = toString(server_->localAddress()),
                        .callerAddress = toString(options_.callerAddress),
                        .dataCentre = options_.dataCentre,
-                       .life = life_ },
+                       .life = life_,
+                       .linkMbps = options_.linkMbps },
              .protocol = membership::optionsFor(options_.protocolPeriod),
              .randomSeed = random_(),
              .timeLine = &timeLine_,
@@ -275,25 +276,27 @@
     });
 }
 
-std::vector<net::Address> PeerMesh::followers() const
+std::vector<membership::Member> chooseFollowers(std::span<const membership::Member> members)
 {
-    const auto snapshot = actor_->snapshot();
-    std::vector<const membership::Member *> live;
-    for (const membership::Member &member : snapshot->members) {
-        if (membership::canTakeWork(member))
-            live.push_back(&member);
-    }
+    std::vector<membership::Member> live;
+    std::ranges::copy_if(members, std::back_inserter(live), membership::canTakeWork);
     if (std::ssize(live) <= kFollowerCount)
         return {};
-    // All instances that know the same members choose the same followers.
-    const auto rank = [](const membership::Member *member) { return base::hash64(member->name); };
+    const auto rank = [](const membership::Member &member) {
+        return std::pair(-static_cast<std::int64_t>(member.linkMbps), base::hash64(member.name));
+    };
     std::ranges::partial_sort(live, live.begin() + kFollowerCount, {}, rank);
     live.resize(kFollowerCount);
+    return live;
+}
+
+std::vector<net::Address> PeerMesh::followers() const
+{
     std::vector<net::Address> addresses;
-    for (const membership::Member *member : live) {
-        if (member->name == options_.instance)
+    for (const membership::Member &member : chooseFollowers(actor_->snapshot()->members)) {
+        if (member.name == options_.instance)
             return {};
-        if (const auto address = net::parseAddress(member->peerAddress))
+        if (const auto address = net::parseAddress(member.peerAddress))
             addresses.push_back(*address);
     }
     return addresses;
@@ -339,7 +342,7 @@
         const auto peers = otherPeerAddresses();
         if (peers.empty())
             continue;
-        const net::Address peer = peers[random_() % peers.size()];
+        const net::Address &peer = peers[random_() % peers.size()];
         const fleet::DeploymentSchema &schema = viewUpdater_.schema();
         rowFetcher_.fetch(peer, schema.targetTable, yield);
         for (const std::string &table : schema.tables) {
--- a/packages/membership/include/membership/member.h
+++ b/packages/membership/include/membership/member.h
@@ -26,6 +26,7 @@
     std::uint64_t life = 0;        ///< Increases with each start of the process.
     std::uint32_t incarnation = 0; ///< Incremented only by the member itself, to refute a claim.
     MemberState state = MemberState::Alive;
+    std::uint32_t linkMbps = 0; ///< Bandwidth of its network link in Mbit/s; 0 if unknown.
 
     bool operator==(const Member &) const = default;
 };
--- a/packages/membership/src/protocol.cpp
+++ b/packages/membership/src/protocol.cpp
@@ -227,9 +227,9 @@
 
 std::size_t maxEncodedBytes(const MemberUpdate &update)
 {
-    // Five strings with header and length (10), life (11), incarnation (6), state (2), stop byte
-    // (1).
-    constexpr std::size_t kFixedBytes = 30;
+    // Five strings with header and length (10), life (11), incarnation (6), state (2), bandwidth
+    // (6), stop byte (1).
+    constexpr std::size_t kFixedBytes = 36;
     const Member &member = update.member;
     return kFixedBytes + member.name.size() + member.peerAddress.size()
            + member.callerAddress.size() + member.dataCentre.size() + update.accuser.size();
--- a/packages/peers/src/member_wire.cpp
+++ b/packages/peers/src/member_wire.cpp
@@ -1,5 +1,7 @@
 #include "internal/member_wire.h"
 
+#include <algorithm>
+
 namespace chervilfield::peers::internal {
 
 namespace {
@@ -24,6 +26,8 @@
     result.life = static_cast<std::int64_t>(member.life);
     result.incarnation = static_cast<std::int32_t>(member.incarnation);
     result.state = static_cast<std::int8_t>(member.state);
+    if (member.linkMbps > 0)
+        result.__set_linkMbps(static_cast<std::int32_t>(member.linkMbps));
     if (!update.accuser.empty())
         result.__set_accuser(update.accuser);
     return result;
@@ -46,7 +50,8 @@
                       .dataCentre = member.dataCentre,
                       .life = static_cast<std::uint64_t>(member.life),
                       .incarnation = static_cast<std::uint32_t>(member.incarnation),
-                      .state = static_cast<membership::MemberState>(member.state) };
+                      .state = static_cast<membership::MemberState>(member.state),
+                      .linkMbps = static_cast<std::uint32_t>(std::max(member.linkMbps, 0)) };
     update.accuser = member.accuser;
     return update;
 }
--- a/packages/peers/test/datagram_test.cpp
+++ b/packages/peers/test/datagram_test.cpp
@@ -29,7 +29,8 @@
              .dataCentre = makeText(),
              .life = *rc::gen::arbitrary<std::uint64_t>(),
              .incarnation = *rc::gen::arbitrary<std::uint32_t>(),
-             .state = static_cast<membership::MemberState>(*rc::gen::inRange(0, 4)) };
+             .state = static_cast<membership::MemberState>(*rc::gen::inRange(0, 4)),
+             .linkMbps = *rc::gen::inRange(0U, 1'000'000U) };
 }
 
 Datagram makeMembership()
--- a/packages/peers/thrift/peers.thrift
+++ b/packages/peers/thrift/peers.thrift
@@ -15,6 +15,8 @@
   6: i32 incarnation
   7: i8 state
   8: optional string accuser
+  // Bandwidth of the member's network link.
+  9: optional i32 linkMbps
 }
 
 struct Ping {
