Decode an unchanged configuration only once

Cause: each change of a target decoded the whole configuration and built the index of its routes again, on the control thread that also takes the rows of leaving targets. Change: the schema returns the previous configuration if its row has not changed, and a view shares the index of the one before.

--- a/packages/entry/src/view_updater.cpp
+++ b/packages/entry/src/view_updater.cpp
@@ -416,7 +416,9 @@
 void ViewUpdater::rebuildView(const WeightsEvidence &evidence)
 {
     const auto startedAt = Clock::now();
-    fleet::Deployment deployment = schema_.readDeployment(tables_);
+    const fleet::ViewPtr previousView = view();
+    fleet::Deployment deployment =
+            schema_.readDeployment(tables_, previousView->sharedConfiguration());
     for (const fleet::RejectedRow &row : deployment.rejectedRows) {
         std::string &previous = reportedReasons_[row.table + '/' + row.key];
         if (std::exchange(previous, row.reason) != row.reason)
@@ -424,12 +426,12 @@
                        { { "table", row.table }, { "key", row.key }, { "reason", row.reason } });
     }
     // If the configuration row cannot be read, the new view is incomplete.
-    const fleet::ViewPtr previousView = view();
     retainUnlistedTargets(deployment.targets);
     recordDesiredWeights(deployment.desiredWeights, evidence.setAfter);
     applyPeerAges(evidence);
     const auto view = std::make_shared<const fleet::View>(
-            deployment.configuration, std::move(deployment.targets), weightsHistory_, version());
+            deployment.configuration, std::move(deployment.targets), weightsHistory_, version(),
+            previousView.get());
     const auto configurationVersion = [](const fleet::View &v) {
         return v.isComplete() ? v.configuration().version : 0;
     };
--- a/packages/entry/test/row_fetcher_test.cpp
+++ b/packages/entry/test/row_fetcher_test.cpp
@@ -38,7 +38,8 @@
     return text + "]}";
 }
 
-fleet::Deployment readTables(const fleet::TableReplicas &tables)
+fleet::Deployment readTables(const fleet::TableReplicas &tables,
+                             const std::shared_ptr<const fleet::Configuration> &)
 {
     fleet::Deployment deployment;
     for (const auto &[key, row] : tables.at("deployment").rows()) {
--- a/packages/entry/test/view_updater_test.cpp
+++ b/packages/entry/test/view_updater_test.cpp
@@ -15,7 +15,8 @@
 
 // Reads each row of `targets` as a ready target. In `deployment`, the row `version` holds the
 // version of the configuration and the row `weights` the desired version of model "m".
-fleet::Deployment readTables(const fleet::TableReplicas &tables)
+fleet::Deployment readTables(const fleet::TableReplicas &tables,
+                             const std::shared_ptr<const fleet::Configuration> &)
 {
     fleet::Deployment deployment;
     for (const auto &[key, row] : tables.at("deployment").rows()) {
--- a/packages/fleet/include/fleet/configuration.h
+++ b/packages/fleet/include/fleet/configuration.h
@@ -91,6 +91,7 @@
 struct Configuration
 {
     std::uint64_t version = 0;
+    std::uint64_t storeVersion = 0; ///< Version of the store's row that holds it; 0 if unknown.
     std::vector<Route> routes;
     std::vector<Pool> pools;
     std::vector<Customer> customers;
--- a/packages/fleet/include/fleet/deployment_schema.h
+++ b/packages/fleet/include/fleet/deployment_schema.h
@@ -36,8 +36,11 @@
 {
     std::vector<std::string> tables; ///< Names of the tables that describe the deployment.
     std::string targetTable;         ///< Name of the table in which targets register.
-    /// Decodes the rows of the tables. Lists invalid rows in `Deployment::rejectedRows`.
-    std::function<Deployment(const TableReplicas &)> readDeployment;
+    /// Decodes the rows of the tables. Lists invalid rows in `Deployment::rejectedRows`. Returns
+    /// `previous`, which may be null, as the configuration if its row has not changed.
+    std::function<Deployment(const TableReplicas &,
+                             const std::shared_ptr<const Configuration> &previous)>
+            readDeployment;
 };
 
 } // namespace chervilfield::fleet
--- a/packages/fleet/include/fleet/view.h
+++ b/packages/fleet/include/fleet/view.h
@@ -30,15 +30,28 @@
 /// Desired weights versions by model, in ascending order.
 using WeightsHistory = std::map<std::string, std::vector<DesiredVersion>>;
 
+namespace detail {
+
+/// Look-up tables of a configuration, which must outlive them.
+struct ConfigurationIndex
+{
+    /// Routes by host, in descending order of prefix length.
+    std::unordered_map<std::string, std::vector<const Route *>> routesByHost;
+    std::unordered_map<std::string_view, const Customer *> customersByKey;
+};
+
+} // namespace detail
+
 /// Immutable snapshot of the deployment, indexed for use by the traffic threads.
 class View
 {
 public:
     View() = default;
     /// `weights` are the desired versions, which the operator sets. `storeVersion` is the store
-    /// version of the snapshot.
+    /// version of the snapshot. Shares the index of `previous`, which may
+    /// be null, if that has the same configuration.
     View(std::shared_ptr<const Configuration> configuration, std::vector<Target> targets,
-         WeightsHistory weights, std::uint64_t storeVersion);
+         WeightsHistory weights, std::uint64_t storeVersion, const View *previous = nullptr);
 
     /// Returns true if a configuration is known.
     bool isComplete() const { return configuration_ != nullptr; }
@@ -46,6 +59,12 @@
     /// Returns the configuration. Must be called only if the view is complete.
     const Configuration &configuration() const { return *configuration_; }
 
+    /// Returns the configuration, or null if none is known.
+    const std::shared_ptr<const Configuration> &sharedConfiguration() const
+    {
+        return configuration_;
+    }
+
     /// Returns the route on `host` with the longest prefix that matches `path`, or null. Ignores
     /// the port and the case of `host`.
     const Route *findRoute(std::string_view host, std::string_view path) const;
@@ -79,9 +98,7 @@
     std::vector<Target> targets_;
     WeightsHistory weights_;
     std::uint64_t storeVersion_ = 0;
-    /// Routes by host, in descending order of prefix length.
-    std::unordered_map<std::string, std::vector<const Route *>> routesByHost_;
-    std::unordered_map<std::string_view, const Customer *> customersByKey_;
+    std::shared_ptr<const detail::ConfigurationIndex> index_; ///< Null without a configuration.
     std::unordered_map<std::string, std::vector<std::size_t>> readyByPool_;
     std::unordered_map<std::uint64_t, std::size_t> targetsByKey_;
 };
--- a/packages/fleet/src/view.cpp
+++ b/packages/fleet/src/view.cpp
@@ -18,10 +18,26 @@
     return name;
 }
 
+std::shared_ptr<const detail::ConfigurationIndex> makeIndex(const Configuration &configuration)
+{
+    auto index = std::make_shared<detail::ConfigurationIndex>();
+    for (const Route &route : configuration.routes)
+        index->routesByHost[normalizedHost(route.host)].push_back(&route);
+    for (auto &[host, routes] : index->routesByHost) {
+        std::ranges::stable_sort(
+                routes, [](auto a, auto b) { return a->prefix.size() > b->prefix.size(); });
+    }
+    for (const Customer &customer : configuration.customers) {
+        for (const std::string &key : customer.keys)
+            index->customersByKey.emplace(key, &customer);
+    }
+    return index;
+}
+
 } // namespace
 
 View::View(std::shared_ptr<const Configuration> configuration, std::vector<Target> targets,
-           WeightsHistory weights, std::uint64_t storeVersion)
+           WeightsHistory weights, std::uint64_t storeVersion, const View *previous)
     : configuration_(std::move(configuration)), targets_(std::move(targets)),
       weights_(std::move(weights)), storeVersion_(storeVersion)
 {
@@ -33,16 +49,8 @@
     }
     if (configuration_ == nullptr)
         return;
-    for (const Route &route : configuration_->routes)
-        routesByHost_[normalizedHost(route.host)].push_back(&route);
-    for (auto &[host, routes] : routesByHost_) {
-        std::ranges::stable_sort(
-                routes, [](auto a, auto b) { return a->prefix.size() > b->prefix.size(); });
-    }
-    for (const Customer &customer : configuration_->customers) {
-        for (const std::string &key : customer.keys)
-            customersByKey_.emplace(key, &customer);
-    }
+    const bool isSame = previous != nullptr && previous->configuration_ == configuration_;
+    index_ = isSame ? previous->index_ : makeIndex(*configuration_);
 }
 
 const Target *View::findTarget(std::uint64_t key) const
@@ -53,8 +61,10 @@
 
 const Route *View::findRoute(std::string_view host, std::string_view path) const
 {
-    const auto routes = routesByHost_.find(normalizedHost(host));
-    if (routes == routesByHost_.end())
+    if (index_ == nullptr)
+        return nullptr;
+    const auto routes = index_->routesByHost.find(normalizedHost(host));
+    if (routes == index_->routesByHost.end())
         return nullptr;
     const auto match = std::ranges::find_if(
             routes->second, [path](const Route *route) { return path.starts_with(route->prefix); });
@@ -63,8 +73,10 @@
 
 const Customer *View::findCustomer(std::string_view key) const
 {
-    const auto found = customersByKey_.find(key);
-    return found == customersByKey_.end() ? nullptr : found->second;
+    if (index_ == nullptr)
+        return nullptr;
+    const auto found = index_->customersByKey.find(key);
+    return found == index_->customersByKey.end() ? nullptr : found->second;
 }
 
 const Pool *View::findPool(std::string_view name) const
--- a/packages/fleet/test/view_test.cpp
+++ b/packages/fleet/test/view_test.cpp
@@ -11,6 +11,7 @@
 {
     CPPUNIT_TEST_SUITE(ViewTest);
     CPPUNIT_TEST(longestPrefixWins);
+    CPPUNIT_TEST(indexBelongsToItsConfiguration);
     CPPUNIT_TEST(firstNewerVersionCounts);
     CPPUNIT_TEST(weightsAgeIncludesSuspendedTime);
     CPPUNIT_TEST_SUITE_END();
@@ -44,6 +45,41 @@
         }
     }
 
+    // Guards against routes and customers of an earlier configuration after a change.
+    void indexBelongsToItsConfiguration()
+    {
+        const auto makeConfiguration = [](const std::string &name) {
+            auto configuration = std::make_shared<Configuration>();
+            configuration->routes = { { .name = name, .host = "a", .prefix = "/" } };
+            configuration->customers = { { .name = name, .keys = { "key-" + name } } };
+            return configuration;
+        };
+        const auto first = makeConfiguration("first");
+        const auto second = makeConfiguration("second");
+        struct Row
+        {
+            std::shared_ptr<const Configuration> before;
+            std::shared_ptr<const Configuration> after;
+        };
+        const Row rows[] = { { nullptr, first },
+                             { first, first },
+                             { first, second },
+                             { second, first },
+                             { first, nullptr } };
+        for (const Row &row : rows) {
+            const View before(row.before, {}, {}, 1);
+            const View after(row.after, {}, {}, 2, &before);
+            const Route *route = after.findRoute("a", "/");
+            CPPUNIT_ASSERT_EQUAL(row.after != nullptr, route != nullptr);
+            CPPUNIT_ASSERT(route == nullptr || route == &row.after->routes.front());
+            for (const auto &configuration : { first, second }) {
+                const Customer *customer =
+                        after.findCustomer(configuration->customers.front().keys.front());
+                CPPUNIT_ASSERT_EQUAL(configuration == row.after, customer != nullptr);
+            }
+        }
+    }
+
     // Tests that the first later version determines when weights were replaced. Guards against an
     // engine that keeps old weights longer whenever a still newer version becomes desired.
     void firstNewerVersionCounts()
