Share the request limits that targets state between instances

Cause: a target may state how many requests a second it takes from all instances together, and nothing read that. Change: each instance uses an equal share of a stated limit: permits at equal intervals, from a random start, which expire after a second. A request takes the earliest permit and waits for it up to 0.4 of its latency goal; otherwise it is refused at once with `rate-limited`, and refused callers are asked to return one after the other. The first instance that learns of a limit or of its end tells the others.

--- a/packages/base/include/base/result.h
+++ b/packages/base/include/base/result.h
@@ -32,6 +32,7 @@
     RetryBudgetSpent = 2006,
     NotReady = 2007,
     PartQuarantined = 2008,
+    RateLimited = 2009,
 
     TargetUnreachable = 3001,
     TargetFailed = 3002,
--- a/packages/base/src/result.cpp
+++ b/packages/base/src/result.cpp
@@ -44,6 +44,8 @@
     ResultInfo{ Result::NotReady, "not-ready", 503, "The instance has no configuration yet." },
     ResultInfo{ Result::PartQuarantined, "part-quarantined", 503,
                 "Engines crashed on a part of the prompt." },
+    ResultInfo{ Result::RateLimited, "rate-limited", 503,
+                "The targets accept no more requests at the moment." },
     ResultInfo{ Result::TargetUnreachable, "target-unreachable", 502,
                 "The target refused the connection." },
     ResultInfo{ Result::TargetFailed, "target-failed", 502, "The target failed." },
--- a/packages/dispatch/include/dispatch/placement.h
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <span>
@@ -52,6 +53,8 @@
     /// wait longer, because the request must not begin on its weights after that. No value if there
     /// is no limit.
     std::optional<std::chrono::milliseconds> timeLimit;
+    /// Time to wait before the request is sent, because the target accepts no more requests.
+    std::chrono::milliseconds sendDelay{ 0 };
 };
 
 /// Reason why no target was chosen.
@@ -143,6 +146,8 @@
     /// long prompt is placed. The rest caches prefixes that would otherwise have to be computed
     /// again.
     double maxMemoryShare = 0.6;
+    /// Maximum time that a request waits until a target accepts it, as a share of the latency goal.
+    double maxSendDelayGoalShare = 0.4;
     /// Retry-After of a refusal because of overload: the usual duration of requests in progress.
     std::chrono::milliseconds overloadedRetryAfter{ 800 };
     /// Retry-After of a refusal because no target is available.
@@ -165,6 +170,11 @@
     void recordSent(const PlacementRequest &request, const Placement &placement,
                     const fleet::View &view, Time now);
 
+    /// Records the requests per second that the target states in the answer to a request sent at
+    /// `sentAt`, or that it states no limit. Returns true if other instances should learn of it.
+    bool recordRateLimit(const fleet::Target &target, std::optional<double> requestsPerSecond,
+                         Time sentAt, Time now);
+
     /// Returns at most `limit` prefixes that were not yet announced to other instances, and
     /// discards the rest.
     std::vector<PrefixHint> takeHints(std::size_t limit);
@@ -202,6 +212,10 @@
     /// Returns true if too little time is left to place the request on this version of the weights.
     bool isTooStale(const PlacementRequest &request, std::uint64_t weights, const fleet::View &view,
                     Time now) const;
+    /// Returns a refusal because no target of the pool accepts the request within its maximum
+    /// delay. Refused callers are asked to return one after the other.
+    Refusal refuseRateLimited(const PlacementRequest &request, const std::string &pool,
+                              const fleet::View &view, Seconds earliestDelay, Time now);
     void addServiceCost(Candidate &candidate, const fleet::Target &target, Time now) const;
     Seconds slotWait(const fleet::Target &target, Time now) const;
     void addEngineCost(Candidate &candidate, const PlacementRequest &request,
@@ -225,6 +239,7 @@
     TargetTracker targetTracker_;
     PrefixMemory memory_;
     std::vector<PrefixHint> hints_;
+    std::map<std::string, Time> lastReturnAt_; ///< Return of the last refused caller, by pool.
 };
 
 /// Returns a hash of the cache scope, the model, the weights version and the first `count` parts of
--- a/packages/dispatch/include/dispatch/target_tracker.h
+++ b/packages/dispatch/include/dispatch/target_tracker.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "base/boot_clock.h"
+#include "dispatch/rate_limit.h"
 #include "fleet/configuration.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 #include <unordered_map>
@@ -47,6 +50,7 @@
     Time faultCountAt{};                          ///< When `faultCount` was last decayed.
     Time avoidUntil{};   ///< Gets no new requests until then, unless all targets are avoided.
     Time loadingUntil{}; ///< Expected end of loading weights.
+    RateLimit rateLimit; ///< Requests that the target accepts from all instances together.
 };
 
 /// Work in flight at one target.
@@ -96,6 +100,7 @@
     /// Maximum time for which a target counts as loading weights; a load takes one to three
     /// seconds.
     std::chrono::milliseconds maxWeightsLoadTime{ 3000 };
+    RateLimitOptions rateLimit; ///< Share of this instance in the limits of the targets.
 };
 
 /// Tracks load and health of all targets that this instance uses. Not safe for concurrent use.
@@ -160,6 +165,24 @@
     void recordWeights(const fleet::Target &target, const std::string &model,
                        std::uint64_t version);
 
+    /// Sets the number of instances that share the rate limits of the targets, at least 1.
+    void setInstanceCount(std::size_t count) { instanceCount_ = count; }
+
+    /// Records the requests per second that the target accepts, or that it states no limit. `phase`
+    /// is that of `stateLimit()`. Returns true if other instances should learn of it.
+    bool recordRateLimit(const fleet::Target &target, std::optional<double> requestsPerSecond,
+                         double phase, Time now);
+
+    /// Returns the time from which this instance may send the next request, at least `now`.
+    Time nextSendTime(const fleet::Target &target, Time now) const;
+
+    /// Returns the requests per second that this instance may send, or no value if there is no
+    /// limit.
+    std::optional<double> permittedRate(const fleet::Target &target) const;
+
+    /// Uses up the next permit of the target's rate limit.
+    void takePermit(const fleet::Target &target, Time now);
+
     /// Returns the work of this instance at each target with requests in flight.
     std::vector<TargetWork> ownWork() const;
 
@@ -171,6 +194,7 @@
     double recentFaults(const TargetStatus &status, Time now) const;
 
     TargetTrackerOptions options_;
+    std::size_t instanceCount_ = 1;
     std::unordered_map<std::string, TargetStatus> targets_; ///< By target id.
 };
 
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -45,6 +45,7 @@
     bool isDuplicate = false; ///< Another target caches the prefix or is computing it.
     const fleet::Target *fetchSource = nullptr;
     bool shouldAvoid = false;
+    Seconds sendDelay{}; ///< Time until the target accepts another request of this instance.
     Seconds cost{};
     Seconds expectedTime{};
 
@@ -255,7 +256,8 @@
         const fleet::Target &target = view.targets()[index];
         if (std::ranges::find(request.excluded, target.id) != request.excluded.end())
             continue;
-        Candidate candidate{ .index = index };
+        Candidate candidate{ .index = index,
+                             .sendDelay = targetTracker_.nextSendTime(target, now) - now };
         if (request.model.empty()) {
             addServiceCost(candidate, target, now);
         } else {
@@ -265,6 +267,7 @@
             findPrefix(candidate, request, view, now);
             addEngineCost(candidate, request, target, now);
         }
+        candidate.expectedTime += candidate.sendDelay;
         addCommonCost(candidate, request, view, now);
         result.push_back(candidate);
     }
@@ -327,9 +330,12 @@
 {
     const auto ready = view.readyTargets(pool);
     const auto isAvoidedCandidate = [](const Candidate &c) { return c.shouldAvoid; };
+    const Seconds maxDelay = Seconds(request.latencyGoal) * options_.maxSendDelayGoalShare;
+    const auto isDelayed = [maxDelay](const Candidate &c) { return c.sendDelay > maxDelay; };
     std::vector<Candidate> candidates =
             makeCandidates(request, sampleTargets(request, ready, view, now), view, now);
-    std::erase_if(candidates, isAvoidedCandidate);
+    std::erase_if(candidates,
+                  [&](const Candidate &c) { return isAvoidedCandidate(c) || isDelayed(c); });
     // The sample may contain no usable target although another ready one is usable.
     if (candidates.empty())
         candidates = makeCandidates(request, ready, view, now);
@@ -337,6 +343,11 @@
         return Refusal{ .code = base::Result::NoTarget, .retryAfter = options_.noTargetRetryAfter };
     if (!std::ranges::all_of(candidates, isAvoidedCandidate))
         std::erase_if(candidates, isAvoidedCandidate);
+    const Seconds earliestDelay =
+            std::ranges::min_element(candidates, {}, &Candidate::sendDelay)->sendDelay;
+    if (earliestDelay > maxDelay)
+        return refuseRateLimited(request, pool, view, earliestDelay, now);
+    std::erase_if(candidates, isDelayed);
     const fleet::Pool *poolDefinition = view.findPool(pool);
     std::erase_if(candidates, [&](const Candidate &c) {
         return !accepts(c, request, poolDefinition, view, acceptance, now);
@@ -352,14 +363,17 @@
         candidate.cost +=
                 Seconds(std::uniform_real_distribution<double>(0, kMaxTieBreakSeconds)(random_));
     const auto best = std::ranges::min_element(candidates, {}, &Candidate::cost);
-    Placement placement{ .target = best->index,
-                         .weights = best->weights,
-                         .inFlightRequest = { best->uncachedTokens(request),
-                                              requestMemoryTokens(request) },
-                         .uncachedTokens = best->uncachedTokens(request),
-                         .expectedTime = best->expectedTime };
+    Placement placement{
+        .target = best->index,
+        .weights = best->weights,
+        .inFlightRequest = { best->uncachedTokens(request), requestMemoryTokens(request) },
+        .uncachedTokens = best->uncachedTokens(request),
+        .expectedTime = best->expectedTime,
+        .sendDelay = std::chrono::ceil<std::chrono::milliseconds>(best->sendDelay)
+    };
     if (!request.model.empty())
-        placement.timeLimit = remainingWeightsTime(request, best->weights, view, now);
+        placement.timeLimit =
+                remainingWeightsTime(request, best->weights, view, now + placement.sendDelay);
     if (best->fetchSource != nullptr)
         placement.cacheSource = best->fetchSource->address;
     else if (prefixTokens(request, sharedPartCount(request)) - best->cachedTokens
@@ -368,6 +382,25 @@
     return placement;
 }
 
+Refusal Placer::refuseRateLimited(const PlacementRequest &request, const std::string &pool,
+                                  const fleet::View &view, Seconds earliestDelay, Time now)
+{
+    double rate = 0;
+    for (const std::size_t index : view.readyTargets(pool))
+        rate += targetTracker_.permittedRate(view.targets()[index]).value_or(0);
+    const auto toDuration = [](Seconds time) {
+        return std::chrono::duration_cast<Time::duration>(time);
+    };
+    Time &lastReturnAt = lastReturnAt_[pool];
+    const Time returnAt = std::max(now + toDuration(earliestDelay),
+                                   lastReturnAt + toDuration(Seconds(1 / std::max(rate, 0.001))));
+    // A caller that gives up before its turn leaves the turn to the next one.
+    if (returnAt - now < request.timeLeft)
+        lastReturnAt = returnAt;
+    return { .code = base::Result::RateLimited,
+             .retryAfter = std::chrono::ceil<std::chrono::milliseconds>(returnAt - now) };
+}
+
 // A prefix that no engine is known to cache may still be in a store. If not, the engine that
 // computes it saves it there, so that the prefix outlives its eviction and the engine.
 void Placer::setCacheStore(Placement &placement, const fleet::View &view)
@@ -386,6 +419,7 @@
 {
     const fleet::Target &target = view.targets()[placement.target];
     targetTracker_.startRequest(target, placement.inFlightRequest);
+    targetTracker_.takePermit(target, now);
     const auto readyDelay = std::chrono::duration_cast<Time::duration>(
             placement.expectedTime * options_.prefixReadyFactor);
     const Holder holder{ .target = target.key,
@@ -402,6 +436,18 @@
     }
 }
 
+bool Placer::recordRateLimit(const fleet::Target &target, std::optional<double> requestsPerSecond,
+                             Time sentAt, Time now)
+{
+    const TargetStatus *status = targetTracker_.find(target);
+    const bool isLimited = status != nullptr && status->rateLimit.requestsPerSecond > 0;
+    // An answer may have been on its way when the limit was first stated.
+    if (!requestsPerSecond && (!isLimited || sentAt < status->rateLimit.statedAt))
+        return false;
+    const double phase = std::uniform_real_distribution<double>(0, 1)(random_);
+    return targetTracker_.recordRateLimit(target, requestsPerSecond, phase, now);
+}
+
 std::vector<PrefixHint> Placer::takeHints(std::size_t limit)
 {
     std::vector<PrefixHint> taken = std::exchange(hints_, {});
--- a/packages/dispatch/src/target_tracker.cpp
+++ b/packages/dispatch/src/target_tracker.cpp
@@ -178,6 +178,41 @@
     known = version;
 }
 
+bool TargetTracker::recordRateLimit(const fleet::Target &target,
+                                    std::optional<double> requestsPerSecond, double phase, Time now)
+{
+    RateLimit &limit = status(target).rateLimit;
+    const double before = limit.requestsPerSecond;
+    if (!requestsPerSecond)
+        limit = {};
+    else
+        stateLimit(limit, *requestsPerSecond, instanceCount_, phase, now, options_.rateLimit);
+    // Instances learn of smaller changes with their own answers.
+    constexpr double kMinChange = 0.1;
+    return std::abs(limit.requestsPerSecond - before) > kMinChange * before;
+}
+
+Time TargetTracker::nextSendTime(const fleet::Target &target, Time now) const
+{
+    const TargetStatus *entry = find(target);
+    return entry == nullptr ? now
+                            : dispatch::nextSendTime(entry->rateLimit, instanceCount_, now,
+                                                     options_.rateLimit);
+}
+
+std::optional<double> TargetTracker::permittedRate(const fleet::Target &target) const
+{
+    const TargetStatus *entry = find(target);
+    if (entry == nullptr || entry->rateLimit.requestsPerSecond <= 0)
+        return std::nullopt;
+    return dispatch::permittedRate(entry->rateLimit, instanceCount_, options_.rateLimit);
+}
+
+void TargetTracker::takePermit(const fleet::Target &target, Time now)
+{
+    dispatch::takePermit(status(target).rateLimit, instanceCount_, now, options_.rateLimit);
+}
+
 std::vector<TargetWork> TargetTracker::ownWork() const
 {
     std::vector<TargetWork> work;
--- a/packages/dispatch/test/placement_test.cpp
+++ b/packages/dispatch/test/placement_test.cpp
@@ -97,6 +97,8 @@
     CPPUNIT_TEST(oneLongPromptPerEngine);
     CPPUNIT_TEST(prefixesAreFoundAgain);
     CPPUNIT_TEST(instancesAgreeOnTheHome);
+    CPPUNIT_TEST(limitEndsOnlyWithLaterAnswers);
+    CPPUNIT_TEST(requestsWithoutPermitAreDelayedOrRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -353,6 +355,77 @@
             CPPUNIT_ASSERT_EQUAL(choose(first, request, *view), choose(second, request, *view));
         }
     }
+
+    // Guards against a limit that an answer ends which was on its way when the target stated it.
+    void limitEndsOnlyWithLaterAnswers()
+    {
+        struct Row
+        {
+            std::string name;
+            std::optional<double> stated;
+            milliseconds sentAt; ///< Relative to the time at which the target stated 5 a second.
+            bool isNews;
+            double limit;
+        };
+        const Row rows[] = {
+            { "none, sent before", std::nullopt, milliseconds(-10), false, 5 },
+            { "none, sent after", std::nullopt, milliseconds(10), true, 0 },
+            { "the same", 5, milliseconds(-10), false, 5 },
+            { "nearly the same", 5.2, milliseconds(10), false, 5.2 },
+            { "higher", 8, milliseconds(10), true, 8 },
+            { "lower", 3, milliseconds(-10), true, 3 },
+        };
+        for (const Row &row : rows) {
+            const auto view = makeView(1);
+            const fleet::Target &target = view->targets().front();
+            Placer placer("d", 1);
+            CPPUNIT_ASSERT(!placer.recordRateLimit(target, std::nullopt, kStart, kStart));
+            CPPUNIT_ASSERT(placer.recordRateLimit(target, 5, kStart, kStart));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isNews,
+                                         placer.recordRateLimit(target, row.stated,
+                                                                kStart + row.sentAt,
+                                                                kStart + seconds(1)));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                    row.name, row.limit,
+                    placer.targetTracker().find(target)->rateLimit.requestsPerSecond);
+        }
+    }
+
+    // Guards against requests that wait in vain for a target, and callers that all return at once.
+    void requestsWithoutPermitAreDelayedOrRefused()
+    {
+        const auto view = makeView(2);
+        Placer placer("d", 1);
+        placer.targetTracker().setInstanceCount(2);
+        for (const fleet::Target &target : view->targets())
+            placer.recordRateLimit(target, 10, kStart, kStart);
+        const auto request = shortRequest();
+        std::size_t placed = 0;
+        std::vector<milliseconds> returns;
+        for (int i = 0; i < 20; ++i) {
+            const auto result = placer.place(request, "p", *view, Acceptance::InTime, kStart);
+            if (const auto *placement = std::get_if<Placement>(&result)) {
+                CPPUNIT_ASSERT(returns.empty());
+                CPPUNIT_ASSERT(placement->sendDelay <= milliseconds(240));
+                placer.recordSent(request, *placement, *view, kStart);
+                ++placed;
+                continue;
+            }
+            const Refusal &refusal = std::get<Refusal>(result);
+            CPPUNIT_ASSERT(refusal.code == base::Result::RateLimited);
+            CPPUNIT_ASSERT(!refusal.mayWait);
+            returns.push_back(refusal.retryAfter);
+        }
+        // Two targets with a permit each 222 ms for this instance, and a maximum delay of 240 ms.
+        CPPUNIT_ASSERT(placed >= 2 && placed <= 4);
+        CPPUNIT_ASSERT(returns.front() > milliseconds(240));
+        for (std::size_t i = 1; i < returns.size(); ++i)
+            CPPUNIT_ASSERT(returns[i] >= returns[i - 1] + milliseconds(100));
+        // An engine without a limit is preferred to a wait.
+        CPPUNIT_ASSERT(placer.recordRateLimit(view->targets().front(), std::nullopt,
+                                              kStart + seconds(1), kStart + seconds(1)));
+        CPPUNIT_ASSERT_EQUAL(std::string("e0"), choose(placer, request, *view));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
--- a/packages/entry/include/entry/entry_app.h
+++ b/packages/entry/include/entry/entry_app.h
@@ -67,6 +67,7 @@
     /// Updates the other instances' requests in flight. Runs on the traffic thread.
     void updateOthersWork(const std::vector<dispatch::TargetWork> &work);
     void applyWeightsNotice(const peers::WeightsNotice &notice);
+    void applyRateLimitNotice(const peers::RateLimitNotice &notice);
     void waitForSignal();
     void reload();
     void startDrain();
--- a/packages/entry/include/entry/peer_mesh.h
+++ b/packages/entry/include/entry/peer_mesh.h
@@ -41,12 +41,15 @@
 /// thread.
 struct PeerHooks
 {
-    /// Called with the requests in flight of all other instances, summed by target.
-    std::function<void(std::vector<dispatch::TargetWork>)> updateOthersWork;
+    /// Called with the requests in flight of all other instances, summed by target, and with the
+    /// number of instances that may send requests, including this one.
+    std::function<void(std::vector<dispatch::TargetWork>, std::size_t instances)> updateOthersWork;
     /// Called with the recent placements of another instance.
     std::function<void(std::vector<dispatch::PrefixHint>)> mergeHints;
     /// Called when another instance has ordered an engine to load weights or seen it finish.
     std::function<void(const peers::WeightsNotice &)> applyWeightsNotice;
+    /// Called when another instance has learned of a target's rate limit.
+    std::function<void(const peers::RateLimitNotice &)> applyRateLimitNotice;
     /// Called with the suspect requests that another instance had at an engine that crashed. The
     /// same report may come twice.
     std::function<void(const quarantine::CrashReport &)> receiveCrash;
@@ -94,6 +97,9 @@
     /// Sends a notice about the weights of an engine to all other instances.
     void announceWeights(const peers::WeightsNotice &notice);
 
+    /// Sends a notice about the rate limit of a target to all other instances.
+    void announceRateLimit(const peers::RateLimitNotice &notice);
+
     /// Sends a crash report to all other instances.
     void announceCrash(const quarantine::CrashReport &report);
     /// Sends innocent parts to all other instances with the next exchange of quarantines.
@@ -125,6 +131,8 @@
 private:
     control::MemberActorOptions actorOptions();
     void sendTo(const std::string &address, const peers::Datagram &datagram);
+    /// Sends the datagram to all other instances.
+    void sendToAll(const peers::Datagram &datagram);
     void receive(const net::Address &from, peers::Datagram datagram);
     void exchangeTable(const std::string &address);
     /// Returns the peer addresses of the instances that follow the store. The list is empty if this
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -128,6 +128,17 @@
                        },
                .partQuarantine = partQuarantine_,
                .quarantineHooks = relayQuarantineHooks(),
+               .rateLimitChanged =
+                       [this](const relay::RateLimitChange &change) {
+                           const peers::RateLimitNotice notice{ .target = change.target.id,
+                                                                .startedAt =
+                                                                        change.target.startedAt,
+                                                                .requestsPerSecond =
+                                                                        change.requestsPerSecond };
+                           boost::asio::post(controlContext_, [this, notice] {
+                               peerMesh_.announceRateLimit(notice);
+                           });
+                       },
                .options = relayOptions(options_) })
 {
 }
@@ -221,10 +232,12 @@
 PeerHooks EntryApp::peerHooks()
 {
     return { .updateOthersWork =
-                     [this](std::vector<dispatch::TargetWork> work) {
-                         boost::asio::post(trafficContext_, [this, work = std::move(work)] {
-                             updateOthersWork(work);
-                         });
+                     [this](std::vector<dispatch::TargetWork> work, std::size_t instances) {
+                         boost::asio::post(trafficContext_,
+                                           [this, instances, work = std::move(work)] {
+                                               placer_.targetTracker().setInstanceCount(instances);
+                                               updateOthersWork(work);
+                                           });
                      },
              .mergeHints =
                      [this](std::vector<dispatch::PrefixHint> hints) {
@@ -234,6 +247,8 @@
                      },
              .applyWeightsNotice =
                      [this](const peers::WeightsNotice &notice) { applyWeightsNotice(notice); },
+             .applyRateLimitNotice =
+                     [this](const peers::RateLimitNotice &notice) { applyRateLimitNotice(notice); },
              .receiveCrash =
                      [this](const quarantine::CrashReport &report) {
                          quarantineSharing_.receiveCrash(report);
@@ -350,6 +365,21 @@
     });
 }
 
+void EntryApp::applyRateLimitNotice(const peers::RateLimitNotice &notice)
+{
+    boost::asio::post(trafficContext_, [this, notice] {
+        const fleet::ViewPtr view = viewUpdater_.view();
+        const auto target = std::ranges::find(view->targets(), notice.target, &fleet::Target::id);
+        if (target == view->targets().end() || target->startedAt != notice.startedAt)
+            return;
+        const auto now = Clock::now();
+        const bool isLimited = notice.requestsPerSecond > 0;
+        placer_.recordRateLimit(*target,
+                                isLimited ? std::optional(notice.requestsPerSecond) : std::nullopt,
+                                now, now);
+    });
+}
+
 void EntryApp::serveReadiness(net::Exchange &exchange, const yield_context &yield)
 {
     int status = kNotFound;
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -172,6 +172,8 @@
         hooks_.mergeHints(std::move(prefixes));
     } else if (const auto *notice = std::get_if<peers::WeightsNotice>(&datagram)) {
         hooks_.applyWeightsNotice(*notice);
+    } else if (const auto *limit = std::get_if<peers::RateLimitNotice>(&datagram)) {
+        hooks_.applyRateLimitNotice(*limit);
     } else if (const auto *crash = std::get_if<quarantine::CrashReport>(&datagram)) {
         hooks_.receiveCrash(*crash);
     } else if (const auto *innocent = std::get_if<peers::InnocentParts>(&datagram)) {
@@ -217,7 +219,12 @@
                                static_cast<double>(sums[kWorkIndex].prefillTokens),
                                static_cast<double>(sums[kMemoryIndex].prefillTokens) });
     }
-    hooks_.updateOthersWork(std::move(othersWork));
+    // Instances that leave still send the requests that they have accepted.
+    const auto instances =
+            std::ranges::count_if(assignedMembers_->members, [](const membership::Member &member) {
+                return member.state != membership::MemberState::Dead;
+            });
+    hooks_.updateOthersWork(std::move(othersWork), static_cast<std::size_t>(instances));
     peers::PlacementHints message;
     for (const dispatch::PrefixHint &hint : digest.hints)
         message.hints.push_back({ hint.prefix, hint.target, hint.startedAt });
@@ -225,10 +232,20 @@
 }
 
 void PeerMesh::announceWeights(const peers::WeightsNotice &notice)
+{
+    sendToAll(notice);
+}
+
+void PeerMesh::announceRateLimit(const peers::RateLimitNotice &notice)
+{
+    sendToAll(notice);
+}
+
+void PeerMesh::sendToAll(const peers::Datagram &datagram)
 {
     for (const membership::Member &member : actor_->snapshot()->members) {
         if (member.name != options_.instance && member.state != membership::MemberState::Dead)
-            sendTo(member.peerAddress, notice);
+            sendTo(member.peerAddress, datagram);
     }
 }
 
--- a/packages/peers/include/peers/datagram.h
+++ b/packages/peers/include/peers/datagram.h
@@ -86,6 +86,15 @@
     bool operator==(const WeightsNotice &) const = default;
 };
 
+/// The request rate that one run of a target accepts from all daemons together.
+struct RateLimitNotice
+{
+    std::string target;           ///< Id of the target.
+    std::uint64_t startedAt = 0;  ///< Start of the run in Unix milliseconds.
+    double requestsPerSecond = 0; ///< 0 if the target states no limit any more.
+    bool operator==(const RateLimitNotice &) const = default;
+};
+
 /// Prompt parts on which an engine has begun an answer.
 struct InnocentParts
 {
@@ -111,7 +120,7 @@
 /// The content of one datagram between daemons.
 using Datagram =
         std::variant<membership::Packet, LoadReport, LoadSums, PlacementHints, WeightsNotice,
-                     quarantine::CrashReport, InnocentParts, QuarantinedParts>;
+                     quarantine::CrashReport, InnocentParts, QuarantinedParts, RateLimitNotice>;
 
 /// Encodes the datagram in Thrift's compact protocol. Returns no value if the result would exceed
 /// `kMaxDatagramBytes`. Does not check the other limits, which `decode` enforces.
--- a/packages/peers/src/datagram.cpp
+++ b/packages/peers/src/datagram.cpp
@@ -4,6 +4,7 @@
 #include "internal/member_wire.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chervilfield::peers {
 
@@ -179,6 +180,16 @@
                           .isLoading = message.isLoading };
 }
 
+std::optional<Datagram> fromWire(const wire::RateLimitNotice &message)
+{
+    if (!hasPermittedLength(message.target) || !std::isfinite(message.requestsPerSecond)
+        || message.requestsPerSecond < 0)
+        return std::nullopt;
+    return RateLimitNotice{ .target = message.target,
+                            .startedAt = static_cast<std::uint64_t>(message.startedAt),
+                            .requestsPerSecond = message.requestsPerSecond };
+}
+
 std::vector<quarantine::PartKey> toParts(const std::vector<std::int64_t> &values)
 {
     std::vector<quarantine::PartKey> parts;
@@ -298,6 +309,14 @@
         body.isLoading = notice.isLoading;
         message.__set_weightsNotice(body);
     }
+    void operator()(const RateLimitNotice &notice) const
+    {
+        wire::RateLimitNotice body;
+        body.target = notice.target;
+        body.startedAt = static_cast<std::int64_t>(notice.startedAt);
+        body.requestsPerSecond = notice.requestsPerSecond;
+        message.__set_rateLimitNotice(body);
+    }
     void operator()(const quarantine::CrashReport &report) const
     {
         wire::CrashReport body;
@@ -351,7 +370,7 @@
     const int setFieldCount = int{ set.membership } + int{ set.loadReport } + int{ set.loadSums }
                               + int{ set.placementHints } + int{ set.weightsNotice }
                               + int{ set.crashReport } + int{ set.innocentParts }
-                              + int{ set.quarantinedParts };
+                              + int{ set.quarantinedParts } + int{ set.rateLimitNotice };
     if (setFieldCount != 1)
         return std::nullopt;
     if (set.membership)
@@ -366,6 +385,8 @@
         return fromWire(message.crashReport);
     if (set.innocentParts)
         return fromWire(message.innocentParts);
+    if (set.rateLimitNotice)
+        return fromWire(message.rateLimitNotice);
     if (set.quarantinedParts)
         return fromWire(message.quarantinedParts);
     return fromWire(message.placementHints);
--- a/packages/peers/test/datagram_test.cpp
+++ b/packages/peers/test/datagram_test.cpp
@@ -121,7 +121,7 @@
 
 Datagram makeDatagram()
 {
-    switch (*rc::gen::inRange(0, 8)) {
+    switch (*rc::gen::inRange(0, 9)) {
     case 0:
         return makeMembership();
     case 1:
@@ -140,6 +140,10 @@
         return InnocentParts{ makeParts(kMaxInnocentParts) };
     case 6:
         return makeQuarantinedParts();
+    case 7:
+        return RateLimitNotice{ .target = "i" + makeText(),
+                                .startedAt = *rc::gen::arbitrary<std::uint64_t>(),
+                                .requestsPerSecond = *rc::gen::inRange(0, 10'000) / 8.0 };
     default:
         break;
     }
--- a/packages/peers/thrift/peers.thrift
+++ b/packages/peers/thrift/peers.thrift
@@ -84,6 +84,13 @@
   5: bool isLoading
 }
 
+// Requests per second that one run of a target accepts from all daemons together; 0 for no limit.
+struct RateLimitNotice {
+  1: string target
+  2: i64 startedAt
+  3: double requestsPerSecond
+}
+
 // A request that had been sent to an engine that crashed and had no first event.
 struct SuspectRequest {
   1: i64 request
@@ -122,6 +129,7 @@
   8: optional CrashReport crashReport
   9: optional InnocentParts innocentParts
   10: optional QuarantinedParts quarantinedParts
+  11: optional RateLimitNotice rateLimitNotice
 }
 
 // Request and response of POST /peer/v1/members.
--- a/packages/relay/include/relay/codec.h
+++ b/packages/relay/include/relay/codec.h
@@ -51,6 +51,8 @@
     bool isSigned = false; ///< The response has a signature of the target.
     std::optional<dispatch::LoadReport> load;
     std::optional<std::uint64_t> weights; ///< Version of the weights that the target has.
+    /// Requests per second that the target accepts from all instances together.
+    std::optional<double> rateLimit;
     /// Time for which the target keeps the connection open while it is idle.
     std::optional<std::chrono::milliseconds> keepAlive;
 };
--- a/packages/relay/include/relay/relay.h
+++ b/packages/relay/include/relay/relay.h
@@ -98,6 +98,13 @@
     std::function<void(quarantine::PartKey)> lifted{};
 };
 
+/// A target that states a new rate limit.
+struct RateLimitChange
+{
+    fleet::Target target;
+    double requestsPerSecond = 0; ///< Requests from all instances together; 0 for no limit.
+};
+
 /// Components of the daemon that the relay uses. They must outlive the relay.
 struct RelayContext
 {
@@ -109,7 +116,9 @@
     std::function<DeploymentState()> deploymentState;
     quarantine::PartQuarantine &partQuarantine;
     QuarantineHooks quarantineHooks{};
-    RelayOptions options;
+    /// Called if other instances should learn of a rate limit. May be empty.
+    std::function<void(const RateLimitChange &)> rateLimitChanged{};
+    RelayOptions options{};
 };
 
 /// Forwards callers' requests to targets of the pools that the route names, and the responses back
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -199,6 +199,7 @@
                      .queuedTokens = targetTracker.estimatedWaitingTokens(target, now) };
     if (const auto *status = targetTracker.find(target)) {
         load.inFlight = status->inFlight;
+        load.rateLimit = status->rateLimit.requestsPerSecond;
         if (status->reportedAt != dispatch::Time{})
             load.reportAge = duration_cast<milliseconds>(now - status->reportedAt);
     }
@@ -384,11 +385,13 @@
         const auto placement = place();
         if (!placement)
             return;
-        const auto sentAt = Clock::now();
+        if (!awaitSendTime(*placement))
+            return;
+        sentAt_ = Clock::now();
         const SendOutcome outcome = send(*placement);
-        logSend(*placement, outcome, sentAt);
+        logSend(*placement, outcome);
         if (outcome == SendOutcome::Unknown && result_ != Result::ProgressTimeout) {
-            logBreak(sentAt);
+            logBreak();
             recordBreak();
         }
         context_.metrics.countSend(pool_, result_);
@@ -403,6 +406,20 @@
     }
 }
 
+bool Relay::Flow::awaitSendTime(const dispatch::Placement &placement)
+{
+    if (placement.sendDelay <= milliseconds::zero())
+        return true;
+    boost::asio::steady_timer timer(yield_.get_executor(), placement.sendDelay);
+    boost::system::error_code ignored;
+    timer.async_wait(yield_[ignored]);
+    if (!cancellation_.cancelled())
+        return true;
+    context_.placer.targetTracker().endRequest(attemptState_.view->targets()[placement.target],
+                                               placement.inFlightRequest, Clock::now());
+    return false;
+}
+
 void Relay::Flow::run()
 {
     context_.metrics.requestStarted();
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -50,6 +50,7 @@
         double queuedTokens = 0;
         std::uint32_t inFlight = 0;                ///< Requests of this instance.
         std::chrono::milliseconds reportAge{ -1 }; ///< -1 if the target has not reported.
+        double rateLimit = 0; ///< Requests per second of all instances; 0 for no limit.
     };
 
     using Clock = base::BootClock;
@@ -114,14 +115,17 @@
     void respondWithFailure(base::Result code, base::WorkStatus work,
                             std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0));
     void sendWithRetries();
+    /// Waits until the target accepts another request. Returns false if the caller has left.
+    bool awaitSendTime(const dispatch::Placement &placement);
+    /// Records the rate limit that the target states, or that it states none.
+    void recordRateLimit(const ResponseFields &fields);
     ChoiceLoad loadOf(const fleet::Target &target) const;
     void logAnswer();
     void logRefusal(const dispatch::Refusal &refusal);
     void logDrainRefusal(std::chrono::milliseconds timeout);
-    void logSend(const dispatch::Placement &placement, SendOutcome outcome,
-                 Clock::time_point sentAt);
+    void logSend(const dispatch::Placement &placement, SendOutcome outcome);
     /// Logs that the target closed the connection before the end of its response.
-    void logBreak(Clock::time_point sentAt);
+    void logBreak();
 
     /// Returns true if the request may run more than once.
     bool isRepeatable() const;
@@ -134,6 +138,7 @@
     net::Exchange &exchange_;
     boost::asio::yield_context yield_;
     Clock::time_point startedAt_;
+    Clock::time_point sentAt_{}; ///< Start of the current attempt.
     CallerFields caller_;
     /// Deployment when the request arrived. Its route, customer and pool hold for all attempts.
     const DeploymentState admissionState_;
--- a/packages/relay/src/flow_answers.cpp
+++ b/packages/relay/src/flow_answers.cpp
@@ -35,6 +35,7 @@
         targetTracker.recordReport(*target_, *fields.load, now);
     if (fields.weights && !caller_.model.empty())
         targetTracker.recordWeights(*target_, caller_.model, *fields.weights);
+    recordRateLimit(fields);
     if (fields.keepAlive) {
         // Targets join and leave under new ids, so the map is cleared when it grows too large. A
         // lost entry costs at most a new connection.
@@ -51,6 +52,20 @@
         targetTracker.recordFault(*target_, dispatch::Fault::Failed, now);
 }
 
+void Relay::Flow::recordRateLimit(const ResponseFields &fields)
+{
+    // Only an answer of the target itself shows that it states no limit.
+    if ((!fields.rateLimit && !fields.isSigned)
+        || !context_.placer.recordRateLimit(*target_, fields.rateLimit, sentAt_, Clock::now()))
+        return;
+    const double requestsPerSecond =
+            context_.placer.targetTracker().find(*target_)->rateLimit.requestsPerSecond;
+    context_.log.write("placement", "rate-limit-changed",
+                       { { "target", target_->id }, { "per_second", requestsPerSecond } });
+    if (context_.rateLimitChanged)
+        context_.rateLimitChanged({ .target = *target_, .requestsPerSecond = requestsPerSecond });
+}
+
 void Relay::Flow::discardRefusal(net::ResponseStream &response)
 {
     const auto deadline = std::min(deadline_, Clock::now() + context_.options.connectTimeout);
--- a/packages/relay/src/flow_log.cpp
+++ b/packages/relay/src/flow_log.cpp
@@ -62,8 +62,7 @@
                          { "result", base::resultInfo(base::Result::ShuttingDown).name } });
 }
 
-void Relay::Flow::logSend(const dispatch::Placement &placement, SendOutcome outcome,
-                          Clock::time_point sentAt)
+void Relay::Flow::logSend(const dispatch::Placement &placement, SendOutcome outcome)
 {
     const fleet::View &view = *attemptState_.view;
     const auto replacedAt = view.replacedAt(caller_.model, placement.weights);
@@ -75,7 +74,7 @@
               { "weights", placement.weights },
               { "expected_ms", placement.expectedTime },
               { "pool", pool_ },
-              { "waited_ms", sentAt - startedAt_ },
+              { "waited_ms", sentAt_ - startedAt_ },
               { "prompt_tokens", caller_.promptTokens },
               { "output_tokens", caller_.maxOutputTokens },
               { "uncached_tokens", placement.uncachedTokens },
@@ -84,21 +83,23 @@
               { "in_flight", choiceLoad_.inFlight },
               { "load", choiceLoad_.requests },
               { "load_age_ms", choiceLoad_.reportAge },
+              { "rate_limit", choiceLoad_.rateLimit },
+              { "delay_ms", placement.sendDelay },
               { "view", view.storeVersion() },
               { "view_age_ms", attemptState_.confirmedAge },
               { "desired", view.desiredWeights(caller_.model) },
               { "replaced_ms", replacedAt && !caller_.model.empty()
-                                       ? elapsedSince(*replacedAt, sentAt)
+                                       ? elapsedSince(*replacedAt, sentAt_)
                                        : milliseconds(-1) },
               { "limit_ms", placement.timeLimit.value_or(milliseconds(-1)) },
               { "outcome", toString(outcome) },
               { "result", base::resultInfo(result_).name },
-              { "first_ms", firstEventAt_ ? duration_cast<milliseconds>(*firstEventAt_ - sentAt)
+              { "first_ms", firstEventAt_ ? duration_cast<milliseconds>(*firstEventAt_ - sentAt_)
                                           : milliseconds(-1) },
-              { "took_ms", Clock::now() - sentAt } });
+              { "took_ms", Clock::now() - sentAt_ } });
 }
 
-void Relay::Flow::logBreak(Clock::time_point sentAt)
+void Relay::Flow::logBreak()
 {
     std::string parts;
     for (const std::uint64_t key : sharedParts_)
@@ -110,7 +111,7 @@
                          { "head", hasTargetResponded_ },
                          { "first_event", firstEventAt_.has_value() },
                          { "result", base::resultInfo(result_).name },
-                         { "took_ms", Clock::now() - sentAt },
+                         { "took_ms", Clock::now() - sentAt_ },
                          { "shared_parts", parts } });
 }
 
