Spread the permits of request limits by the order of the instances

Cause: the permits of an instance began at a random moment. With 74 instances, which use a limit of 4 requests a second once each 18 s, chance alone puts more than the rule allows into some 4 s. Change: the instances take turns in the order of their names, from the first notice about the limit on, which reaches all at nearly the same time; as the turns are even, the whole limit is used instead of nine tenths.

--- a/packages/dispatch/include/dispatch/placement.h
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -170,11 +170,6 @@
     void recordSent(const PlacementRequest &request, const Placement &placement,
                     const fleet::View &view, Time now);
 
-    /// Records the requests per second that the target states in the answer to a request sent at
-    /// `sentAt`, or that it states no limit. Returns true if other instances should learn of it.
-    bool recordRateLimit(const fleet::Target &target, std::optional<double> requestsPerSecond,
-                         Time sentAt, Time now);
-
     /// Returns at most `limit` prefixes that were not yet announced to other instances, and
     /// discards the rest.
     std::vector<PrefixHint> takeHints(std::size_t limit);
--- a/packages/dispatch/include/dispatch/rate_limit.h
+++ b/packages/dispatch/include/dispatch/rate_limit.h
@@ -7,10 +7,18 @@
 
 namespace chervilfield::dispatch {
 
+/// The instances that share the limits of the targets.
+struct InstanceShare
+{
+    std::size_t instances = 1; ///< Number of instances, at least 1.
+    std::size_t index = 0;     ///< Position of this instance in their order.
+};
+
 /// Request rate that a target accepts from all instances together, and the place of this instance
 /// in its share of it. The share is a series of permits at equal intervals, each for one request.
-/// Instances need not agree on anything but their number: at any time, the unused permits of all of
-/// them are at most what the limit allows in `RateLimitOptions::permitLifetime`.
+/// The permits of instances that learn of the limit at the same time alternate in the order of the
+/// instances. At any time, the unused permits of all of them are at most what the limit allows in
+/// `RateLimitOptions::permitLifetime`.
 struct RateLimit
 {
     double requestsPerSecond = 0; ///< 0 if the target states no limit.
@@ -22,9 +30,6 @@
 /// Parameters of the share of one instance.
 struct RateLimitOptions
 {
-    /// Share of the limit that the instances use. The rest is for requests of instances that do not
-    /// know the limit yet, and for permits of several instances at the same time.
-    double usedShare = 0.9;
     /// Time for which an unused permit can be used. It bounds the requests that arrive at once
     /// after a pause.
     std::chrono::milliseconds permitLifetime{ 1000 };
@@ -32,22 +37,21 @@
     double minRequestsPerSecond = 0.1;
 };
 
-/// Records a limit that was stated at `now`. `phase`, from 0 to 1, places the first permit within
-/// the interval; it should be random, so that the permits of the instances are spread evenly.
-void stateLimit(RateLimit &limit, double requestsPerSecond, std::size_t instances, double phase,
+/// Records a limit that was stated at `now`.
+void stateLimit(RateLimit &limit, double requestsPerSecond, const InstanceShare &share,
                 base::BootClock::time_point now, const RateLimitOptions &options = {});
 
 /// Returns the requests per second that this instance may send.
-double permittedRate(const RateLimit &limit, std::size_t instances,
+double permittedRate(const RateLimit &limit, const InstanceShare &share,
                      const RateLimitOptions &options = {});
 
 /// Returns the time from which this instance may send the next request, at least `now`.
-base::BootClock::time_point nextSendTime(const RateLimit &limit, std::size_t instances,
+base::BootClock::time_point nextSendTime(const RateLimit &limit, const InstanceShare &share,
                                          base::BootClock::time_point now,
                                          const RateLimitOptions &options = {});
 
 /// Uses up the next permit.
-void takePermit(RateLimit &limit, std::size_t instances, base::BootClock::time_point now,
+void takePermit(RateLimit &limit, const InstanceShare &share, base::BootClock::time_point now,
                 const RateLimitOptions &options = {});
 
 } // namespace chervilfield::dispatch
--- a/packages/dispatch/include/dispatch/target_tracker.h
+++ b/packages/dispatch/include/dispatch/target_tracker.h
@@ -5,7 +5,6 @@
 #include "fleet/configuration.h"
 
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -165,13 +164,13 @@
     void recordWeights(const fleet::Target &target, const std::string &model,
                        std::uint64_t version);
 
-    /// Sets the number of instances that share the rate limits of the targets, at least 1.
-    void setInstanceCount(std::size_t count) { instanceCount_ = count; }
+    /// Sets the instances that share the rate limits of the targets.
+    void setInstanceShare(const InstanceShare &share) { instanceShare_ = share; }
 
-    /// Records the requests per second that the target accepts, or that it states no limit. `phase`
-    /// is that of `stateLimit()`. Returns true if other instances should learn of it.
+    /// Records the requests per second that the target states in the answer to a request sent at
+    /// `sentAt`, or that it states no limit. Returns true if other instances should learn of it.
     bool recordRateLimit(const fleet::Target &target, std::optional<double> requestsPerSecond,
-                         double phase, Time now);
+                         Time sentAt, Time now);
 
     /// Returns the time from which this instance may send the next request, at least `now`.
     Time nextSendTime(const fleet::Target &target, Time now) const;
@@ -194,7 +193,7 @@
     double recentFaults(const TargetStatus &status, Time now) const;
 
     TargetTrackerOptions options_;
-    std::size_t instanceCount_ = 1;
+    InstanceShare instanceShare_;
     std::unordered_map<std::string, TargetStatus> targets_; ///< By target id.
 };
 
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -436,18 +436,6 @@
     }
 }
 
-bool Placer::recordRateLimit(const fleet::Target &target, std::optional<double> requestsPerSecond,
-                             Time sentAt, Time now)
-{
-    const TargetStatus *status = targetTracker_.find(target);
-    const bool isLimited = status != nullptr && status->rateLimit.requestsPerSecond > 0;
-    // An answer may have been on its way when the limit was first stated.
-    if (!requestsPerSecond && (!isLimited || sentAt < status->rateLimit.statedAt))
-        return false;
-    const double phase = std::uniform_real_distribution<double>(0, 1)(random_);
-    return targetTracker_.recordRateLimit(target, requestsPerSecond, phase, now);
-}
-
 std::vector<PrefixHint> Placer::takeHints(std::size_t limit)
 {
     std::vector<PrefixHint> taken = std::exchange(hints_, {});
--- a/packages/dispatch/src/rate_limit.cpp
+++ b/packages/dispatch/src/rate_limit.cpp
@@ -11,12 +11,11 @@
 
 using Seconds = std::chrono::duration<double>;
 
-Seconds permitInterval(double requestsPerSecond, std::size_t instances,
+Seconds permitInterval(double requestsPerSecond, const InstanceShare &share,
                        const RateLimitOptions &options)
 {
-    const double rate =
-            std::max(requestsPerSecond, options.minRequestsPerSecond) * options.usedShare;
-    return Seconds(static_cast<double>(std::max<std::size_t>(instances, 1)) / rate);
+    return Seconds(static_cast<double>(share.instances)
+                   / std::max(requestsPerSecond, options.minRequestsPerSecond));
 }
 
 // Returns the begin of the first unused permit that has not expired.
@@ -32,13 +31,14 @@
 
 } // namespace
 
-void stateLimit(RateLimit &limit, double requestsPerSecond, std::size_t instances, double phase,
+void stateLimit(RateLimit &limit, double requestsPerSecond, const InstanceShare &share,
                 Clock::time_point now, const RateLimitOptions &options)
 {
-    const Seconds interval = permitInterval(requestsPerSecond, instances, options);
+    const Seconds interval = permitInterval(requestsPerSecond, share, options);
     const auto toDuration = [](Seconds time) {
         return std::chrono::duration_cast<Clock::duration>(time);
     };
+    const double phase = static_cast<double>(share.index) / static_cast<double>(share.instances);
     if (limit.requestsPerSecond <= 0)
         limit.nextPermitAt = now + toDuration(interval * phase);
     else if (requestsPerSecond > limit.requestsPerSecond)
@@ -47,26 +47,27 @@
     limit.statedAt = now;
 }
 
-double permittedRate(const RateLimit &limit, std::size_t instances, const RateLimitOptions &options)
+double permittedRate(const RateLimit &limit, const InstanceShare &share,
+                     const RateLimitOptions &options)
 {
-    return 1 / permitInterval(limit.requestsPerSecond, instances, options).count();
+    return 1 / permitInterval(limit.requestsPerSecond, share, options).count();
 }
 
-Clock::time_point nextSendTime(const RateLimit &limit, std::size_t instances, Clock::time_point now,
-                               const RateLimitOptions &options)
+Clock::time_point nextSendTime(const RateLimit &limit, const InstanceShare &share,
+                               Clock::time_point now, const RateLimitOptions &options)
 {
     if (limit.requestsPerSecond <= 0)
         return now;
-    const Seconds interval = permitInterval(limit.requestsPerSecond, instances, options);
+    const Seconds interval = permitInterval(limit.requestsPerSecond, share, options);
     return std::max(now, firstPermit(limit, interval, now, options));
 }
 
-void takePermit(RateLimit &limit, std::size_t instances, Clock::time_point now,
+void takePermit(RateLimit &limit, const InstanceShare &share, Clock::time_point now,
                 const RateLimitOptions &options)
 {
     if (limit.requestsPerSecond <= 0)
         return;
-    const Seconds interval = permitInterval(limit.requestsPerSecond, instances, options);
+    const Seconds interval = permitInterval(limit.requestsPerSecond, share, options);
     limit.nextPermitAt = firstPermit(limit, interval, now, options)
                          + std::chrono::duration_cast<Clock::duration>(interval);
 }
--- a/packages/dispatch/src/target_tracker.cpp
+++ b/packages/dispatch/src/target_tracker.cpp
@@ -179,14 +179,18 @@
 }
 
 bool TargetTracker::recordRateLimit(const fleet::Target &target,
-                                    std::optional<double> requestsPerSecond, double phase, Time now)
+                                    std::optional<double> requestsPerSecond, Time sentAt, Time now)
 {
+    const TargetStatus *known = find(target);
+    const double before = known == nullptr ? 0 : known->rateLimit.requestsPerSecond;
+    // An answer may have been on its way when the limit was first stated.
+    if (!requestsPerSecond && (before <= 0 || sentAt < known->rateLimit.statedAt))
+        return false;
     RateLimit &limit = status(target).rateLimit;
-    const double before = limit.requestsPerSecond;
-    if (!requestsPerSecond)
-        limit = {};
+    if (requestsPerSecond)
+        stateLimit(limit, *requestsPerSecond, instanceShare_, now, options_.rateLimit);
     else
-        stateLimit(limit, *requestsPerSecond, instanceCount_, phase, now, options_.rateLimit);
+        limit = {};
     // Instances learn of smaller changes with their own answers.
     constexpr double kMinChange = 0.1;
     return std::abs(limit.requestsPerSecond - before) > kMinChange * before;
@@ -196,7 +200,7 @@
 {
     const TargetStatus *entry = find(target);
     return entry == nullptr ? now
-                            : dispatch::nextSendTime(entry->rateLimit, instanceCount_, now,
+                            : dispatch::nextSendTime(entry->rateLimit, instanceShare_, now,
                                                      options_.rateLimit);
 }
 
@@ -205,12 +209,12 @@
     const TargetStatus *entry = find(target);
     if (entry == nullptr || entry->rateLimit.requestsPerSecond <= 0)
         return std::nullopt;
-    return dispatch::permittedRate(entry->rateLimit, instanceCount_, options_.rateLimit);
+    return dispatch::permittedRate(entry->rateLimit, instanceShare_, options_.rateLimit);
 }
 
 void TargetTracker::takePermit(const fleet::Target &target, Time now)
 {
-    dispatch::takePermit(status(target).rateLimit, instanceCount_, now, options_.rateLimit);
+    dispatch::takePermit(status(target).rateLimit, instanceShare_, now, options_.rateLimit);
 }
 
 std::vector<TargetWork> TargetTracker::ownWork() const
--- a/packages/entry/include/entry/peer_mesh.h
+++ b/packages/entry/include/entry/peer_mesh.h
@@ -42,8 +42,9 @@
 struct PeerHooks
 {
     /// Called with the requests in flight of all other instances, summed by target, and with the
-    /// number of instances that may send requests, including this one.
-    std::function<void(std::vector<dispatch::TargetWork>, std::size_t instances)> updateOthersWork;
+    /// instances that may send requests.
+    std::function<void(std::vector<dispatch::TargetWork>, const dispatch::InstanceShare &)>
+            updateOthersWork;
     /// Called with the recent placements of another instance.
     std::function<void(std::vector<dispatch::PrefixHint>)> mergeHints;
     /// Called when another instance has ordered an engine to load weights or seen it finish.
@@ -145,6 +146,8 @@
     void pollPeers(const boost::asio::yield_context &yield);
     /// Returns the peer addresses of the other members, or the seeds if none is known.
     std::vector<net::Address> otherPeerAddresses() const;
+    /// Returns the instances that may send requests, in the order of their names.
+    dispatch::InstanceShare instanceShare() const;
     /// Passes the members and targets to the load exchange if they have changed.
     void updateLoadAssignment();
 
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -232,12 +232,12 @@
 PeerHooks EntryApp::peerHooks()
 {
     return { .updateOthersWork =
-                     [this](std::vector<dispatch::TargetWork> work, std::size_t instances) {
-                         boost::asio::post(trafficContext_,
-                                           [this, instances, work = std::move(work)] {
-                                               placer_.targetTracker().setInstanceCount(instances);
-                                               updateOthersWork(work);
-                                           });
+                     [this](std::vector<dispatch::TargetWork> work,
+                            const dispatch::InstanceShare &share) {
+                         boost::asio::post(trafficContext_, [this, share, work = std::move(work)] {
+                             placer_.targetTracker().setInstanceShare(share);
+                             updateOthersWork(work);
+                         });
                      },
              .mergeHints =
                      [this](std::vector<dispatch::PrefixHint> hints) {
@@ -374,9 +374,9 @@
             return;
         const auto now = Clock::now();
         const bool isLimited = notice.requestsPerSecond > 0;
-        placer_.recordRateLimit(*target,
-                                isLimited ? std::optional(notice.requestsPerSecond) : std::nullopt,
-                                now, now);
+        placer_.targetTracker().recordRateLimit(
+                *target, isLimited ? std::optional(notice.requestsPerSecond) : std::nullopt, now,
+                now);
     });
 }
 
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -219,18 +219,27 @@
                                static_cast<double>(sums[kWorkIndex].prefillTokens),
                                static_cast<double>(sums[kMemoryIndex].prefillTokens) });
     }
-    // Instances that leave still send the requests that they have accepted.
-    const auto instances =
-            std::ranges::count_if(assignedMembers_->members, [](const membership::Member &member) {
-                return member.state != membership::MemberState::Dead;
-            });
-    hooks_.updateOthersWork(std::move(othersWork), static_cast<std::size_t>(instances));
+    hooks_.updateOthersWork(std::move(othersWork), instanceShare());
     peers::PlacementHints message;
     for (const dispatch::PrefixHint &hint : digest.hints)
         message.hints.push_back({ hint.prefix, hint.target, hint.startedAt });
     hintExchange_.send(assignedMembers_->members, message, now);
 }
 
+dispatch::InstanceShare PeerMesh::instanceShare() const
+{
+    dispatch::InstanceShare share{ .instances = 0 };
+    for (const membership::Member &member : assignedMembers_->members) {
+        // Instances that leave still send the requests that they have accepted.
+        if (member.state == membership::MemberState::Dead && member.name != options_.instance)
+            continue;
+        share.index += member.name < options_.instance ? 1 : 0;
+        ++share.instances;
+    }
+    share.instances = std::max<std::size_t>(share.instances, 1);
+    return share;
+}
+
 void PeerMesh::announceWeights(const peers::WeightsNotice &notice)
 {
     sendToAll(notice);
--- a/packages/relay/src/flow_answers.cpp
+++ b/packages/relay/src/flow_answers.cpp
@@ -54,12 +54,12 @@
 
 void Relay::Flow::recordRateLimit(const ResponseFields &fields)
 {
+    auto &targetTracker = context_.placer.targetTracker();
     // Only an answer of the target itself shows that it states no limit.
     if ((!fields.rateLimit && !fields.isSigned)
-        || !context_.placer.recordRateLimit(*target_, fields.rateLimit, sentAt_, Clock::now()))
+        || !targetTracker.recordRateLimit(*target_, fields.rateLimit, sentAt_, Clock::now()))
         return;
-    const double requestsPerSecond =
-            context_.placer.targetTracker().find(*target_)->rateLimit.requestsPerSecond;
+    const double requestsPerSecond = targetTracker.find(*target_)->rateLimit.requestsPerSecond;
     context_.log.write("placement", "rate-limit-changed",
                        { { "target", target_->id }, { "per_second", requestsPerSecond } });
     if (context_.rateLimitChanged)
