--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -330,7 +330,8 @@
 {
     const auto ready = view.readyTargets(pool);
     const auto isAvoidedCandidate = [](const Candidate &c) { return c.shouldAvoid; };
-    const Seconds maxDelay = Seconds(request.latencyGoal) * options_.maxSendDelayGoalShare;
+    const Seconds maxDelay = std::min(Seconds(request.latencyGoal) * options_.maxSendDelayGoalShare,
+                                      Seconds(request.timeLeft));
     const auto isDelayed = [maxDelay](const Candidate &c) { return c.sendDelay > maxDelay; };
     std::vector<Candidate> candidates =
             makeCandidates(request, sampleTargets(request, ready, view, now), view, now);
