Place a request again if its target leaves during the wait for a permit

Change: after the wait, the request is placed again unless the latest view has the same run of the target as ready.

--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -386,7 +386,7 @@
         if (!placement)
             return;
         if (!awaitSendTime(*placement))
-            return;
+            continue;
         sentAt_ = Clock::now();
         const SendOutcome outcome = send(*placement);
         logSend(*placement, outcome);
@@ -413,10 +413,14 @@
     boost::asio::steady_timer timer(yield_.get_executor(), placement.sendDelay);
     boost::system::error_code ignored;
     timer.async_wait(yield_[ignored]);
-    if (!cancellation_.cancelled())
+    const fleet::Target &target = attemptState_.view->targets()[placement.target];
+    const fleet::ViewPtr latestView = context_.deploymentState().view;
+    const fleet::Target *latest = latestView->findTarget(target.key);
+    const bool isReady = latest != nullptr && latest->startedAt == target.startedAt
+                         && latest->state == fleet::TargetState::Ready;
+    if (isReady && !cancellation_.cancelled())
         return true;
-    context_.placer.targetTracker().endRequest(attemptState_.view->targets()[placement.target],
-                                               placement.inFlightRequest, Clock::now());
+    context_.placer.targetTracker().endRequest(target, placement.inFlightRequest, Clock::now());
     return false;
 }
 
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -115,7 +115,8 @@
     void respondWithFailure(base::Result code, base::WorkStatus work,
                             std::chrono::milliseconds retryAfter = std::chrono::milliseconds(0));
     void sendWithRetries();
-    /// Waits until the target accepts another request. Returns false if the caller has left.
+    /// Waits until the target accepts another request. Returns false if the caller or the target
+    /// has left meanwhile.
     bool awaitSendTime(const dispatch::Placement &placement);
     /// Records the rate limit that the target states, or that it states none.
     void recordRateLimit(const ResponseFields &fields);
