Begin the order of permits elsewhere for each target

Cause: targets that began to state request limits together had the same order of instances, so that an instance had the permits of all of them at the same moment. With 40 instances half of the permits expired, and callers were refused or sent to busier targets although the limits allowed more. Change: the index of an instance is shifted by the hash of the target.

--- a/packages/dispatch/include/dispatch/target_tracker.h
+++ b/packages/dispatch/include/dispatch/target_tracker.h
@@ -189,6 +189,10 @@
     void retain(const std::vector<fleet::Target> &targets);
 
 private:
+    /// Returns the share of this instance in the rate limit of the target. The order of the
+    /// instances begins elsewhere for each target, so that an instance does not get the permits of
+    /// many targets at the same time.
+    InstanceShare shareOf(const fleet::Target &target) const;
     /// Returns the fault count, decayed to `now`.
     double recentFaults(const TargetStatus &status, Time now) const;
 
--- a/packages/dispatch/src/target_tracker.cpp
+++ b/packages/dispatch/src/target_tracker.cpp
@@ -178,6 +178,12 @@
     known = version;
 }
 
+InstanceShare TargetTracker::shareOf(const fleet::Target &target) const
+{
+    const std::size_t instances = instanceShare_.instances;
+    return { .instances = instances, .index = (instanceShare_.index + target.key) % instances };
+}
+
 bool TargetTracker::recordRateLimit(const fleet::Target &target,
                                     std::optional<double> requestsPerSecond, Time sentAt, Time now)
 {
@@ -188,7 +194,7 @@
         return false;
     RateLimit &limit = status(target).rateLimit;
     if (requestsPerSecond)
-        stateLimit(limit, *requestsPerSecond, instanceShare_, now, options_.rateLimit);
+        stateLimit(limit, *requestsPerSecond, shareOf(target), now, options_.rateLimit);
     else
         limit = {};
     // Instances learn of smaller changes with their own answers.
