--- a/packages/entry/test/row_fetcher_test.cpp
+++ b/packages/entry/test/row_fetcher_test.cpp
@@ -107,7 +107,7 @@
     int routes;
 };
 
-// The instances of the users' grown deployments: two followers with such links, 74 instances.
+// Two instances, with links like these, send the rows to the other 72 of the largest deployment.
 constexpr std::array<LinkRow, 3> kLinkRows{ {
         { "one receiver", 10, 1, 1400 },
         { "half of the instances", 10, 36, 1400 },
