--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -414,12 +414,13 @@
         with open(self.config, "w", encoding="utf-8") as file:
             file.write(render(deploy_command()[1], fields))
 
-    def start(self):
+    def start(self, log=None):
+        """Starts the process; its output goes to `log`, or to a file if that is None."""
         command = [word if word != "/etc/chervilfield/boot.json" else self.config
                    for word in deploy_command()[0]]
         command[0] = os.path.join(ROOT, command[0])
         require(os.path.exists(command[0]), "the deploy file's build has not been made")
-        log = open(os.path.join(self.world.folder, self.name + ".log"), "ab")
+        log = log or open(os.path.join(self.world.folder, self.name + ".log"), "ab")
         environment = {k: v for k, v in os.environ.items() if k in ("PATH", "HOME", "LANG")}
         environment["CHERVILFIELD_CONFIG"] = self.config
         self.process = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log,
