--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -383,6 +383,20 @@
     return run(template, [fields])
 
 
+def free_addresses(ip, count):
+    """Returns addresses with ports that nothing uses. The template fixes the port of the metrics."""
+    sockets = []
+    try:
+        for port in [9464] + [0] * count:
+            sockets.append(socket.socket())
+            sockets[-1].setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sockets[-1].bind((ip, port))
+        return [f"{ip}:{entry.getsockname()[1]}" for entry in sockets[1:]]
+    finally:
+        for entry in sockets:
+            entry.close()
+
+
 def deploy_command():
     text = open(os.path.join(ROOT, "deploy/system.toml"), encoding="utf-8").read()
     command = re.search(r'^run = "(.*)"', text, re.M).group(1).split(" ")
@@ -397,8 +411,7 @@
         self.world = world
         self.name = f"edge-zone-a-{index + 1}"
         self.ip = world.ip(10 + index)
-        self.front, self.ready = f"{self.ip}:8782", f"{self.ip}:8789"
-        self.control, self.directory = f"{self.ip}:8783", f"{self.ip}:8780"
+        self.front, self.ready, self.control, self.directory = free_addresses(self.ip, 4)
         self.config = os.path.join(world.folder, f"{self.name}.toml")
         self.process = None
         self.exits = []
