Server: refuse requests whose length is not reliable

Cause: the parser only looks for a final "chunked". It takes a message with any other transfer coding, or with a list after "chunked", for one without a body, and leaves the decision to its user, who did not check.

Change: after the head, a request with a transfer coding is accepted only if it is HTTP/1.1, the parser reads chunks, and there is a single field whose only coding is "chunked" (RFC 9112, 6.1 and 6.3). All others get 400 and the connection is closed. This does not list bad values, so it also covers quoted, folded, empty and repeated codings.

Evidence: unreliableLengthIsRefused, 32 framings by POST and GET.

--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -78,9 +78,10 @@
 };
 
 /// HTTP/1.1 server. The first worker accepts connections and distributes them to all workers round
-/// robin. Each connection is served by one coroutine. Requests with two lengths, or with a length
-/// and a transfer coding, are refused, because intermediaries interpret them differently, which
-/// allows request smuggling.
+/// robin. Each connection is served by one coroutine. Requests with two lengths, with a length and
+/// a transfer coding, or with a transfer coding other than a single "chunked" are refused, because
+/// intermediaries interpret them differently, which allows request smuggling. The connection is
+/// closed after such a request.
 class HttpServer
 {
 public:
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -1,5 +1,7 @@
 #include "net/http_server.h"
 
+#include "message_framing.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -314,6 +316,9 @@
         http::async_read_header(stream, buffer, parser, yield[error]);
         expired = deadline.hasExpired();
     }
+    const auto &wire = parser.get();
+    if (!error && !detail::hasReliableLength(wire.version(), wire, parser.chunked()))
+        error = http::error::bad_transfer_encoding;
     if (!error) {
         const ReadDeadline deadline(stream, options_.bodyTimeout);
         http::async_read(stream, buffer, parser, yield[error]);
--- a/packages/net/test/http_server_test.cpp
+++ b/packages/net/test/http_server_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <string>
 #include <thread>
 
@@ -36,6 +37,8 @@
 {
     CPPUNIT_TEST_SUITE(HttpServerTest);
     CPPUNIT_TEST(badInputIsRefused);
+    CPPUNIT_TEST(unreliableLengthIsRefused);
+    CPPUNIT_TEST(reliableLengthIsAccepted);
     CPPUNIT_TEST(unfinishedStreamIsVisible);
     CPPUNIT_TEST(goodRequestPasses);
     CPPUNIT_TEST_SUITE_END();
@@ -48,8 +51,9 @@
                                .headTimeout = milliseconds(200),
                                .bodyTimeout = milliseconds(200),
                                .idleTimeout = milliseconds(2000) };
-        const Handler handler = [](Exchange &exchange, asio::yield_context yield) {
+        const Handler handler = [this](Exchange &exchange, asio::yield_context yield) {
             std::error_code error;
+            ++handledRequests_;
             if (exchange.request().target != "/unfinished") {
                 exchange.respond({ .body = exchange.request().body }, yield, error);
                 return;
@@ -108,6 +112,99 @@
         }
     }
 
+    // Tests that a request whose length cannot be determined reliably gets status 400, and that
+    // nothing after its head is handled. Guards against request smuggling: a request in the body of
+    // another one that is run on its own, or a request that is run without its body.
+    void unreliableLengthIsRefused()
+    {
+        struct Row
+        {
+            std::string name;
+            std::string fields;
+            std::string version = "1.1";
+        };
+        const Row rows[] = {
+            { "gzip", "Transfer-Encoding: gzip\r\n" },
+            { "identity", "Transfer-Encoding: identity\r\n" },
+            { "unknown coding", "Transfer-Encoding: xchunked\r\n" },
+            { "no coding", "Transfer-Encoding:\r\n" },
+            { "gzip, chunked", "Transfer-Encoding: gzip, chunked\r\n" },
+            { "chunked, gzip", "Transfer-Encoding: chunked, gzip\r\n" },
+            { "chunked, identity", "Transfer-Encoding: chunked, identity\r\n" },
+            { "chunked twice", "Transfer-Encoding: chunked, chunked\r\n" },
+            { "upper case", "Transfer-Encoding: CHUNKED,GZIP\r\n" },
+            { "quoted", "Transfer-Encoding: \"chunked\"\r\n" },
+            { "empty element", "Transfer-Encoding: , gzip\r\n" },
+            { "empty element, chunked", "Transfer-Encoding: , chunked\r\n" },
+            { "parameter", "Transfer-Encoding: chunked;a=b\r\n" },
+            { "control character", "Transfer-Encoding: \vchunked\r\n" },
+            { "folded", "Transfer-Encoding: gzip,\r\n identity\r\n" },
+            { "two fields", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" },
+            { "gzip after chunked", "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n" },
+            { "gzip before chunked", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" },
+            { "gzip and a length", "Transfer-Encoding: gzip\r\nContent-Length: 0\r\n" },
+            { "a length and gzip", "Content-Length: 0\r\nTransfer-Encoding: gzip\r\n" },
+            { "chunked and a length", "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n" },
+            { "HTTP/1.0, gzip", "Transfer-Encoding: gzip\r\n", "1.0" },
+            { "HTTP/1.0, chunked", "Transfer-Encoding: chunked\r\n", "1.0" },
+            { "HTTP/1.0, kept connection, gzip",
+              "Transfer-Encoding: gzip\r\nConnection: keep-alive\r\n", "1.0" },
+            { "space before the colon", "Transfer-Encoding : chunked\r\n" },
+            { "bare carriage return", "A: b\rTransfer-Encoding: chunked\r\n" },
+            { "two lengths", "Content-Length: 0\r\nContent-Length: 1\r\n" },
+            { "list of lengths", "Content-Length: 0, 1\r\n" },
+            { "signed length", "Content-Length: +0\r\n" },
+            { "hexadecimal length", "Content-Length: 0x0\r\n" },
+            { "no length", "Content-Length:\r\n" },
+            { "overflow", "Content-Length: 18446744073709551616\r\n" },
+        };
+        std::string failures;
+        for (const Row &row : rows) {
+            for (const std::string method : { "POST", "GET" }) {
+                handledRequests_ = 0;
+                const std::string answer = exchangeRaw(
+                        server_->localAddress(),
+                        method + " /outer HTTP/" + row.version + "\r\n" + row.fields + "\r\n"
+                                + "POST /inner HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+                const std::string name = row.name + ", " + method;
+                if (!answer.starts_with("HTTP/1.1 400")
+                    || answer.find("HTTP/1.1", 1) != answer.npos)
+                    failures += name + ": " + answer.substr(0, answer.find('\r')) + '\n';
+                if (handledRequests_ > 0)
+                    failures += name + ": " + std::to_string(handledRequests_) + " handled\n";
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+    }
+
+    // Tests valid ways to state the length of a body. Guards against a check that refuses them.
+    void reliableLengthIsAccepted()
+    {
+        struct Row
+        {
+            std::string name;
+            std::string request;
+        };
+        const std::string chunks = "2\r\nab\r\n1;a=b\r\nc\r\n0\r\n\r\n";
+        const Row rows[] = {
+            { "length", "Content-Length: 3\r\n\r\nabc" },
+            { "the same length twice", "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc" },
+            { "chunked", "Transfer-Encoding: chunked\r\n\r\n" + chunks },
+            { "mixed case", "TRANSFER-encoding: ChunKed\r\n\r\n" + chunks },
+            { "white space", "Transfer-Encoding: \t chunked \t\r\n\r\n" + chunks },
+            { "folded", "Transfer-Encoding:\r\n chunked\r\n\r\n" + chunks },
+        };
+        for (const Row &row : rows) {
+            handledRequests_ = 0;
+            const std::string answer =
+                    exchangeRaw(server_->localAddress(),
+                                "POST / HTTP/1.1\r\nConnection: close\r\n" + row.request);
+            CPPUNIT_ASSERT_MESSAGE(row.name + ": " + answer, answer.starts_with("HTTP/1.1 200"));
+            CPPUNIT_ASSERT_MESSAGE(row.name + ": " + answer, answer.ends_with("\r\n\r\nabc"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 1, handledRequests_.load());
+        }
+    }
+
     // Tests that a client reports an error if the handler returns without finishing its stream.
     // Guards against a truncated stream that the caller takes for complete.
     void unfinishedStreamIsVisible()
@@ -145,6 +242,7 @@
     }
 
     asio::io_context context_;
+    std::atomic<int> handledRequests_{ 0 };
     std::unique_ptr<HttpServer> server_;
     std::thread thread_;
 };
