Client: fail on responses whose length is not reliable

A caller could get an empty 200 that looked complete: a target that answered with "Transfer-Encoding: gzip" beside "Content-Length: 0" and a body. Without a length, the still encoded body was passed on, and the field that says how it is encoded was not.

Cause: the same as for requests; the parser ignores transfer codings other than a final "chunked", and the client did not check.

Change: the client applies the check of the server to every head that it reads, also to interim responses and to responses to earlier requests. The exchange fails with TargetFailed and its connection is closed.

Evidence: unreliableLengthFailsTheExchange, 17 framings with an open and a closed connection.

--- a/packages/net/include/net/http_client.h
+++ b/packages/net/include/net/http_client.h
@@ -82,7 +82,9 @@
 };
 
 /// HTTP/1.1 client with a pool of idle connections for each endpoint. Not thread-safe: each thread
-/// needs its own client. Calls from several coroutines of that thread may overlap.
+/// needs its own client. Calls from several coroutines of that thread may overlap. A response with
+/// a transfer coding other than a single "chunked", or with a length beside it, fails with
+/// `TargetFailed`, because its end cannot be determined reliably.
 ///
 /// The error shows whether the server can have received the request. `TargetUnreachable` means that
 /// no connection could be opened, so that no byte of the request was sent, with one exception: an
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "net/http_client.h"
 
 #include "base/result.h"
+#include "message_framing.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -327,6 +328,9 @@
         auto parser = std::make_unique<Parser>();
         parser->body_limit(maxBodyBytes);
         http::async_read_header(connection.stream, connection.buffer, *parser, yield[error]);
+        const auto &head = parser->get();
+        if (!error && !detail::hasReliableLength(head.version(), head, parser->chunked()))
+            error = http::error::bad_transfer_encoding;
         if (error)
             return nullptr;
         const bool isInterim = http::to_status_class(parser->get().result_int())
--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -207,6 +207,7 @@
 {
     CPPUNIT_TEST_SUITE(HttpClientTest);
     CPPUNIT_TEST(endOfBodyIsCompleteOrInterrupted);
+    CPPUNIT_TEST(unreliableLengthFailsTheExchange);
     CPPUNIT_TEST(bodyThatKeepsArrivingIsNotGivenUp);
     CPPUNIT_TEST(endlessInputEndsTheExchange);
     CPPUNIT_TEST(interimResponsesAreNoAnswer);
@@ -253,6 +254,56 @@
         }
     }
 
+    // Tests responses whose length cannot be determined reliably. Guards against a body that is
+    // lost or still encoded in a response that looks complete, and against its bytes being taken
+    // for the response to the next request.
+    void unreliableLengthFailsTheExchange()
+    {
+        struct Row
+        {
+            std::string name;
+            std::string head;
+        };
+        const Row rows[] = {
+            { "gzip", kOk + "Transfer-Encoding: gzip\r\n" },
+            { "identity", kOk + "Transfer-Encoding: identity\r\n" },
+            { "gzip, chunked", kOk + "Transfer-Encoding: gzip, chunked\r\n" },
+            { "chunked, gzip", kOk + "Transfer-Encoding: chunked, gzip\r\n" },
+            { "chunked twice", kOk + "Transfer-Encoding: chunked, chunked\r\n" },
+            { "quoted", kOk + "Transfer-Encoding: \"chunked\"\r\n" },
+            { "no coding", kOk + "Transfer-Encoding:\r\n" },
+            { "folded", kOk + "Transfer-Encoding: gzip,\r\n identity\r\n" },
+            { "two fields", kOk + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" },
+            { "gzip and a length", kOk + "Transfer-Encoding: gzip\r\nContent-Length: 0\r\n" },
+            { "a length and gzip", kOk + "Content-Length: 0\r\nTransfer-Encoding: gzip\r\n" },
+            { "chunked and a length", kOk + "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n" },
+            { "HTTP/1.0, chunked", "HTTP/1.0 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n" },
+            { "two lengths", kOk + "Content-Length: 0\r\nContent-Length: 1\r\n" },
+            { "list of lengths", kOk + "Content-Length: 0, 1\r\n" },
+            { "signed length", kOk + "Content-Length: +0\r\n" },
+            { "response to another request, gzip",
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 0\r\n" },
+        };
+        std::string failures;
+        for (const Row &row : rows) {
+            for (const Ending ending : { Ending::Close, Ending::Hold }) {
+                asio::io_context context;
+                ScriptedServer server(context, { { row.head + "\r\n" + kWhole, ending, "" },
+                                                 { kWhole, Ending::Hold, "" } });
+                HttpClient client(context.get_executor(), {});
+                run(context, row.name, [&](asio::yield_context yield) {
+                    const Outcome faulty = request(client, server.address(), yield);
+                    if (faulty.status != 0 || faulty.error != Result::TargetFailed)
+                        failures += row.name + ": status " + std::to_string(faulty.status) + '\n';
+                    const Outcome next = request(client, server.address(), yield);
+                    if (next.body != "ok" || server.connections != 2)
+                        failures += row.name + ": next response " + next.body + '\n';
+                });
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+    }
+
     // Guards against large bodies on slow links that are never received as a whole.
     void bodyThatKeepsArrivingIsNotGivenUp()
     {
