Server: discard trailer fields of requests

Fields after the last chunk became header fields of the request: one could add a second Request-Id, Model or Authorization, which the router and the target then read differently.

Cause: the parser appends them to the header, and the server copied the fields after it had read the body.

Change: the fields are copied after the head has been read. RFC 9110, 6.5.1, allows a recipient to discard trailer fields.

Evidence: trailerFieldsAreDiscarded fails with the sources before the change (A=1;A=2;...;B=3) and passes now.

--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -81,7 +81,7 @@
 /// robin. Each connection is served by one coroutine. Requests with two lengths, with a length and
 /// a transfer coding, or with a transfer coding other than a single "chunked" are refused, because
 /// intermediaries interpret them differently, which allows request smuggling. The connection is
-/// closed after such a request.
+/// closed after such a request. Trailer fields are discarded.
 class HttpServer
 {
 public:
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -19,6 +19,7 @@
 
 #include <atomic>
 #include <exception>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -38,13 +39,13 @@
 
 using RequestParser = http::request_parser<http::string_body>;
 
-Request fromWire(http::request<http::string_body> &&wire)
+// Returns the request without its body, which has not been read yet.
+Request headFromWire(const http::request<http::string_body> &wire)
 {
     Request request{ .method = std::string(wire.method_string()),
                      .target = std::string(wire.target()) };
     for (const auto &field : wire)
         request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-    request.body = std::move(wire.body());
     return request;
 }
 
@@ -231,9 +232,9 @@
     bool serveOne(const ServerWorker &worker, beast::tcp_stream &stream, beast::flat_buffer &buffer,
                   const Address &peer, asio::yield_context yield);
     // Waits for a request and reads it. If that fails, sends an error response to a peer that can
-    // still receive one, and returns false.
-    bool readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, RequestParser &parser,
-                     asio::yield_context yield);
+    // still receive one, and returns no value. Fields of a trailer are discarded.
+    std::optional<Request> readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer,
+                                       RequestParser &parser, asio::yield_context yield);
     // Sends the error response for `result`, after which the connection must be closed.
     void refuse(beast::tcp_stream &stream, const Address &peer, Result result,
                 asio::yield_context yield);
@@ -298,8 +299,10 @@
     stream.socket().shutdown(tcp::socket::shutdown_send, error);
 }
 
-bool HttpServer::Implementation::readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer,
-                                             RequestParser &parser, asio::yield_context yield)
+std::optional<Request> HttpServer::Implementation::readRequest(beast::tcp_stream &stream,
+                                                               beast::flat_buffer &buffer,
+                                                               RequestParser &parser,
+                                                               asio::yield_context yield)
 {
     error_code error;
     if (buffer.size() == 0) {
@@ -307,10 +310,11 @@
         const std::size_t received = stream.async_read_some(buffer.prepare(4096), yield[error]);
         buffer.commit(received);
         if (error)
-            return false;
+            return std::nullopt;
     }
     const CountGuard counted(active);
     bool expired = false;
+    Request request;
     {
         const ReadDeadline deadline(stream, options_.headTimeout);
         http::async_read_header(stream, buffer, parser, yield[error]);
@@ -320,18 +324,22 @@
     if (!error && !detail::hasReliableLength(wire.version(), wire, parser.chunked()))
         error = http::error::bad_transfer_encoding;
     if (!error) {
+        // The parser adds the fields of a trailer to those of the header.
+        request = headFromWire(wire);
         const ReadDeadline deadline(stream, options_.bodyTimeout);
         http::async_read(stream, buffer, parser, yield[error]);
         expired = deadline.hasExpired();
     }
-    if (!error)
-        return true;
+    if (!error) {
+        request.body = std::move(parser.get().body());
+        return request;
+    }
     if (expired || !isPeerGone(error)) {
         const Result result = expired ? Result::RequestTimeout : parseResult(error);
         LOG(WARNING) << "[net] Request refused: " << base::resultInfo(result).name << '.';
         refuse(stream, {}, result, yield);
     }
-    return false;
+    return std::nullopt;
 }
 
 bool HttpServer::Implementation::serveOne(const ServerWorker &worker, beast::tcp_stream &stream,
@@ -341,11 +349,12 @@
     RequestParser parser;
     parser.header_limit(static_cast<std::uint32_t>(options_.maxHeadBytes));
     parser.body_limit(options_.maxBodyBytes);
-    if (!readRequest(stream, buffer, parser, yield))
+    std::optional<Request> request = readRequest(stream, buffer, parser, yield);
+    if (!request)
         return false;
     const CountGuard counted(active);
     const bool keepAlive = parser.get().keep_alive() && !isStopping_ && !isClosing_;
-    ConnectionExchange exchange(stream, peer, fromWire(parser.release()), options_.writeTimeout,
+    ConnectionExchange exchange(stream, peer, *std::move(request), options_.writeTimeout,
                                 keepAlive);
     worker.handler(exchange, yield);
     if (!exchange.hasStarted())
--- a/packages/net/test/http_server_test.cpp
+++ b/packages/net/test/http_server_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(badInputIsRefused);
     CPPUNIT_TEST(unreliableLengthIsRefused);
     CPPUNIT_TEST(reliableLengthIsAccepted);
+    CPPUNIT_TEST(trailerFieldsAreDiscarded);
     CPPUNIT_TEST(unfinishedStreamIsVisible);
     CPPUNIT_TEST(goodRequestPasses);
     CPPUNIT_TEST_SUITE_END();
@@ -54,6 +55,13 @@
         const Handler handler = [this](Exchange &exchange, asio::yield_context yield) {
             std::error_code error;
             ++handledRequests_;
+            if (exchange.request().target == "/fields") {
+                std::string fields;
+                for (const Header &header : exchange.request().headers)
+                    fields += header.name + '=' + header.value + ';';
+                exchange.respond({ .body = fields }, yield, error);
+                return;
+            }
             if (exchange.request().target != "/unfinished") {
                 exchange.respond({ .body = exchange.request().body }, yield, error);
                 return;
@@ -205,6 +213,20 @@
         }
     }
 
+    // Tests that fields after the last chunk do not become header fields. Guards against a trailer
+    // that changes how a request is routed or whose it is.
+    void trailerFieldsAreDiscarded()
+    {
+        const std::string answer =
+                exchangeRaw(server_->localAddress(),
+                            "POST /fields HTTP/1.1\r\nA: 1\r\nConnection: close\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n0\r\nA: 2\r\nB: 3\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("A=1;") != answer.npos);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("A=2;") == answer.npos);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("B=3;") == answer.npos);
+    }
+
     // Tests that a client reports an error if the handler returns without finishing its stream.
     // Guards against a truncated stream that the caller takes for complete.
     void unfinishedStreamIsVisible()
