Rows: copies learn of removals that their source did not see

Cause: most instances copy the rows of the store from two followers, and a follower reports a removal only if it saw it. After a restart, and after a full read because the history of the store was lost, it knows no earlier removals, but it sent its rows as complete up to its version. A copy that was older than the removal took that version and kept the row, and nothing corrected it later. This needs a removal between the last copy and the first read of the follower. An instance that copied from such a follower passed the gap on, and became such a source when it was chosen as a follower itself.

Change: a replica knows the version after which it has seen all removals. A request for changes after an older version is answered with the keys of all rows that exist beside the changes, and the receiver deletes the rows that are not listed. The receiver then knows removals only from that version on. The values of unchanged rows are not sent again. The key of the cache of compressed entries names the rows, since removals can now be added to a version later.

Ruled out: answering "out of date" instead, after which the receiver asks the store, leaves instances that cannot reach the store with the row.

Evidence: followersReportRemovalsTheyDidNotSee (restart, lost history; one table, all tables) fails without the keys ("restart": the target that left is still in the view) and passes with them.

--- a/packages/entry/include/entry/view_updater.h
+++ b/packages/entry/include/entry/view_updater.h
@@ -20,6 +20,7 @@
 #include <set>
 #include <string>
 #include <system_error>
+#include <tuple>
 #include <vector>
 
 namespace chervilfield::entry {
@@ -220,11 +221,12 @@
     /// Time up to which all changes are known, by table.
     std::map<std::string, Clock::time_point> completeUntil_;
     /// Key of a compressed entry. The rows of a version do not change, but each may be replaced by
-    /// a later version, so that their number identifies those that are left.
+    /// a later version, and deletions may be added when they become known.
     struct EntryKey
     {
         std::uint64_t version = 0;
-        std::size_t rowCount = 0;
+        /// Table, key and whether it is deleted, of each row.
+        std::vector<std::tuple<std::string, std::string, bool>> rows;
         std::string table;
         auto operator<=>(const EntryKey &) const = default;
     };
--- a/packages/entry/src/view_updater.cpp
+++ b/packages/entry/src/view_updater.cpp
@@ -454,18 +454,19 @@
     changes.reserve(names.size());
     for (const std::string &name : names)
         changes.push_back(tables_.at(name).changesAfter(query.after));
-    for (const fleet::StoreRows &rows : changes) {
-        for (const fleet::StoreRow &row : rows.rows)
+    peers::ConfigurationEntries result{ .revisionInForce = 0, .entries = {} };
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        for (const fleet::StoreRow &row : changes[i].rows)
             rowsByVersion[row.version].push_back(&row);
+        if (changes[i].presentKeys)
+            result.presentKeys[names[i]] = *std::move(changes[i].presentKeys);
     }
     // Revision 0 tells the peer that the rows may be out of date.
     const bool isUpToDate = std::ranges::all_of(names, [this](const std::string &name) {
         return isStoreResponding(name)
                && !(name == schema_.targetTable && targetsUnconfirmedSince_);
     });
-    peers::ConfigurationEntries result{ .revisionInForce = isUpToDate ? version(query.table) : 0,
-                                        .entries = {},
-                                        .weightsAges = weightsAges() };
+    result.weightsAges = weightsAges();
     if (const auto time = completeUntil(names))
         result.age = std::chrono::ceil<milliseconds>(Clock::now() - *time);
     for (const auto &[rowVersion, rows] : rowsByVersion) {
@@ -474,6 +475,10 @@
         else
             result.entries.push_back({ rowVersion, encodeRows(rows) });
     }
+    if (isUpToDate)
+        result.revisionInForce = version(query.table);
+    else
+        result.presentKeys.clear();
     return result;
 }
 
@@ -481,7 +486,9 @@
 ViewUpdater::compressedEntry(const std::string &table, std::uint64_t version,
                              const std::vector<const fleet::StoreRow *> &rows) const
 {
-    const EntryKey key{ .version = version, .rowCount = rows.size(), .table = table };
+    EntryKey key{ .version = version, .rows = {}, .table = table };
+    for (const fleet::StoreRow *row : rows)
+        key.rows.emplace_back(row->table, row->key, row->isDeleted);
     const auto found = compressedEntries_.find(key);
     if (found != compressedEntries_.end())
         return found->second;
@@ -503,14 +510,18 @@
         for (fleet::StoreRow &row : decodeRows(entry))
             byTable[row.table].rows.push_back(std::move(row));
     }
+    const bool isUpToDate = entries.revisionInForce > 0;
     const auto names = selectTables(table);
     bool hasChanged = false;
     for (const std::string &name : names) {
         fleet::StoreRows &rows = byTable[name];
-        rows.version = entries.revisionInForce;
+        if (isUpToDate) {
+            rows.version = entries.revisionInForce;
+            if (const auto keys = entries.presentKeys.find(name); keys != entries.presentKeys.end())
+                rows.presentKeys = keys->second;
+        }
         hasChanged = tables_.at(name).apply(rows) || hasChanged;
     }
-    const bool isUpToDate = entries.revisionInForce > 0;
     const WeightsEvidence evidence{ .setAfter = completeUntil(names),
                                     .peerAges = entries.weightsAges,
                                     .requestedAt = requestedAt };
--- a/packages/entry/test/view_updater_test.cpp
+++ b/packages/entry/test/view_updater_test.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(peersReplaceUnreachableStore);
     CPPUNIT_TEST(rowsBesideAnOddOneReachPeers);
     CPPUNIT_TEST(peersReportRemovedTargets);
+    CPPUNIT_TEST(followersReportRemovalsTheyDidNotSee);
     CPPUNIT_TEST(removedTargetsAreNotRetainedWithoutOutage);
     CPPUNIT_TEST(followerWithoutStoreAnswersIsNotUpToDate);
     CPPUNIT_TEST(unresponsiveStoreIsNotLongPolled);
@@ -263,6 +264,60 @@
         CPPUNIT_ASSERT(f.publishedViewCount - before <= kViews);
     }
 
+    // Tests that an instance learns of a removal that the follower it copies from did not see.
+    // Guards against requests to a target that left while a follower restarted: it would stay in
+    // the copies of undisturbed instances for good.
+    void followersReportRemovalsTheyDidNotSee()
+    {
+        struct Row
+        {
+            std::string name;
+            bool isRestarted; ///< The follower restarts; otherwise the store loses its history.
+            std::string table;
+        };
+        for (const Row &row :
+             { Row{ "restart", true, "targets" }, Row{ "restart, all tables", true, "" },
+               Row{ "lost history", false, "targets" },
+               Row{ "lost history, all tables", false, "" } }) {
+            Fixture follower;
+            follower.store.put("deployment", "version", "1");
+            follower.store.put("targets", "kept", "p");
+            follower.updater.start();
+            CPPUNIT_ASSERT(runUntil(follower.context, [&] { return follower.hasTarget("kept"); }));
+            FakeStore store = follower.store;
+            store.put("targets", "leaving", "p");
+            Fixture other;
+            other.store = store;
+            other.updater.start();
+            CPPUNIT_ASSERT(runUntil(other.context, [&] { return other.hasTarget("leaving"); }));
+            Fixture f;
+            f.merge(other.updater.entries({}));
+            CPPUNIT_ASSERT_MESSAGE(row.name, f.hasTarget("leaving") && f.hasTarget("kept"));
+
+            // The follower sees neither the registration nor the removal of the target.
+            store.erase("targets", "leaving");
+            store.put("targets", "new", "p");
+            constexpr std::uint64_t kChanges = 5; // Of the store, each with its version.
+            Fixture restarted;
+            if (row.isRestarted)
+                restarted.updater.start();
+            Fixture &source = row.isRestarted ? restarted : follower;
+            source.store = store;
+            CPPUNIT_ASSERT(runUntil(source.context, [&] {
+                const bool isRead = source.hasTarget("new") && source.updater.version() == kChanges;
+                source.store.hasLostHistory = !isRead && !row.isRestarted;
+                return isRead;
+            }));
+            const peers::EntriesQuery query{ .after = f.updater.version(row.table),
+                                             .table = row.table };
+            const auto requestedAt = ViewUpdater::Clock::now();
+            CPPUNIT_ASSERT_MESSAGE(row.name, f.updater.merge(source.updater.entries(query),
+                                                             requestedAt, row.table));
+            CPPUNIT_ASSERT_MESSAGE(row.name, !f.hasTarget("leaving"));
+            CPPUNIT_ASSERT_MESSAGE(row.name, f.hasTarget("kept") && f.hasTarget("new"));
+        }
+    }
+
     // Tests that a deleted target leaves the view at once if there was no outage. Guards against
     // retaining it because this instance polled only followers for a while, or because the store
     // refused it for less than the outage threshold.
--- a/packages/fleet/include/fleet/replica.h
+++ b/packages/fleet/include/fleet/replica.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,7 +16,9 @@
 class TableReplica
 {
 public:
-    /// Applies changes from the store or a peer. Returns true if any row changed.
+    /// Applies changes from the store or a peer. If the changes state the present keys, rows with
+    /// other keys are deleted unless their version is later than the changes. Returns true if any
+    /// row changed.
     bool apply(const StoreRows &changes);
 
     /// Replaces the content by a complete copy of the table. Rows that the copy lacks are deleted
@@ -23,7 +26,9 @@
     /// Returns true if any row changed.
     bool replace(const StoreRows &all);
 
-    /// Returns all rows and deletions with a version later than `version`, sorted by version.
+    /// Returns all rows and known deletions with a version later than `version`, sorted by version.
+    /// The result states the present keys if earlier deletions than the known ones may be missing:
+    /// a complete copy does not tell which rows were deleted before it.
     StoreRows changesAfter(std::uint64_t version) const;
 
     /// Returns the version up to which the replica is complete; 0 before the first copy.
@@ -40,9 +45,14 @@
     /// it was stored.
     bool applyRow(const StoreRow &row);
 
+    /// Deletes the rows up to `version` whose keys are not listed. Returns true if any was deleted.
+    bool deleteUnlisted(const std::set<std::string> &presentKeys, std::uint64_t version);
+
     std::map<std::string, StoreRow> rows_;
     /// Deleted rows by key, kept so that a delayed older copy does not restore them.
     std::map<std::string, StoreRow> deleted_;
+    /// All deletions with a later version, up to `version_`, are in `deleted_`.
+    std::uint64_t deletionsKnownAfter_ = 0;
     std::uint64_t version_ = 0;
     std::uint64_t newestRowVersion_ = 0;
 };
--- a/packages/fleet/include/fleet/store.h
+++ b/packages/fleet/include/fleet/store.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -27,6 +28,8 @@
 {
     std::vector<StoreRow> rows;
     std::uint64_t version = 0;
+    /// Keys of all rows that exist at `version`; no value if `rows` holds all deletions.
+    std::optional<std::set<std::string>> presentKeys{};
     /// Time of the store's own steady clock at which `version` was the newest one, 0 if unknown.
     std::chrono::milliseconds storeTime{ 0 };
 };
--- a/packages/fleet/src/replica.cpp
+++ b/packages/fleet/src/replica.cpp
@@ -25,33 +25,44 @@
 
 bool TableReplica::apply(const StoreRows &changes)
 {
-    bool changed = false;
+    // Changes without a version do not claim to be complete.
+    const bool isCopy = changes.presentKeys && changes.version > 0 && changes.version >= version_;
+    bool changed = isCopy && deleteUnlisted(*changes.presentKeys, changes.version);
     for (const StoreRow &row : changes.rows)
         changed = applyRow(row) || changed;
     version_ = std::max(version_, changes.version);
     return changed;
 }
 
-bool TableReplica::replace(const StoreRows &all)
+bool TableReplica::deleteUnlisted(const std::set<std::string> &presentKeys, std::uint64_t version)
 {
-    if (all.version < version_)
-        return false;
     bool changed = false;
-    std::vector<StoreRow> missing;
-    for (const auto &[key, row] : rows_) {
-        const bool isListed = std::ranges::find(all.rows, key, &StoreRow::key) != all.rows.end();
-        if (!isListed && row.version <= all.version)
-            missing.push_back(row);
-    }
-    for (StoreRow &row : missing) {
+    for (auto present = rows_.begin(); present != rows_.end();) {
+        if (presentKeys.contains(present->first) || present->second.version > version) {
+            ++present;
+            continue;
+        }
+        StoreRow row = std::move(present->second);
         row.isDeleted = true;
-        row.version = all.version;
+        row.version = version;
         row.value.clear();
-        rows_.erase(row.key);
-        deleted_[row.key] = row;
+        present = rows_.erase(present);
+        deleted_[row.key] = std::move(row);
         changed = true;
     }
-    return apply(all) || changed;
+    deletionsKnownAfter_ = std::max(deletionsKnownAfter_, version);
+    return changed;
+}
+
+bool TableReplica::replace(const StoreRows &all)
+{
+    if (all.version < version_)
+        return false;
+    StoreRows copy = all;
+    copy.presentKeys.emplace();
+    for (const StoreRow &row : all.rows)
+        copy.presentKeys->insert(row.key);
+    return apply(copy);
 }
 
 StoreRows TableReplica::changesAfter(std::uint64_t version) const
@@ -64,6 +75,11 @@
         }
     }
     std::ranges::sort(result.rows, {}, &StoreRow::version);
+    if (version < deletionsKnownAfter_) {
+        result.presentKeys.emplace();
+        for (const auto &[key, row] : rows_)
+            result.presentKeys->insert(key);
+    }
     return result;
 }
 
--- a/packages/peers/include/peers/transfer.h
+++ b/packages/peers/include/peers/transfer.h
@@ -5,7 +5,9 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,6 +63,9 @@
     /// Time since the entries were the newest ones. Only entry instances send it.
     std::optional<std::chrono::milliseconds> age{};
     std::vector<WeightsAge> weightsAges{}; ///< At most `kMaxWeightsAges`, from entry instances.
+    /// Keys of all rows that exist at `revisionInForce`, by table, for tables of which the entries
+    /// may lack deletions. Only entry instances send them.
+    std::map<std::string, std::set<std::string>> presentKeys{};
     bool operator==(const ConfigurationEntries &) const = default;
 };
 
--- a/packages/peers/src/transfer.cpp
+++ b/packages/peers/src/transfer.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+// Upper bound of the field headers, the length and the revision of one entry or key.
+constexpr std::size_t kEntryOverhead = 24;
 // Ages beyond this cannot be subtracted from a time point of every clock.
 constexpr std::int64_t kMaxAgeMs = 10LL * 365 * 24 * 3600 * 1000;
 
@@ -27,6 +29,18 @@
     return result;
 }
 
+std::vector<wire::TableKeys> toWire(const std::map<std::string, std::set<std::string>> &presentKeys)
+{
+    std::vector<wire::TableKeys> result;
+    for (const auto &[table, keys] : presentKeys) {
+        wire::TableKeys item;
+        item.table = table;
+        item.keys.assign(keys.begin(), keys.end());
+        result.push_back(std::move(item));
+    }
+    return result;
+}
+
 } // namespace
 
 void compressValue(ConfigurationEntry &entry)
@@ -85,8 +99,6 @@
 
 std::string encodeEntries(const ConfigurationEntries &entries)
 {
-    // Upper bound of the field headers, the length and the revision of one entry.
-    constexpr std::size_t kEntryOverhead = 24;
     wire::ConfigurationEntries message;
     message.revisionInForce = static_cast<std::int64_t>(entries.revisionInForce);
     std::size_t bytes = kEntryOverhead;
@@ -105,6 +117,8 @@
         message.__set_ageMs(entries.age->count());
     if (!entries.weightsAges.empty())
         message.__set_weightsAges(toWire(entries.weightsAges));
+    if (!entries.presentKeys.empty())
+        message.__set_presentKeys(toWire(entries.presentKeys));
     return internal::writeCompact(message);
 }
 
@@ -125,6 +139,8 @@
     }
     if (message.__isset.ageMs && message.ageMs >= 0 && message.ageMs <= kMaxAgeMs)
         result.age = std::chrono::milliseconds(message.ageMs);
+    for (wire::TableKeys &keys : message.presentKeys)
+        result.presentKeys[keys.table].insert(keys.keys.begin(), keys.keys.end());
     for (wire::WeightsAge &age : message.weightsAges) {
         if (age.maxAgeMs >= 0 && age.maxAgeMs <= kMaxAgeMs
             && result.weightsAges.size() < kMaxWeightsAges)
--- a/packages/peers/test/datagram_test.cpp
+++ b/packages/peers/test/datagram_test.cpp
@@ -373,6 +373,7 @@
                 entries.weightsAges = { { makeText(), *rc::gen::inRange<std::uint64_t>(0, 100),
                                           std::chrono::milliseconds(7) },
                                         { "m", 2, *entries.age } };
+                entries.presentKeys = { { "empty", {} }, { makeText(), { "", "a", makeText() } } };
             }
             RC_ASSERT(decodeEntries(encodeEntries(entries)) == entries);
             if (rows > 1) {
--- a/packages/peers/thrift/peers.thrift
+++ b/packages/peers/thrift/peers.thrift
@@ -158,6 +158,12 @@
   3: i64 maxAgeMs
 }
 
+// Keys of all rows of one table.
+struct TableKeys {
+  1: string table
+  2: list<string> keys
+}
+
 // Response of GET /peer/v1/configuration?after=<revision>&table=<name>&compression=zstd.
 struct ConfigurationEntries {
   1: i64 revisionInForce
@@ -165,4 +171,6 @@
   // Time since the entries were the newest ones.
   3: optional i64 ageMs
   4: optional list<WeightsAge> weightsAges
+  // For tables of which the entries may lack deletions; rows with other keys were deleted.
+  5: optional list<TableKeys> presentKeys
 }
