Rows: ignore changes that a copy reflects already

A target that had left could come back into the view of an instance that started later, and then stayed in it: the instance read the rows of the store without it, and took them from a peer that was out of date.

Cause: a row was refused only if the copy held a newer version or the removal of the same row. A copy that starts with a full read holds no earlier removals, so the old row counted as new. Answers that arrive late had the same effect.

Change: a change up to the version of the copy is ignored, because the copy is complete up to there. A complete copy still sets all its rows.

--- a/packages/entry/test/view_updater_test.cpp
+++ b/packages/entry/test/view_updater_test.cpp
@@ -95,6 +95,7 @@
     CPPUNIT_TEST(rowsBesideAnOddOneReachPeers);
     CPPUNIT_TEST(peersReportRemovedTargets);
     CPPUNIT_TEST(followersReportRemovalsTheyDidNotSee);
+    CPPUNIT_TEST(removedTargetsDoNotReturn);
     CPPUNIT_TEST(removedTargetsAreNotRetainedWithoutOutage);
     CPPUNIT_TEST(followerWithoutStoreAnswersIsNotUpToDate);
     CPPUNIT_TEST(unresponsiveStoreIsNotLongPolled);
@@ -318,6 +319,27 @@
         }
     }
 
+    // Tests rows of a peer that is out of date. Guards against a target that left before the start
+    // of this instance and that the peer still knows.
+    void removedTargetsDoNotReturn()
+    {
+        Fixture peer;
+        peer.store.put("deployment", "version", "1");
+        peer.store.put("targets", "gone", "p");
+        peer.updater.start();
+        CPPUNIT_ASSERT(runUntil(peer.context, [&] { return peer.hasTarget("gone"); }));
+        Fixture f;
+        f.store = peer.store;
+        f.store.erase("targets", "gone");
+        f.store.put("targets", "new", "p");
+        peer.store.isUnreachable = true;
+        CPPUNIT_ASSERT(runUntil(peer.context, [&] { return !peer.updater.isStoreReachable(); }));
+        f.updater.start();
+        CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.hasTarget("new"); }));
+        CPPUNIT_ASSERT(!f.merge(peer.updater.entries({})));
+        CPPUNIT_ASSERT(!f.hasTarget("gone"));
+    }
+
     // Tests that a deleted target leaves the view at once if there was no outage. Guards against
     // retaining it because this instance polled only followers for a while, or because the store
     // refused it for less than the outage threshold.
--- a/packages/fleet/include/fleet/replica.h
+++ b/packages/fleet/include/fleet/replica.h
@@ -16,9 +16,9 @@
 class TableReplica
 {
 public:
-    /// Applies changes from the store or a peer. If the changes state the present keys, rows with
-    /// other keys are deleted unless their version is later than the changes. Returns true if any
-    /// row changed.
+    /// Applies changes from the store or a peer. Ignores changes up to `version()`, which the
+    /// replica reflects already. If the changes state the present keys, rows with other keys are
+    /// deleted unless their version is later than the changes. Returns true if any row changed.
     bool apply(const StoreRows &changes);
 
     /// Replaces the content by a complete copy of the table. Rows that the copy lacks are deleted
--- a/packages/fleet/src/replica.cpp
+++ b/packages/fleet/src/replica.cpp
@@ -28,8 +28,11 @@
     // Changes without a version do not claim to be complete.
     const bool isCopy = changes.presentKeys && changes.version > 0 && changes.version >= version_;
     bool changed = isCopy && deleteUnlisted(*changes.presentKeys, changes.version);
-    for (const StoreRow &row : changes.rows)
-        changed = applyRow(row) || changed;
+    for (const StoreRow &row : changes.rows) {
+        // A row that was deleted before the first copy would otherwise be restored.
+        if (isCopy || row.version > version_)
+            changed = applyRow(row) || changed;
+    }
     version_ = std::max(version_, changes.version);
     return changed;
 }
