Rows: do not count an incomplete transfer as complete

A copy could miss rows and removals for good: beyond 4,096 entries or 4 MiB the sender omitted the last entries and still stated its version, and a receiver skipped entries that it could not read or decompress and still took the version.

Change: a sender whose rows exceed the limits of a transfer states that they may be out of date, and the receiver does not take the version of a transfer of which it cannot read an entry. In both cases it asks the next source, in the end the store, for the changes after its own version.

Evidence: incompleteTransfersAreNotUpToDate fails before ("no JSON" is merged as up to date; without the check of the limits also 4,097 targets) and passes now.

--- a/packages/entry/src/view_updater.cpp
+++ b/packages/entry/src/view_updater.cpp
@@ -35,28 +35,29 @@
     return json::serialize(list);
 }
 
-std::vector<fleet::StoreRow> decodeRows(const peers::ConfigurationEntry &entry)
+// Returns no value if the entry or one of its rows is malformed.
+std::optional<std::vector<fleet::StoreRow>> decodeRows(const peers::ConfigurationEntry &entry)
 {
     std::vector<fleet::StoreRow> rows;
     const auto text = peers::decompressedValue(entry);
     if (!text)
-        return rows;
+        return std::nullopt;
     json::error_code error;
     // Rows of other writers may hold any bytes, which the sender copies into the text.
     const json::value value = json::parse(*text, error, {}, { .allow_invalid_utf8 = true });
     if (error || !value.is_array())
-        return rows;
+        return std::nullopt;
     for (const json::value &item : value.get_array()) {
         const json::object *object = item.if_object();
         if (object == nullptr)
-            continue;
+            return std::nullopt;
         const json::value *table = object->if_contains("table");
         const json::value *key = object->if_contains("key");
         const json::value *content = object->if_contains("value");
         const json::value *deleted = object->if_contains("deleted");
         if (!table || !key || !content || !deleted || !table->is_string() || !key->is_string()
             || !content->is_string() || !deleted->is_bool())
-            continue;
+            return std::nullopt;
         rows.push_back({ .table = std::string(table->get_string()),
                          .partition = {},
                          .key = std::string(key->get_string()),
@@ -461,7 +462,7 @@
         if (changes[i].presentKeys)
             result.presentKeys[names[i]] = *std::move(changes[i].presentKeys);
     }
-    // Revision 0 tells the peer that the rows may be out of date.
+    // Revision 0 tells the peer that the rows may be out of date or incomplete.
     const bool isUpToDate = std::ranges::all_of(names, [this](const std::string &name) {
         return isStoreResponding(name)
                && !(name == schema_.targetTable && targetsUnconfirmedSince_);
@@ -475,7 +476,7 @@
         else
             result.entries.push_back({ rowVersion, encodeRows(rows) });
     }
-    if (isUpToDate)
+    if (isUpToDate && peers::fitsTransfer(result))
         result.revisionInForce = version(query.table);
     else
         result.presentKeys.clear();
@@ -506,11 +507,14 @@
                         const std::string &table)
 {
     std::map<std::string, fleet::StoreRows> byTable;
+    bool isComplete = true;
     for (const peers::ConfigurationEntry &entry : entries.entries) {
-        for (fleet::StoreRow &row : decodeRows(entry))
+        auto rows = decodeRows(entry);
+        isComplete = isComplete && rows.has_value();
+        for (fleet::StoreRow &row : rows.value_or(std::vector<fleet::StoreRow>()))
             byTable[row.table].rows.push_back(std::move(row));
     }
-    const bool isUpToDate = entries.revisionInForce > 0;
+    const bool isUpToDate = isComplete && entries.revisionInForce > 0;
     const auto names = selectTables(table);
     bool hasChanged = false;
     for (const std::string &name : names) {
--- a/packages/entry/test/view_updater_test.cpp
+++ b/packages/entry/test/view_updater_test.cpp
@@ -95,6 +95,7 @@
     CPPUNIT_TEST(rowsBesideAnOddOneReachPeers);
     CPPUNIT_TEST(peersReportRemovedTargets);
     CPPUNIT_TEST(followersReportRemovalsTheyDidNotSee);
+    CPPUNIT_TEST(incompleteTransfersAreNotUpToDate);
     CPPUNIT_TEST(removedTargetsDoNotReturn);
     CPPUNIT_TEST(removedTargetsAreNotRetainedWithoutOutage);
     CPPUNIT_TEST(followerWithoutStoreAnswersIsNotUpToDate);
@@ -319,6 +320,43 @@
         }
     }
 
+    // Tests transfers that lack rows, because they exceed a limit or cannot be read. Guards against
+    // a receiver that counts them as complete and never learns of the missing removals.
+    void incompleteTransfersAreNotUpToDate()
+    {
+        Fixture sender;
+        sender.updater.start();
+        CPPUNIT_ASSERT(runUntil(sender.context, [&] { return sender.updater.isStoreReachable(); }));
+        sender.store.put("deployment", "version", "1");
+        for (std::size_t i = 0; i <= peers::kMaxConfigurationEntries; ++i)
+            sender.store.put("targets", "t" + std::to_string(i), "p");
+        constexpr std::uint64_t kChanges = peers::kMaxConfigurationEntries + 2;
+        CPPUNIT_ASSERT(runUntil(sender.context, [&] {
+            return sender.updater.version() == kChanges && sender.updater.isStoreReachable();
+        }));
+        const peers::EntriesQuery latest{ .after = kChanges - 1 };
+        CPPUNIT_ASSERT(sender.updater.entries(latest).revisionInForce > 0);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), sender.updater.entries({}).revisionInForce);
+
+        struct Row
+        {
+            std::string name;
+            std::string value;
+            bool isCompressed;
+        };
+        for (const Row &row : { Row{ "no JSON", "[", false }, Row{ "no list", "{}", false },
+                                Row{ "no row", "[1]", false },
+                                Row{ "incomplete row", R"([{"table":"targets"}])", false },
+                                Row{ "not a frame", "[]", true } }) {
+            Fixture f;
+            const peers::ConfigurationEntries entries{
+                .revisionInForce = 9, .entries = { { 8, row.value, row.isCompressed } }
+            };
+            CPPUNIT_ASSERT_MESSAGE(row.name, !f.merge(entries));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::uint64_t(0), f.updater.version());
+        }
+    }
+
     // Tests rows of a peer that is out of date. Guards against a target that left before the start
     // of this instance and that the peer still knows.
     void removedTargetsDoNotReturn()
--- a/packages/peers/include/peers/transfer.h
+++ b/packages/peers/include/peers/transfer.h
@@ -22,6 +22,8 @@
 constexpr std::size_t kMaxConfigurationEntries = 4096;
 /// Maximum size of the value of a compressed entry after decompression.
 constexpr std::size_t kMaxValueBytes = 16U << 20U;
+/// Maximum number of keys of a table in one `ConfigurationEntries`.
+constexpr std::size_t kMaxPresentKeys = 4096;
 /// Maximum number of weights ages in one `ConfigurationEntries`.
 constexpr std::size_t kMaxWeightsAges = 256;
 
@@ -77,6 +79,9 @@
 /// is bounded by a small multiple of the size of the body.
 std::optional<std::vector<membership::Member>> decodeTable(std::string_view body);
 
+/// Returns true if `encodeEntries` sends all entries and keys.
+bool fitsTransfer(const ConfigurationEntries &entries);
+
 /// Encodes the entries in Thrift's compact protocol. Omits the last entries if the body would
 /// exceed `kMaxTransferBytes` or the list `kMaxConfigurationEntries`.
 std::string encodeEntries(const ConfigurationEntries &entries);
--- a/packages/peers/src/transfer.cpp
+++ b/packages/peers/src/transfer.cpp
@@ -97,6 +97,21 @@
     return members;
 }
 
+bool fitsTransfer(const ConfigurationEntries &entries)
+{
+    std::size_t bytes = kEntryOverhead;
+    for (const ConfigurationEntry &entry : entries.entries)
+        bytes += kEntryOverhead + entry.value.size();
+    for (const auto &[table, keys] : entries.presentKeys) {
+        if (keys.size() > kMaxPresentKeys)
+            return false;
+        bytes += kEntryOverhead + table.size();
+        for (const std::string &key : keys)
+            bytes += kEntryOverhead + key.size();
+    }
+    return bytes <= kMaxTransferBytes && entries.entries.size() <= kMaxConfigurationEntries;
+}
+
 std::string encodeEntries(const ConfigurationEntries &entries)
 {
     wire::ConfigurationEntries message;
--- a/packages/peers/test/datagram_test.cpp
+++ b/packages/peers/test/datagram_test.cpp
@@ -386,6 +386,15 @@
             9, { { 1, std::string(3U << 20U, 'x') }, { 2, std::string(3U << 20U, 'y') } }
         };
         CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, decodeEntries(encodeEntries(large))->entries.size());
+        CPPUNIT_ASSERT(!fitsTransfer(large));
+        large.entries.pop_back();
+        CPPUNIT_ASSERT(fitsTransfer(large));
+        for (std::size_t i = 0; i < kMaxPresentKeys; ++i)
+            large.presentKeys["t"].insert(std::to_string(i));
+        CPPUNIT_ASSERT(fitsTransfer(large));
+        CPPUNIT_ASSERT(decodeEntries(encodeEntries(large)) == large);
+        large.presentKeys["t"].insert("one more");
+        CPPUNIT_ASSERT(!fitsTransfer(large));
     }
 };
 
