Relay: never write a second response into a stream

Cause: a response that is not an event stream was sent to the caller as a whole, also if the head of the stream had been sent before. Server errors were kept back, but not 429, 404, 307, 204 and a plain 200. A caller with a strict parser sees a broken stream, since the bytes are no chunk; one that reads on sees them.

Change: once the response has begun, a response that is no event stream counts as a failed attempt. The stream is resumed at another target if one may be tried, and ends visibly incomplete otherwise.

Evidence: brokenStreamsShowNoOtherResponse reads the raw bytes for twelve second answers. Before the change 429, 404, 307, 204 and 200 without events reach the caller; now none does.

--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -79,6 +79,8 @@
     /// Returns the timeout for the head of the target's response.
     std::chrono::milliseconds headTimeout() const;
     SendOutcome receive(net::ResponseStream &response);
+    /// Drops a response that is not the rest of the stream which the caller has begun to receive.
+    SendOutcome rejectResumption(const net::ResponseStream &response);
     SendOutcome receiveWhole(net::ResponseStream &response, const ResponseFields &fields);
     SendOutcome receiveStream(net::ResponseStream &response, const ResponseFields &fields);
     /// Forwards complete events to the caller. Returns false if the caller's connection has failed.
--- a/packages/relay/src/flow_answers.cpp
+++ b/packages/relay/src/flow_answers.cpp
@@ -140,9 +140,20 @@
     }
     if (isSuccess(response.status()) && isEventStream(response.headers()))
         return receiveStream(response, fields);
+    if (hasResponseStarted_)
+        return rejectResumption(response);
     return receiveWhole(response, fields);
 }
 
+SendOutcome Relay::Flow::rejectResumption(const net::ResponseStream &response)
+{
+    if (isSuccess(response.status()))
+        context_.placer.targetTracker().recordFault(*target_, dispatch::Fault::Broken,
+                                                    Clock::now());
+    result_ = Result::StreamInterrupted;
+    return SendOutcome::Failed;
+}
+
 void Relay::Flow::recordAnswer(const net::ResponseStream &response)
 {
     auto &targetTracker = context_.placer.targetTracker();
--- a/packages/relay/test/relay_fixture.h
+++ b/packages/relay/test/relay_fixture.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -36,6 +37,10 @@
     Silent,            ///< Never responds.
     Unsigned,          ///< Responds with 200 without a signature.
     WithoutRequestId,  ///< Responds with 200 without the request id.
+    NotFound,          ///< Responds with 404.
+    NoContent,         ///< Responds with 204.
+    Redirects,         ///< Responds with 307.
+    FailsWithEvents,   ///< Responds with 500 and an event stream.
     StreamsAll,        ///< Sends all three events.
     StreamsHalf,       ///< Closes the connection after one and a half events.
     StreamsNothing,    ///< Closes the connection before the first event.
@@ -90,6 +95,21 @@
                              error);
         else if (behaviour_ == Behaviour::TooMany)
             exchange.respond({ .status = 429, .headers = { { "Id", id } } }, yield, error);
+        else if (behaviour_ == Behaviour::NotFound)
+            exchange.respond({ .status = 404, .headers = signedHeaders, .body = "bad" }, yield,
+                             error);
+        else if (behaviour_ == Behaviour::NoContent)
+            exchange.respond({ .status = 204, .headers = signedHeaders }, yield, error);
+        else if (behaviour_ == Behaviour::Redirects)
+            exchange.respond({ .status = 307, .headers = signedHeaders, .body = "bad" }, yield,
+                             error);
+        else if (behaviour_ == Behaviour::FailsWithEvents)
+            exchange.respond({ .status = 500,
+                               .headers = { { "Id", id },
+                                            { "Signed", "1" },
+                                            { "Content-Type", "text/event-stream" } },
+                               .body = event(2) },
+                             yield, error);
         else if (behaviour_ == Behaviour::AnswersAndRefuses)
             exchange.respond({ .headers = { { "Id", id }, { "Signed", "1" }, { "Not-Run", "1" } },
                                .body = "whole" },
@@ -317,6 +337,7 @@
     std::function<net::Address(asio::io_context &)> startFirstTarget{};
     milliseconds pause{ 0 }; ///< Time between two requests.
     bool haveRequestsIds = true;
+    bool readsRawBytes = false; ///< The body of the outcome is all that the caller receives.
 };
 
 inline fleet::ViewPtr makeView(const Scenario &scenario, const std::vector<net::Address> &targets,
@@ -397,6 +418,22 @@
     outcome.isComplete = !error;
 }
 
+// Sends the request and reads all bytes until the connection is closed.
+inline void callRaw(const net::Address &address, const net::Request &request, Outcome &outcome,
+                    asio::yield_context yield)
+{
+    std::string bytes = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    for (const net::Header &header : request.headers)
+        bytes += header.name + ": " + header.value + "\r\n";
+    bytes += "Connection: close\r\nContent-Length: " + std::to_string(request.body.size())
+             + "\r\n\r\n" + request.body;
+    asio::ip::tcp::socket socket(yield.get_executor());
+    boost::system::error_code error;
+    socket.async_connect({ asio::ip::make_address(address.host), address.port }, yield[error]);
+    asio::async_write(socket, asio::buffer(bytes), yield[error]);
+    asio::async_read(socket, asio::dynamic_buffer(outcome.body), yield[error]);
+}
+
 // Records the longest work that keeps a timer from its turn, in CPU time: the process has one
 // thread, and other processes do not count.
 inline void recordStalls(milliseconds &maxStall, asio::yield_context yield)
@@ -441,7 +478,11 @@
         timer.expires_after(scenario.pause);
         if (outcomes.size() > 1)
             timer.async_wait(yield);
-        call(caller, address, callerRequest(scenario, id, parts), outcome, yield);
+        const net::Request request = callerRequest(scenario, id, parts);
+        if (scenario.readsRawBytes)
+            callRaw(address, request, outcome, yield);
+        else
+            call(caller, address, request, outcome, yield);
         for (const auto &target : targets)
             outcome.sends.push_back(target->received().size());
     }
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(responsesReflectWhatTargetsDid);
     CPPUNIT_TEST(promisesNeedAStatementOfTheTarget);
     CPPUNIT_TEST(streamsAreCompleteOrVisiblyInterrupted);
+    CPPUNIT_TEST(brokenStreamsShowNoOtherResponse);
     CPPUNIT_TEST(shutdownAcceptsOnlyRequestsThatCanFinish);
     CPPUNIT_TEST(laterAttemptsUseTheLatestView);
     CPPUNIT_TEST(requestsWithDeadlyPartStopCrashingEngines);
@@ -292,6 +293,43 @@
         });
     }
 
+    // Tests streams that broke off and whose second target responds with no stream. Guards against
+    // the head or the body of that response in the middle of the caller's stream, and against a
+    // stream that ends as if it were complete.
+    void brokenStreamsShowNoOtherResponse()
+    {
+        using enum Behaviour;
+        const std::pair<std::string, Behaviour> seconds[] = {
+            { "500", Fails },
+            { "500 with events", FailsWithEvents },
+            { "503", Unavailable },
+            { "503, not run", Refuses },
+            { "429", TooMany },
+            { "404", NotFound },
+            { "307", Redirects },
+            { "204", NoContent },
+            { "200 without events", Answers },
+            { "200 without a signature", Unsigned },
+            { "200 that denies it has run", AnswersAndRefuses },
+            { "cut", Breaks },
+        };
+        std::string failures;
+        for (const auto &[name, second] : seconds) {
+            const Outcome outcome = runScenario({ .name = name,
+                                                  .kind = fleet::RequestKind::Stream,
+                                                  .targets = { StreamsHalf, second },
+                                                  .isResumable = true,
+                                                  .readsRawBytes = true });
+            // The stream ends after the chunk of its first event.
+            const std::string &bytes = outcome.body;
+            if (!bytes.starts_with("HTTP/1.1 200") || !bytes.ends_with(event(1) + "\r\n"))
+                failures += name + ": " + bytes + '\n';
+            if (outcome.sends != std::vector<std::size_t>{ 1, 1 })
+                failures += name + ": sends\n";
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+    }
+
     // Tests which requests an instance accepts during its shutdown; callers wait for 1.5 s. Guards
     // against requests that are accepted and then interrupted by the exit.
     void shutdownAcceptsOnlyRequestsThatCanFinish()
