Relay: bound the memory of all responses together

Change: the bytes of responses that wait to be sent share a budget, a quarter of the memory that entry.memory_mb states, or 24 MiB. 32 KiB of each response do not count, so that small answers never lack memory. While the budget is used up, only the largest response is dropped, and the others wait without reading, so that sound answers of some size get through. A target that states the length of the response is not blamed for it.

--- a/packages/daemon/include/daemon/settings.h
+++ b/packages/daemon/include/daemon/settings.h
@@ -33,6 +33,8 @@
     std::chrono::milliseconds settleTime{ 3000 };
     /// `entry.drain_ms`: time for which a target that leaves still accepts requests.
     std::chrono::milliseconds targetDrainTime{ 2000 };
+    /// `entry.memory_mb`: memory of the instance in MiB; 0 if unknown.
+    double memoryMb = 0;
     /// `entry.link_mbps`: bandwidth of the instance's network link in Mbit/s; 0 if unknown.
     double linkMbps = 0;
     double retryRatio = 0.2; ///< `entry.retry_ratio`: retries that the platform allows per request.
--- a/packages/daemon/main/main.cpp
+++ b/packages/daemon/main/main.cpp
@@ -6,6 +6,7 @@
 
 #include <getopt.h>
 #include <glog/logging.h>
+#include <malloc.h>
 
 #include <cstdlib>
 #include <iostream>
@@ -67,6 +68,10 @@
 
 int runEntry(const Settings &settings, const std::string &file)
 {
+    // Without a fixed threshold the allocator keeps the memory of large bodies after their first
+    // release, which fragments it.
+    constexpr int kMmapThresholdBytes = 256 << 10;
+    mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
     const auto reload = [&file]() -> std::optional<chervilfield::entry::EntryOptions> {
         std::vector<SettingsError> errors;
         const Settings changed = readSettings(file, errors);
--- a/packages/daemon/src/entry_options.cpp
+++ b/packages/daemon/src/entry_options.cpp
@@ -31,6 +31,7 @@
                                  .peerAddress = settings.peers,
                                  .metricsAddress = entry.metrics,
                                  .storeAddress = settings.platform,
+                                 .memoryMb = entry.memoryMb,
                                  .linkMbps = static_cast<std::uint32_t>(entry.linkMbps),
                                  .seeds = settings.seeds,
                                  .protocolPeriod = settings.protocolPeriod,
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -217,6 +217,8 @@
         { "entry", "settle_ms", false, kNumber, entryDurationReader(&E::settleTime, kMillisecond) },
         { "entry", "drain_ms", false, kNumber,
           entryDurationReader(&E::targetDrainTime, kMillisecond) },
+        { "entry", "memory_mb", false, "a number from 0 to 1000000",
+          entryNumberReader(&E::memoryMb, 1e6) },
         { "entry", "link_mbps", false, "a number from 0 to 1000000",
           entryNumberReader(&E::linkMbps, 1e6) },
         { "entry", "retry_ratio", false, kNumber, entryNumberReader(&E::retryRatio) },
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -40,13 +40,20 @@
 relay::RelayOptions relayOptions(const EntryOptions &options)
 {
     const double window = std::chrono::duration<double>(options.retryWindow).count();
-    return { .poolRetryBudget =
-                     admission::SharedRetryBudget{ .earnedPerRequest = options.retryRatio,
-                                                   .burst = options.retryBurst,
-                                                   .window = options.retryWindow },
-             .retryBudget = { .earnedPerRequest = options.retryRatio,
-                              .earnedPerSecond = options.retryBurst / window,
-                              .maxSaved = options.retryBurst } };
+    relay::RelayOptions result{
+        .poolRetryBudget = admission::SharedRetryBudget{ .earnedPerRequest = options.retryRatio,
+                                                         .burst = options.retryBurst,
+                                                         .window = options.retryWindow },
+        .retryBudget = { .earnedPerRequest = options.retryRatio,
+                         .earnedPerSecond = options.retryBurst / window,
+                         .maxSaved = options.retryBurst }
+    };
+    constexpr double kResponseMemoryShare = 0.25;
+    constexpr double kMebibyte = 1U << 20U;
+    if (options.memoryMb > 0)
+        result.responseMemoryBytes =
+                static_cast<std::size_t>(options.memoryMb * kMebibyte * kResponseMemoryShare);
+    return result;
 }
 
 RolloutOptions rolloutOptions(const EntryOptions &options)
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/context/fixedsize_stack.hpp>
@@ -121,10 +122,12 @@
     void respond(const Response &response, asio::yield_context yield,
                  std::error_code &error) override
     {
-        http::response<http::string_body> wire(static_cast<http::status>(response.status), 11);
+        // The body may be large, so it is not copied.
+        http::response<http::span_body<const char>> wire(static_cast<http::status>(response.status),
+                                                         11);
         for (const Header &header : response.headers)
             wire.insert(header.name, header.value);
-        wire.body() = response.body;
+        wire.body() = { response.body.data(), response.body.size() };
         wire.keep_alive(keepAlive_);
         wire.prepare_payload();
         error_code failure;
--- a/packages/relay/include/relay/relay.h
+++ b/packages/relay/include/relay/relay.h
@@ -3,6 +3,7 @@
 #include "admission/retry_budget.h"
 #include "base/boot_clock.h"
 #include "base/event_log.h"
+#include "base/memory_budget.h"
 #include "dispatch/placement.h"
 #include "fleet/view.h"
 #include "net/http_client.h"
@@ -69,6 +70,11 @@
     std::size_t maxAnswerBytes = 4U << 20U;
     /// Maximum size of one event of a stream.
     std::size_t maxEventBytes = 1U << 20U;
+    /// Memory for the parts of all responses that wait to be sent to callers. While it is used up,
+    /// the largest response fails and the others wait.
+    std::size_t responseMemoryBytes = 24U << 20U;
+    /// Size up to which a response does not count against `responseMemoryBytes`.
+    std::size_t smallResponseBytes = 32U << 10U;
     /// Retry-After while this instance lacks a complete or recent configuration, and of a refusal
     /// after the last permitted attempt.
     std::chrono::milliseconds notReadyRetryAfter{ 400 };
@@ -152,6 +158,7 @@
     void recordCrash(const quarantine::CrashReport &report);
 
     RelayContext context_;
+    base::MemoryBudget responseMemory_;
     std::mt19937_64 random_;
     admission::RetryBudgetMap poolRetryBudgets_;
     admission::RetryBudgetMap targetRetryBudgets_;
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -44,7 +44,8 @@
 
 Relay::Flow::Flow(Relay &relay, net::Exchange &exchange, boost::asio::yield_context yield)
     : relay_(relay), context_(relay.context_), exchange_(exchange), yield_(yield),
-      startedAt_(Clock::now()), caller_(context_.codec.decodeRequest(exchange.request())),
+      responseMemory_(relay.responseMemory_), startedAt_(Clock::now()),
+      caller_(context_.codec.decodeRequest(exchange.request())),
       admissionState_(context_.deploymentState()), attemptState_(admissionState_)
 {
 }
@@ -287,6 +288,7 @@
     firstEventAt_.reset();
     hasTargetResponded_ = false;
     hasBegun_ = false;
+    responseMemory_.resize(targetFailure_ ? targetFailure_->body.size() : 0);
     const InFlightGuard inFlightGuard(context_.placer.targetTracker(), *target_, inFlightRequest_);
     excludedTargets_.push_back(target_->id);
     net::ExchangeOptions options = exchangeOptions();
@@ -452,7 +454,10 @@
     return now <= drainSchedule.acceptUntil || now + timeout <= drainSchedule.exitAt;
 }
 
-Relay::Relay(RelayContext context) : context_(std::move(context)), random_(std::random_device{}())
+Relay::Relay(RelayContext context)
+    : context_(std::move(context)),
+      responseMemory_(context_.options.responseMemoryBytes, context_.options.smallResponseBytes),
+      random_(std::random_device{}())
 {
 }
 
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -101,6 +101,10 @@
     void refuseQuarantined(std::chrono::milliseconds remaining);
     /// Reads the rest of a refusal for a short time, so that the connection can be reused.
     void discardRefusal(net::ResponseStream &response);
+    /// Reserves memory for `bytes` of the current attempt's response, and waits for it while larger
+    /// responses use it. Returns `Wait` if the request ended before, and `Refused` if the response
+    /// must be dropped.
+    base::MemoryGrant reserveMemory(std::size_t bytes);
     /// Records a complete answer, or a fault if further bytes follow it.
     void recordAnswer(const net::ResponseStream &response);
     /// Records what the response tells about the target.
@@ -144,6 +148,7 @@
     RelayContext &context_;
     net::Exchange &exchange_;
     boost::asio::yield_context yield_;
+    base::MemoryReservation responseMemory_;
     Clock::time_point startedAt_;
     Clock::time_point sentAt_{}; ///< Start of the current attempt.
     CallerFields caller_;
--- a/packages/relay/src/flow_answers.cpp
+++ b/packages/relay/src/flow_answers.cpp
@@ -163,15 +163,37 @@
         targetTracker.recordSuccess(*target_, Clock::now());
 }
 
+base::MemoryGrant Relay::Flow::reserveMemory(std::size_t bytes)
+{
+    // The last server error is kept until the caller has a response.
+    const std::size_t total = bytes + (targetFailure_ ? targetFailure_->body.size() : 0);
+    auto grant = responseMemory_.resize(total);
+    while (grant == base::MemoryGrant::Wait && timeLeft() > milliseconds::zero()
+           && !cancellation_.cancelled()) {
+        // The target keeps the bytes that are not read meanwhile.
+        waitForCapacity();
+        grant = responseMemory_.resize(total);
+    }
+    if (grant != base::MemoryGrant::Granted)
+        context_.log.write("relay", "response-memory-used-up",
+                           { { "target", target_->id },
+                             { "bytes", total },
+                             { "used", relay_.responseMemory_.usedBytes() } });
+    return grant;
+}
+
 SendOutcome Relay::Flow::receiveWhole(net::ResponseStream &response, const ResponseFields &fields)
 {
     net::Response whole{ .status = response.status(),
                          .headers = context_.codec.encodeCallerHeaders(response.headers()) };
     cancellation_.setAbort([&response] { response.abort(); });
     std::error_code error;
+    auto grant = base::MemoryGrant::Granted;
     while (!error && timeLeft() > milliseconds::zero()
            && response.read(whole.body, timeLeft(), yield_, error)) {
-        if (whole.body.size() > context_.options.maxAnswerBytes)
+        grant = reserveMemory(whole.body.size());
+        if (whole.body.size() > context_.options.maxAnswerBytes
+            || grant != base::MemoryGrant::Granted)
             error = Result::BodyTooLarge;
     }
     cancellation_.setAbort({});
@@ -180,7 +202,12 @@
     if (isIncomplete || (isSuccess(whole.status) && !fields.isSigned)) {
         if (cancellation_.cancelled() && route_->kind != fleet::RequestKind::NonIdempotent)
             return SendOutcome::Cancelled;
-        targetTracker.recordFault(*target_, dispatch::Fault::Broken, Clock::now());
+        // A target that states a length is not at fault if there is no memory for it.
+        const bool isTargetAtFault = grant == base::MemoryGrant::Granted
+                                     || (grant == base::MemoryGrant::Refused
+                                         && !net::findHeader(response.headers(), "Content-Length"));
+        if (isTargetAtFault)
+            targetTracker.recordFault(*target_, dispatch::Fault::Broken, Clock::now());
         result_ = error ? base::toResult(error) : Result::TargetFailed;
         return SendOutcome::Unknown;
     }
@@ -253,7 +280,8 @@
         splitter.feed(bytes);
         bytes.clear();
         isCallerConnected = forwardEvents(splitter, response);
-        if (splitter.pendingBytes() > context_.options.maxEventBytes) {
+        if (splitter.pendingBytes() > context_.options.maxEventBytes
+            || reserveMemory(splitter.pendingBytes()) != base::MemoryGrant::Granted) {
             error = Result::BodyTooLarge;
             break;
         }
--- a/packages/relay/test/raw_response_test.cpp
+++ b/packages/relay/test/raw_response_test.cpp
@@ -149,6 +149,8 @@
     CPPUNIT_TEST(endlessAnswersAreAbandoned);
     CPPUNIT_TEST(endlessRefusalsAreAbandoned);
     CPPUNIT_TEST(endlessEventsAreAbandoned);
+    CPPUNIT_TEST(endlessAnswersShareMemory);
+    CPPUNIT_TEST(largeAnswerFitsSharedMemory);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -193,6 +195,54 @@
         rows.push_back({ "event, drip", kStream, { head, Drip, "x" }, kInterrupted });
         check(rows);
     }
+
+    // Tests many responses without end at the same time. Guards against memory that grows with
+    // their number, and ends the process with the requests of all other callers.
+    void endlessAnswersShareMemory()
+    {
+        const std::string chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+        const std::string failure = "HTTP/1.1 500 Error\r\nId: own\r\nSigned: 1\r\n\r\n";
+        struct Row
+        {
+            std::string name;
+            fleet::RequestKind kind;
+            RawResponse raw;
+        };
+        const Row rows[] = {
+            { "body", kOrder, { kHead + "\r\n", Flood, "x" } },
+            { "chunks", kOrder, { kChunkedHead, Flood, chunk } },
+            { "large length", kOrder, { kHead + "Content-Length: 4000000\r\n\r\n", Flood, "x" } },
+            { "failure", kOrder, { failure, Flood, "x" } },
+            { "event", kStream, { kStreamHead + "\r\n" + event(1) + "data: ", Flood, "x" } },
+        };
+        // Includes the buffers and stacks of the connections, on both sides.
+        constexpr std::size_t kMaxHeapBytes = 24U << 20U;
+        std::string failures;
+        for (const Row &row : rows) {
+            const Outcome outcome = runScenario({ .name = row.name,
+                                                  .kind = row.kind,
+                                                  .targets = { Behaviour::Answers },
+                                                  .raw = row.raw,
+                                                  .parallelRequests = 40,
+                                                  .responseMemoryBytes = 1U << 20U });
+            if (outcome.maxHeapBytes > kMaxHeapBytes)
+                failures += row.name + ": " + std::to_string(outcome.maxHeapBytes) + " bytes\n";
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+    }
+
+    // Guards against large answers that are refused although they fit.
+    void largeAnswerFitsSharedMemory()
+    {
+        const std::string body(1'000'000, 'x');
+        const std::string head = kHead + "Content-Length: " + std::to_string(body.size());
+        const Outcome outcome = runScenario({ .name = "large answer",
+                                              .kind = kOrder,
+                                              .targets = { Behaviour::Answers },
+                                              .raw = RawResponse{ head + "\r\n\r\n" + body },
+                                              .responseMemoryBytes = body.size() });
+        CPPUNIT_ASSERT(outcome.status == 200 && outcome.isComplete && outcome.body == body);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RawResponseTest);
--- a/packages/relay/test/relay_fixture.h
+++ b/packages/relay/test/relay_fixture.h
@@ -10,6 +10,8 @@
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <ctime>
 #include <map>
@@ -306,8 +308,9 @@
     std::size_t rawConnections = 0;
     std::size_t rawOpenConnections = 0; ///< Left open after the response.
     std::size_t rawBytes = 0;
-    bool hasFault = false;      ///< Whether a fault of the first target was recorded.
-    milliseconds maxStall{ 0 }; ///< Longest work between two turns of a timer.
+    bool hasFault = false;        ///< Whether a fault of the first target was recorded.
+    milliseconds maxStall{ 0 };   ///< Longest work between two turns of a timer.
+    std::size_t maxHeapBytes = 0; ///< Growth of the allocated memory of the process.
 };
 
 // Change of the view after the first target has received a request.
@@ -337,7 +340,9 @@
     std::function<net::Address(asio::io_context &)> startFirstTarget{};
     milliseconds pause{ 0 }; ///< Time between two requests.
     bool haveRequestsIds = true;
-    bool readsRawBytes = false; ///< The body of the outcome is all that the caller receives.
+    bool readsRawBytes = false;       ///< The body of the outcome is all that the caller receives.
+    std::size_t parallelRequests = 1; ///< Copies of the first request, sent at once.
+    std::size_t responseMemoryBytes = RelayOptions{}.responseMemoryBytes;
 };
 
 inline fleet::ViewPtr makeView(const Scenario &scenario, const std::vector<net::Address> &targets,
@@ -434,17 +439,27 @@
     asio::async_read(socket, asio::dynamic_buffer(outcome.body), yield[error]);
 }
 
+inline std::size_t allocatedBytes()
+{
+    const struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
 // Records the longest work that keeps a timer from its turn, in CPU time: the process has one
-// thread, and other processes do not count.
-inline void recordStalls(milliseconds &maxStall, asio::yield_context yield)
+// thread, and other processes do not count. Records the growth of the memory, too.
+inline void recordUsage(milliseconds &maxStall, std::size_t &maxHeapBytes,
+                        asio::yield_context yield)
 {
     asio::steady_timer timer(yield.get_executor());
+    const std::size_t bytesBefore = allocatedBytes();
     while (true) {
         const std::clock_t start = std::clock();
         timer.expires_after(milliseconds(5));
         timer.async_wait(yield);
         const milliseconds busy((std::clock() - start) * 1000 / CLOCKS_PER_SEC);
         maxStall = std::max(maxStall, busy);
+        maxHeapBytes =
+                std::max(maxHeapBytes, allocatedBytes() - std::min(allocatedBytes(), bytesBefore));
     }
 }
 
@@ -488,6 +503,19 @@
     }
 }
 
+// Sends the parallel requests of the scenario but one.
+inline void sendCopies(asio::io_context &context, const Scenario &scenario,
+                       const net::Address &address)
+{
+    for (std::size_t i = 1; i < scenario.parallelRequests; ++i) {
+        net::spawnCoroutine(context, "[test]", [=, &scenario](asio::yield_context yield) {
+            net::HttpClient caller(yield.get_executor(), {});
+            Outcome ignored;
+            call(caller, address, callerRequest(scenario, "own", ""), ignored, yield);
+        });
+    }
+}
+
 // Sends a request for each entry of `prompts`, one after the other, to one relay. Returns the
 // outcome of each; `sends` counts all requests so far.
 inline std::vector<Outcome> runScenario(const Scenario &scenario,
@@ -529,7 +557,8 @@
                               return deploymentState(scenario, isLater ? laterView : view);
                           },
                   .partQuarantine = partQuarantine,
-                  .options = { .retryBudget = scenario.retryBudget } });
+                  .options = { .responseMemoryBytes = scenario.responseMemoryBytes,
+                               .retryBudget = scenario.retryBudget } });
     const net::Handler handler = [&relay](net::Exchange &exchange, asio::yield_context yield) {
         relay.serve(exchange, yield);
     };
@@ -539,8 +568,11 @@
 
     std::vector<Outcome> outcomes;
     milliseconds maxStall{ 0 };
-    net::spawnCoroutine(context, "[test]",
-                        [&](asio::yield_context yield) { recordStalls(maxStall, yield); });
+    std::size_t maxHeapBytes = 0;
+    net::spawnCoroutine(context, "[test]", [&](asio::yield_context yield) {
+        recordUsage(maxStall, maxHeapBytes, yield);
+    });
+    sendCopies(context, scenario, server.localAddress());
     net::spawnCoroutine(context, "[test]", [&](asio::yield_context yield) {
         sendPrompts(scenario, prompts, server.localAddress(), targets, outcomes, yield);
         if (rawTarget != nullptr)
@@ -551,6 +583,7 @@
     const auto *status = placer.targetTracker().find(view->targets().front());
     outcomes.back().hasFault = status != nullptr && status->faultCount > 0;
     outcomes.back().maxStall = maxStall;
+    outcomes.back().maxHeapBytes = maxHeapBytes;
     context.shutdown();
     CPPUNIT_ASSERT_EQUAL_MESSAGE(scenario.name, prompts.size(), outcomes.size());
     return outcomes;
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -323,9 +323,9 @@
             // The stream ends after the chunk of its first event.
             const std::string &bytes = outcome.body;
             if (!bytes.starts_with("HTTP/1.1 200") || !bytes.ends_with(event(1) + "\r\n"))
-                failures += name + ": " + bytes + '\n';
+                failures.append(name).append(": ").append(bytes).append("\n");
             if (outcome.sends != std::vector<std::size_t>{ 1, 1 })
-                failures += name + ": sends\n";
+                failures.append(name).append(": sends\n");
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), failures);
     }
