HEAD: responses have no content

A caller of HEAD waited until its deadline and then got a failure with a body, which no HTTP client reads after HEAD: the body was taken for the begin of the next response on the connection (finding of the review).

Cause: the client waited for the content that the fields of the response describe, and the server sent the body of every response.

Change: the client ends a response to HEAD with its head, and the server sends none of its content. The length of the content is left out.

Evidence: responsesToHeadHaveNoContent of the client and of the server fail before the change and pass now.

--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -45,7 +45,8 @@
     /// Returns the address of the sender.
     virtual const Address &peer() const = 0;
 
-    /// Sends a complete response. Sets `error` if it could not be written.
+    /// Sends a complete response, without its body if the request method is HEAD. Sets `error` if
+    /// it could not be written.
     virtual void respond(const Response &response, boost::asio::yield_context yield,
                          std::error_code &error) = 0;
     /// Sends the head of a response with a chunked body. Sets `error` if it could not be written.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -17,6 +17,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -317,16 +318,18 @@
 // the response to the current request. More of them indicate a faulty server.
 constexpr int kMaxSkippedResponses = 4;
 
-// Reads the head of the response to the current request. Discards interim responses and responses
-// to earlier requests.
+// Reads the head of the response to the current request, whose method is `method`. Discards interim
+// responses and responses to earlier requests.
 std::unique_ptr<Parser> readOwnHead(Connection &connection, const ExchangeOptions &options,
-                                    std::size_t maxBodyBytes,
+                                    std::string_view method, std::size_t maxBodyBytes,
                                     std::chrono::steady_clock::time_point deadline,
                                     asio::yield_context yield, error_code &error)
 {
     for (int skipped = 0; skipped <= kMaxSkippedResponses && !error; ++skipped) {
         auto parser = std::make_unique<Parser>();
         parser->body_limit(maxBodyBytes);
+        // The fields of a response to HEAD describe content that does not follow.
+        parser->skip(method == "HEAD");
         http::async_read_header(connection.stream, connection.buffer, *parser, yield[error]);
         const auto &head = parser->get();
         if (!error && !detail::hasReliableLength(head.version(), head, parser->chunked()))
@@ -368,8 +371,8 @@
         http::async_write(connection->stream, wire, yield[failure]);
         std::unique_ptr<Parser> parser;
         if (!failure)
-            parser = readOwnHead(*connection, exchange, options_.maxBodyBytes, deadline, yield,
-                                 failure);
+            parser = readOwnHead(*connection, exchange, request.method, options_.maxBodyBytes,
+                                 deadline, yield, failure);
         if (parser != nullptr) {
             return std::make_unique<ConnectionStream<Implementation>>(
                     shared_from_this(), address, std::move(connection), std::move(parser));
@@ -400,7 +403,8 @@
     std::unique_ptr<Parser> parser;
     {
         const AbortScope scope(options.cancellation, connection->stream);
-        parser = readOwnHead(*connection, options, options_.maxBodyBytes, deadline, yield, failure);
+        parser = readOwnHead(*connection, options, request.method, options_.maxBodyBytes, deadline,
+                             yield, failure);
     }
     if (parser != nullptr)
         return std::make_unique<ConnectionStream<Implementation>>(
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -127,9 +127,12 @@
                                                          11);
         for (const Header &header : response.headers)
             wire.insert(header.name, header.value);
-        wire.body() = { response.body.data(), response.body.size() };
         wire.keep_alive(keepAlive_);
-        wire.prepare_payload();
+        // A response to HEAD may state the length of the content, but must not have any.
+        if (!isHead()) {
+            wire.body() = { response.body.data(), response.body.size() };
+            wire.prepare_payload();
+        }
         error_code failure;
         stream_.expires_after(writeTimeout_);
         http::async_write(stream_, wire, yield[failure]);
@@ -156,7 +159,7 @@
 
     void write(std::string_view bytes, asio::yield_context yield, std::error_code &error) override
     {
-        if (bytes.empty())
+        if (bytes.empty() || isHead())
             return;
         error_code failure;
         stream_.expires_after(writeTimeout_);
@@ -168,7 +171,8 @@
     {
         error_code failure;
         stream_.expires_after(writeTimeout_);
-        asio::async_write(stream_, http::make_chunk_last(), yield[failure]);
+        if (!isHead())
+            asio::async_write(stream_, http::make_chunk_last(), yield[failure]);
         isComplete_ = !failure;
         error = failure;
     }
@@ -199,6 +203,8 @@
     bool hasStarted() const { return hasStarted_; }
 
 private:
+    bool isHead() const { return request_.method == "HEAD"; }
+
     beast::tcp_stream &stream_;
     const Address &peer_;
     Request request_;
--- a/packages/net/test/http_client_test.cpp
+++ b/packages/net/test/http_client_test.cpp
@@ -211,6 +211,7 @@
     CPPUNIT_TEST(bodyThatKeepsArrivingIsNotGivenUp);
     CPPUNIT_TEST(endlessInputEndsTheExchange);
     CPPUNIT_TEST(interimResponsesAreNoAnswer);
+    CPPUNIT_TEST(responsesToHeadHaveNoContent);
     CPPUNIT_TEST(surplusBytesDoNotReachTheNextRequest);
     CPPUNIT_TEST(endlessInputAfterResponseClosesTheConnection);
     CPPUNIT_TEST_SUITE_END();
@@ -433,6 +434,26 @@
         }
     }
 
+    // Tests that a response to HEAD ends with its head, whatever length it states. Guards against
+    // waiting for content until the deadline.
+    void responsesToHeadHaveNoContent()
+    {
+        for (const std::string &head :
+             { kOk + "Content-Length: 9\r\n\r\n", kChunked, kOk + "\r\n" }) {
+            asio::io_context context;
+            ScriptedServer server(context, { { head, Ending::Hold, "" } });
+            HttpClient client(context.get_executor(), {});
+            run(context, head, [&](asio::yield_context yield) {
+                std::error_code error;
+                const auto response = client.send(server.address(), { .method = "HEAD" },
+                                                  kReadTimeout, yield, error);
+                CPPUNIT_ASSERT_MESSAGE(head, response.has_value());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(head, 200, response->status);
+                CPPUNIT_ASSERT_MESSAGE(head, response->body.empty());
+            });
+        }
+    }
+
     // Tests the request after a response that is followed by further bytes. Guards against requests
     // that fail because such bytes are read as their response.
     void surplusBytesDoNotReachTheNextRequest()
--- a/packages/net/test/http_server_test.cpp
+++ b/packages/net/test/http_server_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(unreliableLengthIsRefused);
     CPPUNIT_TEST(reliableLengthIsAccepted);
     CPPUNIT_TEST(trailerFieldsAreDiscarded);
+    CPPUNIT_TEST(responsesToHeadHaveNoContent);
     CPPUNIT_TEST(unfinishedStreamIsVisible);
     CPPUNIT_TEST(goodRequestPasses);
     CPPUNIT_TEST_SUITE_END();
@@ -227,6 +228,25 @@
         CPPUNIT_ASSERT_MESSAGE(answer, answer.find("B=3;") == answer.npos);
     }
 
+    // Tests that no content follows the head of a response to HEAD, complete or streamed. Guards
+    // against content that a caller reads as the response to its next request.
+    void responsesToHeadHaveNoContent()
+    {
+        const std::string head = "HEAD /fields HTTP/1.1\r\nA: 1\r\n";
+        const std::string close = "Connection: close\r\n\r\n";
+        const std::string alone = exchangeRaw(server_->localAddress(), head + close);
+        CPPUNIT_ASSERT_MESSAGE(alone, alone.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(alone, alone.size() - 4, alone.find("\r\n\r\n"));
+        const std::string streamed =
+                exchangeRaw(server_->localAddress(), "HEAD /unfinished HTTP/1.1\r\n" + close);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(streamed, streamed.size() - 4, streamed.find("\r\n\r\n"));
+        const std::string both = exchangeRaw(server_->localAddress(),
+                                             head + "\r\nGET /fields HTTP/1.1\r\nB: 2\r\n" + close);
+        const std::size_t second = both.find("\r\n\r\n") + 4;
+        CPPUNIT_ASSERT_MESSAGE(both, both.substr(second).starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_MESSAGE(both, both.ends_with("\r\n\r\nB=2;Connection=close;"));
+    }
+
     // Tests that a client reports an error if the handler returns without finishing its stream.
     // Guards against a truncated stream that the caller takes for complete.
     void unfinishedStreamIsVisible()
--- a/packages/relay/src/flow_answers.cpp
+++ b/packages/relay/src/flow_answers.cpp
@@ -138,7 +138,8 @@
         result_ = Result::Overloaded;
         return SendOutcome::NotRun;
     }
-    if (isSuccess(response.status()) && isEventStream(response.headers()))
+    const bool hasContent = exchange_.request().method != "HEAD";
+    if (isSuccess(response.status()) && isEventStream(response.headers()) && hasContent)
         return receiveStream(response, fields);
     if (hasResponseStarted_)
         return rejectResumption(response);
