--- a/packages/relay/src/flow_answers.cpp
+++ b/packages/relay/src/flow_answers.cpp
@@ -138,6 +138,7 @@
         result_ = Result::Overloaded;
         return SendOutcome::NotRun;
     }
+    // A response to HEAD describes a stream without its events.
     const bool hasContent = exchange_.request().method != "HEAD";
     if (isSuccess(response.status()) && isEventStream(response.headers()) && hasContent)
         return receiveStream(response, fields);
--- a/packages/relay/test/relay_test.cpp
+++ b/packages/relay/test/relay_test.cpp
@@ -299,7 +299,7 @@
     void brokenStreamsShowNoOtherResponse()
     {
         using enum Behaviour;
-        const std::pair<std::string, Behaviour> seconds[] = {
+        const std::pair<std::string, Behaviour> secondAnswers[] = {
             { "500", Fails },
             { "500 with events", FailsWithEvents },
             { "503", Unavailable },
@@ -314,7 +314,7 @@
             { "cut", Breaks },
         };
         std::string failures;
-        for (const auto &[name, second] : seconds) {
+        for (const auto &[name, second] : secondAnswers) {
             const Outcome outcome = runScenario({ .name = name,
                                                   .kind = fleet::RequestKind::Stream,
                                                   .targets = { StreamsHalf, second },
