Usage limits of customers: decode them from the configuration

Cause: the configuration of a customer may state a usage limit, which nothing read. Change: `fleet::Customer` has a limit with its unit. Result: not measured; nothing enforces the limits yet.

--- a/packages/base/include/base/result.h
+++ b/packages/base/include/base/result.h
@@ -33,6 +33,7 @@
     NotReady = 2007,
     PartQuarantined = 2008,
     RateLimited = 2009,
+    UsageLimitReached = 2010,
 
     TargetUnreachable = 3001,
     TargetFailed = 3002,
--- a/packages/base/src/result.cpp
+++ b/packages/base/src/result.cpp
@@ -46,6 +46,8 @@
                 "Engines crashed on a part of the prompt." },
     ResultInfo{ Result::RateLimited, "rate-limited", 503,
                 "The targets accept no more requests at the moment." },
+    ResultInfo{ Result::UsageLimitReached, "usage-limit-reached", 429,
+                "The customer has used up its limit." },
     ResultInfo{ Result::TargetUnreachable, "target-unreachable", 502,
                 "The target refused the connection." },
     ResultInfo{ Result::TargetFailed, "target-failed", 502, "The target failed." },
--- a/packages/fleet/include/fleet/configuration.h
+++ b/packages/fleet/include/fleet/configuration.h
@@ -69,6 +69,23 @@
     std::optional<CacheStore> store;
 };
 
+/// Unit in which a usage limit counts requests.
+enum class CostUnit {
+    Requests, ///< Each request costs 1.
+    Tokens,   ///< A request costs its prompt tokens plus its maximum number of output tokens.
+};
+
+/// Limit on the usage of a customer, over all instances together: a token bucket that holds `burst`
+/// and is refilled by `ratePerSecond`, both in `unit`.
+struct UsageLimit
+{
+    double ratePerSecond = 0;
+    double burst = 0;
+    CostUnit unit = CostUnit::Requests;
+    double defaultTokens = 0; ///< Cost of a request that does not state its tokens.
+    bool operator==(const UsageLimit &) const = default;
+};
+
 /// A customer with its API keys.
 struct Customer
 {
@@ -76,6 +93,9 @@
     std::vector<std::string> keys;
     std::optional<int> priority; ///< Overrides the priority of the route.
     bool isolatesCache = false;  ///< True if cached prefixes are not shared with other customers.
+    std::optional<UsageLimit> usageLimit; ///< No value if the usage is not limited.
+    /// Reason why the stated usage limit is invalid; empty if it is valid or not stated.
+    std::string invalidUsageLimit{};
 };
 
 /// Limits on the requests of callers. A value of 0 keeps the limit of the settings.
