Peers: add messages for usage, balances and target performance, and the era of the store

Cause: the parts described in docs/design/hard-load.md are built side by side and share one protocol file. Old instances skip the new fields. Result: not measured; nothing sends them yet.

--- a/packages/peers/thrift/peers.thrift
+++ b/packages/peers/thrift/peers.thrift
@@ -39,6 +39,8 @@
   6: list<Member> updates
   7: i64 tableHash
   8: i64 configurationRevision
+  // Era of the store that configurationRevision belongs to; 0 if missing.
+  9: optional i64 storeEra
 }
 
 // Loads in columns, which take 9 bytes per target instead of 16 as a list of structs. All columns
@@ -123,6 +125,35 @@
   3: list<bool> isSaved
 }
 
+// Usage of customers by the sender, sent to their aggregation point. Columns of the same length.
+struct UsageReport {
+  1: string sender
+  2: i64 life
+  3: list<i64> customers
+  // Cost admitted in this life, by customer.
+  4: list<double> costs
+}
+
+// Balances of customers, sent by their aggregation point. Columns of the same length.
+struct UsageBalances {
+  1: list<i64> customers
+  2: list<double> balances
+  3: list<double> ratesPerSecond
+  // Cost that the receiver had reported and that the balance includes.
+  4: list<double> includedCosts
+  // Life of the receiver to which includedCosts belong; 0 if it has not reported.
+  5: i64 receiverLife
+}
+
+// Learned performance of runs of targets. Columns of the same length.
+struct PerformanceFigures {
+  1: list<i64> targets
+  2: list<i64> startedAt
+  3: list<double> relativeTimes
+  4: list<double> usefulConcurrencies
+  5: list<double> weights
+}
+
 // One UDP datagram; exactly one of the optional fields is set.
 struct Datagram {
   1: i8 version
@@ -137,6 +168,9 @@
   10: optional QuarantinedParts quarantinedParts
   11: optional RateLimitNotice rateLimitNotice
   12: optional LeavingNotice leavingNotice
+  13: optional UsageReport usageReport
+  14: optional UsageBalances usageBalances
+  15: optional PerformanceFigures performanceFigures
 }
 
 // Request and response of POST /peer/v1/members.
@@ -173,4 +207,6 @@
   4: optional list<WeightsAge> weightsAges
   // For tables of which the entries may lack deletions; rows with other keys were deleted.
   5: optional list<TableKeys> presentKeys
+  // Era of the store that the revisions belong to; 0 if missing.
+  6: optional i64 storeEra
 }
