--- a/packages/peers/include/peers/datagram.h
+++ b/packages/peers/include/peers/datagram.h
@@ -3,6 +3,7 @@
 #include "membership/load_digest.h"
 #include "membership/protocol.h"
 #include "quarantine/types.h"
+#include "usage/types.h"
 
 #include <chrono>
 #include <cstddef>
@@ -41,6 +42,16 @@
 /// Maximum remaining time of a part in `QuarantinedParts`.
 constexpr std::chrono::milliseconds kMaxQuarantineTime = std::chrono::hours(1);
 
+/// Maximum number of entries in one `UsageReport`.
+constexpr std::size_t kMaxUsageEntries = 40;
+
+/// Maximum number of entries in one `UsageBalances`, which are almost twice as long.
+constexpr std::size_t kMaxUsageBalances = 30;
+
+/// Maximum absolute value of a cost, balance or rate in a datagram. Doubles below it count single
+/// tokens exactly, and the largest customers stay below it for years.
+constexpr double kMaxUsage = 1e15;
+
 /// In-flight work of the sender, sent to an aggregation point. The encoder rounds prefill tokens up
 /// to a multiple of 256. A report without entries only asks for the sums.
 struct LoadReport
@@ -125,10 +136,30 @@
     bool operator==(const QuarantinedParts &) const = default;
 };
 
+/// Usage of customers by the sender, sent to their aggregation point.
+struct UsageReport
+{
+    std::string sender;     ///< Member name of the sender.
+    std::uint64_t life = 0; ///< Life of the sender's process, to which the costs belong.
+    /// Cumulative counters. If a key occurs twice, the first value was accounted for before.
+    std::vector<usage::UsageEntry> entries;
+    bool operator==(const UsageReport &) const = default;
+};
+
+/// Balances of customers, sent by their aggregation point.
+struct UsageBalances
+{
+    /// `includedCost` is negative if the receiver has not reported usage of the customer.
+    std::vector<usage::UsageBalance> balances;
+    std::uint64_t receiverLife = 0; ///< Life of the receiver in its last report; 0 if none.
+    bool operator==(const UsageBalances &) const = default;
+};
+
 /// The content of one datagram between daemons.
-using Datagram = std::variant<membership::Packet, LoadReport, LoadSums, PlacementHints,
-                              WeightsNotice, quarantine::CrashReport, InnocentParts,
-                              QuarantinedParts, RateLimitNotice, LeavingNotice>;
+using Datagram =
+        std::variant<membership::Packet, LoadReport, LoadSums, PlacementHints, WeightsNotice,
+                     quarantine::CrashReport, InnocentParts, QuarantinedParts, RateLimitNotice,
+                     LeavingNotice, UsageReport, UsageBalances>;
 
 /// Encodes the datagram in Thrift's compact protocol. Returns no value if the result would exceed
 /// `kMaxDatagramBytes`. Does not check the other limits, which `decode` enforces.
--- a/packages/peers/src/datagram.cpp
+++ b/packages/peers/src/datagram.cpp
@@ -259,6 +259,53 @@
     return result;
 }
 
+bool isPermittedUsage(double value)
+{
+    return std::isfinite(value) && std::abs(value) <= kMaxUsage;
+}
+
+std::optional<Datagram> fromWire(const wire::UsageReport &message)
+{
+    const std::size_t count = message.customers.size();
+    if (message.sender.empty() || !hasPermittedLength(message.sender) || count > kMaxUsageEntries
+        || message.costs.size() != count)
+        return std::nullopt;
+    UsageReport report{ .sender = message.sender,
+                        .life = static_cast<std::uint64_t>(message.life),
+                        .entries = {} };
+    report.entries.reserve(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        if (!isPermittedUsage(message.costs[i]) || message.costs[i] < 0)
+            return std::nullopt;
+        report.entries.push_back(
+                { static_cast<usage::CustomerKey>(message.customers[i]), message.costs[i] });
+    }
+    return report;
+}
+
+std::optional<Datagram> fromWire(const wire::UsageBalances &message)
+{
+    const std::size_t count = message.customers.size();
+    if (count > kMaxUsageBalances || message.balances.size() != count
+        || message.ratesPerSecond.size() != count || message.includedCosts.size() != count)
+        return std::nullopt;
+    UsageBalances result{ .balances = {},
+                          .receiverLife = static_cast<std::uint64_t>(message.receiverLife) };
+    result.balances.reserve(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        const usage::UsageBalance balance{ .customer = static_cast<usage::CustomerKey>(
+                                                   message.customers[i]),
+                                           .balance = message.balances[i],
+                                           .ratePerSecond = message.ratesPerSecond[i],
+                                           .includedCost = message.includedCosts[i] };
+        if (!isPermittedUsage(balance.balance) || !isPermittedUsage(balance.ratePerSecond)
+            || balance.ratePerSecond < 0 || !isPermittedUsage(balance.includedCost))
+            return std::nullopt;
+        result.balances.push_back(balance);
+    }
+    return result;
+}
+
 // Groups the hints by target and life, so that these are sent only once per group.
 wire::PlacementHints toWire(const PlacementHints &hints)
 {
@@ -360,6 +407,29 @@
         }
         message.__set_quarantinedParts(body);
     }
+    void operator()(const UsageReport &report) const
+    {
+        wire::UsageReport body;
+        body.sender = report.sender;
+        body.life = static_cast<std::int64_t>(report.life);
+        for (const usage::UsageEntry &entry : report.entries) {
+            body.customers.push_back(static_cast<std::int64_t>(entry.customer));
+            body.costs.push_back(entry.cost);
+        }
+        message.__set_usageReport(body);
+    }
+    void operator()(const UsageBalances &balances) const
+    {
+        wire::UsageBalances body;
+        for (const usage::UsageBalance &balance : balances.balances) {
+            body.customers.push_back(static_cast<std::int64_t>(balance.customer));
+            body.balances.push_back(balance.balance);
+            body.ratesPerSecond.push_back(balance.ratePerSecond);
+            body.includedCosts.push_back(balance.includedCost);
+        }
+        body.receiverLife = static_cast<std::int64_t>(balances.receiverLife);
+        message.__set_usageBalances(body);
+    }
 };
 
 } // namespace
@@ -382,11 +452,11 @@
         || message.version != kProtocolVersion)
         return std::nullopt;
     const auto &set = message.__isset;
-    const int setFieldCount = int{ set.membership } + int{ set.loadReport } + int{ set.loadSums }
-                              + int{ set.placementHints } + int{ set.weightsNotice }
-                              + int{ set.crashReport } + int{ set.innocentParts }
-                              + int{ set.quarantinedParts } + int{ set.rateLimitNotice }
-                              + int{ set.leavingNotice };
+    const int setFieldCount =
+            int{ set.membership } + int{ set.loadReport } + int{ set.loadSums }
+            + int{ set.placementHints } + int{ set.weightsNotice } + int{ set.crashReport }
+            + int{ set.innocentParts } + int{ set.quarantinedParts } + int{ set.rateLimitNotice }
+            + int{ set.leavingNotice } + int{ set.usageReport } + int{ set.usageBalances };
     if (setFieldCount != 1)
         return std::nullopt;
     if (set.membership)
@@ -395,6 +465,10 @@
         return fromWire(message.loadReport);
     if (set.loadSums)
         return fromWire(message.loadSums);
+    if (set.usageReport)
+        return fromWire(message.usageReport);
+    if (set.usageBalances)
+        return fromWire(message.usageBalances);
     if (set.weightsNotice)
         return fromWire(message.weightsNotice);
     if (set.crashReport)
