--- /dev/null
+++ b/packages/scheduling/include/scheduling/wait_queue.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "scheduling/customer_load.h"
+#include "scheduling/types.h"
+#include "scheduling/urgency.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace chervilfield::scheduling {
+
+/// Returns the goal by which a request is ordered. A goal that leaves less than twice the expected
+/// work is replaced by that time, so that the largest requests of a kind are not late from the
+/// start and served last.
+Time effectiveGoal(const ScheduledRequest &request);
+
+/// Order of waiting requests of customers that do not flood: smaller urgency first (see
+/// `engineUrgency()`), then those that can still meet their goal, then the earlier goal.
+bool isBefore(const ScheduledRequest &a, const ScheduledRequest &b, Time now);
+
+/// Parameters of `WaitQueue`.
+struct WaitQueueOptions
+{
+    /// Share of the sent work, in slot time, that the least urgent waiting requests get at least.
+    double floorShare = 0.1;
+    /// Number of requests of one length that may try at the same time while tries fail. Above 1, so
+    /// that a request for which only few targets qualify does not stop those behind it.
+    std::size_t minWindow = 2;
+    std::size_t maxWindow = 64; ///< Maximum of the same number while tries succeed.
+    /// Number of later requests sent before a waiting one, from which on it no longer holds up
+    /// others. It still tries first itself.
+    std::uint32_t maxOvertaken = 4;
+    /// Time constant of `Standing::urgentGoalUse`, about the shortest usual goal.
+    Seconds goalUseTimeConstant{ 0.3 };
+    CustomerLoadOptions customerLoad{};
+};
+
+/// Position of a waiting request relative to the other work of its pool at this instance.
+struct Standing
+{
+    bool isReady = false;      ///< The request may try to be sent now.
+    bool hasFloorTurn = false; ///< It is its turn by `WaitQueueOptions::floorShare`.
+    bool isFlooding = false;   ///< Its customer sends far more than usual.
+    /// Expected work of requests of more urgent groups that wait here: a lower bound of the work
+    /// before it.
+    Seconds workBefore{ 0 };
+    /// Time to the first event of more urgent requests as a share of the time to their goals,
+    /// recently and of those that wait; 1 or more if they miss their goals. For a flooding
+    /// customer, requests of the same urgency from others count too.
+    double urgentGoalUse = 0;
+};
+
+/// Orders the requests of one pool that wait at this instance for capacity. The caller polls
+/// `ready()` for each of them and reports what its tries gave. Not safe for concurrent use.
+///
+/// The order is that of `isBefore()`, within one urgency first the customers that do not flood.
+/// Short prompts wait behind short ones only, because the limits that long prompts wait for
+/// (prefill backlog, memory) do not apply to them. Long prompts wait behind all more urgent
+/// requests. The number of requests that may try at once grows with each one sent and is halved
+/// when a try fails, as a queue that lets only its first request poll would be slower than the
+/// targets.
+class WaitQueue
+{
+public:
+    explicit WaitQueue(WaitQueueOptions options = {})
+        : options_(options), customerLoad_(options.customerLoad)
+    {
+        windows_.fill(options_.minWindow);
+    }
+
+    /// Adds a request that has arrived or is to be sent again. Must be called before its first try.
+    /// An entry with the same id is replaced.
+    void add(const ScheduledRequest &request, Time now);
+
+    /// Removes a request that leaves without being sent; ignores unknown ids.
+    void remove(std::uint64_t id);
+
+    /// Records that a request was ready and no target accepted it.
+    void recordRefused(std::uint64_t id);
+
+    /// Records that the request was sent, and removes it.
+    void recordSent(std::uint64_t id, Time now);
+
+    /// Records the arrival of the first event, or of the whole answer, at the caller.
+    void recordFirstEvent(const ScheduledRequest &request, Time now);
+
+    /// Returns true if the request may try to be sent now. Unknown ids are always ready.
+    bool ready(std::uint64_t id, Time now) const;
+
+    /// Returns the first request in the order, or no value if none waits.
+    std::optional<std::uint64_t> next(Time now) const;
+
+    /// Returns the position of the request; of an unknown one, that of a request without others.
+    Standing standing(std::uint64_t id, Time now) const;
+
+    std::size_t size() const { return entries_.size(); }
+
+private:
+    static constexpr std::size_t kLevels = kMaxUrgency + 1;
+    enum Lane : std::size_t { ShortLane, LongLane, LaneCount };
+
+    struct Entry
+    {
+        ScheduledRequest request;
+        Time goal{};
+        Lane lane = ShortLane;
+        std::size_t level = 0;
+        bool isFlooding = false;
+        std::uint32_t overtaken = 0; ///< Later requests of the same lane that were sent.
+    };
+    using Key = std::pair<Time, std::uint64_t>; ///< Effective goal and id.
+    struct Group
+    {
+        std::set<Key> keys;
+        Seconds work{ 0 }; ///< Sum over the requests.
+    };
+    struct GoalUse
+    {
+        double value = 0;
+        Time updatedAt{};
+    };
+
+    Group &groupOf(const Entry &entry);
+    const Group &groupAt(Lane lane, std::size_t level, bool isFlooding) const;
+    /// Calls `visit` for the entries of the group in order until it returns false. Returns false if
+    /// it did.
+    template<typename Visit>
+    bool visitGroup(const Group &group, Time now, Visit visit) const;
+    /// Calls `visit` for the entries of the lane in order until it returns false.
+    template<typename Visit>
+    void visitLane(Lane lane, Time now, Visit visit) const;
+    bool holdsUpOthers(const Entry &entry, Time now) const;
+    bool isReady(const Entry &entry, Time now) const;
+    bool isWithinWindow(const Entry &entry, Time now) const;
+    bool waitsBehindShort(const Entry &entry, Time now) const;
+    bool hasFloorTurn(const Entry &entry, Time now) const;
+    double urgentGoalUse(const Entry &entry, Time now) const;
+    /// Returns the greatest level at which a request waits.
+    std::optional<std::size_t> leastUrgentLevel() const;
+    void removeExpired(Time now);
+
+    WaitQueueOptions options_;
+    CustomerLoad customerLoad_;
+    std::unordered_map<std::uint64_t, Entry> entries_;
+    /// By lane, level and whether the customer floods.
+    std::array<std::array<std::array<Group, 2>, kLevels>, LaneCount> groups_;
+    std::array<std::size_t, LaneCount> windows_{};
+    /// Work that requests of a level may still get by the floor, by level.
+    std::array<Seconds, kLevels> floorCredit_{};
+    std::array<GoalUse, kLevels> goalUse_{}; ///< Of customers that do not flood, by level.
+    Time lastExpiryAt_{};
+};
+
+} // namespace chervilfield::scheduling
--- /dev/null
+++ b/packages/scheduling/src/customer_load.cpp
@@ -0,0 +1,72 @@
+#include "scheduling/customer_load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chervilfield::scheduling {
+
+namespace {
+
+// Decayed arrivals below which a customer is forgotten: one, three time constants ago.
+constexpr double kIdleArrivals = 0.05;
+
+} // namespace
+
+void CustomerLoad::decay(Arrivals &arrivals, Time now) const
+{
+    if (arrivals.firstAt == Time{}) {
+        arrivals.firstAt = now;
+        arrivals.updatedAt = now;
+    }
+    const Seconds elapsed = std::max(Seconds(0), Seconds(now - arrivals.updatedAt));
+    arrivals.current *= std::exp(-(elapsed / options_.currentTimeConstant));
+    arrivals.usual *= std::exp(-(elapsed / options_.usualTimeConstant));
+    arrivals.updatedAt = now;
+}
+
+double CustomerLoad::expected(const Arrivals &arrivals, Time now) const
+{
+    // A sum that decays with time constant T reaches rate x T x (1 - exp(-age / T)).
+    const Seconds age = std::max(Seconds(0), Seconds(now - arrivals.firstAt));
+    const auto reached = [age](Seconds timeConstant) {
+        return timeConstant.count() * -std::expm1(-(age / timeConstant));
+    };
+    const double usual = reached(options_.usualTimeConstant);
+    return usual > 0 ? arrivals.usual * reached(options_.currentTimeConstant) / usual
+                     : arrivals.usual;
+}
+
+bool CustomerLoad::recordArrival(const std::string &customer, Time now)
+{
+    decay(all_, now);
+    all_.current += 1;
+    all_.usual += 1;
+    auto found = customers_.find(customer);
+    if (found == customers_.end()) {
+        if (customers_.size() >= options_.maxCustomers)
+            evictIdle(now);
+        if (customers_.size() >= options_.maxCustomers)
+            return false;
+        found = customers_.try_emplace(customer).first;
+    }
+    Arrivals &own = found->second;
+    decay(own, now);
+    own.current += 1;
+    own.usual += 1;
+    // If all customers send more than usual, none of them floods.
+    const double othersExpected = expected(all_, now) - expected(own, now);
+    const double othersCurrent = all_.current - own.current;
+    const double othersGrowth =
+            othersExpected > 0 ? std::max(1.0, othersCurrent / othersExpected) : 1.0;
+    return own.current
+           > options_.floodFactor * othersGrowth * expected(own, now) + options_.toleratedRequests;
+}
+
+void CustomerLoad::evictIdle(Time now)
+{
+    for (auto &[customer, arrivals] : customers_)
+        decay(arrivals, now);
+    std::erase_if(customers_, [](const auto &entry) { return entry.second.usual < kIdleArrivals; });
+}
+
+} // namespace chervilfield::scheduling
--- /dev/null
+++ b/packages/scheduling/src/wait_queue.cpp
@@ -0,0 +1,297 @@
+#include "scheduling/wait_queue.h"
+
+#include "internal/values.h"
+
+#include <algorithm>
+#include <tuple>
+#include <vector>
+
+namespace chervilfield::scheduling {
+
+using detail::boundedWork;
+using detail::decayFactor;
+
+namespace {
+
+// Credit of the floor that is kept while nothing of its level can be sent.
+constexpr Seconds kMaxFloorCredit{ 1 };
+
+// Returns the share of the time to the goal that has passed, at most 10.
+double goalUseOf(const ScheduledRequest &request, Time goal, Time now)
+{
+    constexpr double kMaxGoalUse = 10;
+    const Seconds goalTime = goal - request.arrivedAt;
+    if (goalTime <= Seconds(0))
+        return kMaxGoalUse;
+    return std::clamp(Seconds(now - request.arrivedAt) / goalTime, 0.0, kMaxGoalUse);
+}
+
+} // namespace
+
+Time effectiveGoal(const ScheduledRequest &request)
+{
+    constexpr int kMinGoalWorkFactor = 2;
+    // Routes without a latency goal have only the deadline.
+    if (request.goalAt <= request.arrivedAt)
+        return request.deadline;
+    const auto minGoalTime = std::chrono::duration_cast<Time::duration>(
+            kMinGoalWorkFactor * boundedWork(request.expectedWork));
+    return std::max(request.goalAt, request.arrivedAt + minGoalTime);
+}
+
+bool isBefore(const ScheduledRequest &a, const ScheduledRequest &b, Time now)
+{
+    const auto rank = [now](const ScheduledRequest &request) {
+        const Time goal = effectiveGoal(request);
+        return std::tuple(engineUrgency(request), goal < now, goal, request.id);
+    };
+    return rank(a) < rank(b);
+}
+
+WaitQueue::Group &WaitQueue::groupOf(const Entry &entry)
+{
+    return groups_.at(entry.lane).at(entry.level).at(entry.isFlooding ? 1 : 0);
+}
+
+const WaitQueue::Group &WaitQueue::groupAt(Lane lane, std::size_t level, bool isFlooding) const
+{
+    return groups_.at(lane).at(level).at(isFlooding ? 1 : 0);
+}
+
+void WaitQueue::add(const ScheduledRequest &request, Time now)
+{
+    removeExpired(now);
+    remove(request.id);
+    Entry entry{ .request = request,
+                 .goal = effectiveGoal(request),
+                 .lane = isLong(request) ? LongLane : ShortLane,
+                 .level = static_cast<std::size_t>(engineUrgency(request)) };
+    entry.request.expectedWork = boundedWork(request.expectedWork);
+    // A stream that has begun is finished first whoever its customer is.
+    entry.isFlooding = customerLoad_.recordArrival(request.customer, now) && !request.hasStarted;
+    Group &group = groupOf(entry);
+    group.keys.emplace(entry.goal, request.id);
+    group.work += entry.request.expectedWork;
+    entries_.emplace(request.id, std::move(entry));
+}
+
+void WaitQueue::remove(std::uint64_t id)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+        return;
+    Group &group = groupOf(found->second);
+    group.keys.erase({ found->second.goal, id });
+    group.work -= found->second.request.expectedWork;
+    if (group.keys.empty())
+        group.work = Seconds(0);
+    entries_.erase(found);
+}
+
+void WaitQueue::removeExpired(Time now)
+{
+    constexpr Seconds kInterval{ 1 };
+    if (now - lastExpiryAt_ < kInterval)
+        return;
+    lastExpiryAt_ = now;
+    std::vector<std::uint64_t> expired;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.request.deadline <= now)
+            expired.push_back(id);
+    }
+    for (const std::uint64_t id : expired)
+        remove(id);
+}
+
+void WaitQueue::recordRefused(std::uint64_t id)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+        return;
+    std::size_t &window = windows_.at(found->second.lane);
+    window = std::max(options_.minWindow, window / 2);
+}
+
+bool WaitQueue::holdsUpOthers(const Entry &entry, Time now) const
+{
+    return entry.request.deadline > now && entry.overtaken < options_.maxOvertaken;
+}
+
+template<typename Visit>
+bool WaitQueue::visitGroup(const Group &group, Time now, Visit visit) const
+{
+    // Late requests follow those that can still meet their goals.
+    const auto onTime = group.keys.lower_bound(Key{ now, 0 });
+    const auto visitKey = [&](const Key &key) { return visit(entries_.at(key.second)); };
+    return std::all_of(onTime, group.keys.end(), visitKey)
+           && std::all_of(group.keys.begin(), onTime, visitKey);
+}
+
+template<typename Visit>
+void WaitQueue::visitLane(Lane lane, Time now, Visit visit) const
+{
+    for (std::size_t level = 0; level < kLevels; ++level) {
+        for (const bool isFlooding : { false, true }) {
+            if (!visitGroup(groupAt(lane, level, isFlooding), now, visit))
+                return;
+        }
+    }
+}
+
+void WaitQueue::recordSent(std::uint64_t id, Time now)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+        return;
+    const Entry &entry = found->second;
+    std::size_t &window = windows_.at(entry.lane);
+    window = std::min(options_.maxWindow, window + 1);
+    if (!hasFloorTurn(entry, now)) {
+        std::size_t count = 0;
+        visitLane(entry.lane, now, [&](const Entry &other) {
+            if (other.request.id == id || ++count > options_.maxWindow)
+                return false;
+            ++entries_.at(other.request.id).overtaken;
+            return true;
+        });
+    }
+    const std::size_t least = leastUrgentLevel().value_or(entry.level);
+    const Seconds work = entry.request.expectedWork;
+    Seconds &credit = floorCredit_.at(least);
+    credit = entry.level == least ? std::max(Seconds(0), credit - work)
+                                  : std::min(kMaxFloorCredit, credit + work * options_.floorShare);
+    remove(id);
+}
+
+void WaitQueue::recordFirstEvent(const ScheduledRequest &request, Time now)
+{
+    const auto level = static_cast<std::size_t>(engineUrgency(request));
+    if (isLong(request) || request.hasStarted)
+        return;
+    GoalUse &use = goalUse_.at(level);
+    const double decay = decayFactor(now - use.updatedAt, options_.goalUseTimeConstant);
+    use.value = decay * use.value + (1 - decay) * goalUseOf(request, effectiveGoal(request), now);
+    use.updatedAt = now;
+}
+
+std::optional<std::size_t> WaitQueue::leastUrgentLevel() const
+{
+    for (std::size_t level = kLevels; level-- > 0;) {
+        for (const Lane lane : { ShortLane, LongLane }) {
+            if (!groupAt(lane, level, false).keys.empty()
+                || !groupAt(lane, level, true).keys.empty())
+                return level;
+        }
+    }
+    return std::nullopt;
+}
+
+bool WaitQueue::hasFloorTurn(const Entry &entry, Time now) const
+{
+    if (leastUrgentLevel() != entry.level
+        || floorCredit_.at(entry.level) < std::min(entry.request.expectedWork, kMaxFloorCredit)
+        || floorCredit_.at(entry.level) <= Seconds(0))
+        return false;
+    // The first of its group; other customers precede those that flood.
+    bool isFirst = false;
+    visitGroup(groupAt(entry.lane, entry.level, entry.isFlooding), now, [&](const Entry &first) {
+        isFirst = first.request.id == entry.request.id;
+        return false;
+    });
+    return isFirst && (!entry.isFlooding || groupAt(entry.lane, entry.level, false).keys.empty());
+}
+
+bool WaitQueue::isWithinWindow(const Entry &entry, Time now) const
+{
+    std::size_t before = 0;
+    bool isWithin = true;
+    visitLane(entry.lane, now, [&](const Entry &other) {
+        if (other.request.id == entry.request.id)
+            return false;
+        before += holdsUpOthers(other, now) ? 1 : 0;
+        isWithin = before < windows_.at(entry.lane);
+        return isWithin;
+    });
+    return isWithin;
+}
+
+bool WaitQueue::waitsBehindShort(const Entry &entry, Time now) const
+{
+    bool waits = false;
+    visitLane(ShortLane, now, [&](const Entry &other) {
+        if (other.level >= entry.level)
+            return false;
+        waits = holdsUpOthers(other, now);
+        return !waits;
+    });
+    return waits;
+}
+
+bool WaitQueue::isReady(const Entry &entry, Time now) const
+{
+    if (entry.lane == LongLane && waitsBehindShort(entry, now))
+        return hasFloorTurn(entry, now);
+    return isWithinWindow(entry, now) || hasFloorTurn(entry, now);
+}
+
+bool WaitQueue::ready(std::uint64_t id, Time now) const
+{
+    const auto found = entries_.find(id);
+    return found == entries_.end() || isReady(found->second, now);
+}
+
+std::optional<std::uint64_t> WaitQueue::next(Time now) const
+{
+    const Entry *first = nullptr;
+    for (const Lane lane : { ShortLane, LongLane }) {
+        visitLane(lane, now, [&](const Entry &entry) {
+            if (hasFloorTurn(entry, now) || first == nullptr || entry.level < first->level)
+                first = &entry;
+            return false;
+        });
+    }
+    if (first == nullptr)
+        return std::nullopt;
+    return first->request.id;
+}
+
+double WaitQueue::urgentGoalUse(const Entry &entry, Time now) const
+{
+    double result = 0;
+    const std::size_t end = entry.level + (entry.isFlooding ? 1 : 0);
+    for (std::size_t level = 0; level < end; ++level) {
+        const GoalUse &use = goalUse_.at(level);
+        result = std::max(
+                result, use.value * decayFactor(now - use.updatedAt, options_.goalUseTimeConstant));
+        const Group &waiting = groupAt(ShortLane, level, false);
+        if (waiting.keys.empty())
+            continue;
+        const Entry &first = entries_.at(waiting.keys.begin()->second);
+        if (holdsUpOthers(first, now))
+            result = std::max(result, goalUseOf(first.request, first.goal, now));
+    }
+    return result;
+}
+
+Standing WaitQueue::standing(std::uint64_t id, Time now) const
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+        return { .isReady = true };
+    const Entry &entry = found->second;
+    Standing result{ .isReady = isReady(entry, now),
+                     .hasFloorTurn = hasFloorTurn(entry, now),
+                     .isFlooding = entry.isFlooding,
+                     .urgentGoalUse = urgentGoalUse(entry, now) };
+    for (std::size_t level = 0; level <= entry.level; ++level) {
+        for (const Lane lane : { ShortLane, LongLane }) {
+            if (level < entry.level || entry.isFlooding)
+                result.workBefore += groupAt(lane, level, false).work;
+            if (level < entry.level)
+                result.workBefore += groupAt(lane, level, true).work;
+        }
+    }
+    return result;
+}
+
+} // namespace chervilfield::scheduling
