--- a/packages/scheduling/include/scheduling/admission_verdict.h
+++ b/packages/scheduling/include/scheduling/admission_verdict.h
@@ -32,8 +32,8 @@
     double prefillRate = 40'000;
     /// Usual time that a request occupies a slot; see `dispatch::PlacementOptions::slotHoldTime`.
     Seconds slotHoldTime{ 0.6 };
-    /// Value of `Standing::urgentGoalUse` above which long prompts and flooding customers are held
-    /// back. Half of the goal is left for the time until held back work has drained.
+    /// Value of `Standing::urgentGoalUse` above which long prompts and the excess of floods are
+    /// held back. Half of the goal is left for the time until held back work has drained.
     double holdBackGoalUse = 0.5;
     /// The same for short requests of less urgent kinds: the goal is about to be missed.
     double holdBackShortGoalUse = 0.8;
@@ -54,7 +54,7 @@
 /// - A request that can no longer be served by its deadline is refused; all others wait or are
 ///   sent.
 /// - A request that is not ready waits, except a stream that has begun.
-/// - Long prompts, flooding customers and then less urgent short requests wait while more urgent
+/// - Long prompts, the excess of floods and then less urgent short requests wait while more urgent
 ///   requests come close to their goals, except for the share that the floor guarantees.
 /// - A late request is sent while the pool has a free slot.
 Verdict decide(const ScheduledRequest &request, const Standing &standing,
--- a/packages/scheduling/include/scheduling/customer_load.h
+++ b/packages/scheduling/include/scheduling/customer_load.h
@@ -15,36 +15,36 @@
     Seconds currentTimeConstant{ 2 };
     /// Time constant of the usual rate: a flood of 8 s raises it by an eighth of the difference.
     Seconds usualTimeConstant{ 60 };
-    /// Multiple of the usual rate from which a customer floods; customers that vary by half of
+    /// Multiple of the usual rate beyond which requests are excess; customers that vary by half of
     /// their mean stay below it.
     double floodFactor = 2;
-    /// Requests within `currentTimeConstant` that do not count, so that a few chance arrivals of a
-    /// rare customer are not a flood.
+    /// Further requests within `currentTimeConstant` that are not excess, so that a few chance
+    /// arrivals of a rare customer are not a flood.
     double toleratedRequests = 4;
-    std::size_t maxCustomers = 1024; ///< Further customers never count as flooding.
+    std::size_t maxCustomers = 1024; ///< Further customers never flood.
 };
 
-/// Tells which customers send far more requests than usual while the others do not. The usual rate
-/// is that of the customer itself, so that a large customer is not taken for a flood; unlike
-/// `admission::FairShares`, it needs neither weights nor a capacity of this instance. A customer
-/// that is first seen during its flood counts as usual. Not safe for concurrent use.
+/// Finds the requests by which a customer exceeds its usual rate by far while the others do not.
+/// The usual rate is that of the customer itself, so that a large customer is not taken for a
+/// flood; unlike `admission::FairShares`, it needs neither weights nor a capacity of this instance.
+/// A customer that is first seen during its flood counts as usual. Not safe for concurrent use.
 class CustomerLoad
 {
 public:
     explicit CustomerLoad(CustomerLoadOptions options = {}) : options_(options) {}
 
-    /// Records the arrival of a request. Returns true if its customer floods.
+    /// Records the arrival of a request. Returns true if it is in excess of what the customer may
+    /// send without being served last.
     bool recordArrival(const std::string &customer, Time now);
 
     /// Returns the number of customers that are remembered.
     std::size_t size() const { return customers_.size(); }
 
 private:
-    /// Arrivals, decayed with both time constants.
     struct Arrivals
     {
-        double current = 0;
-        double usual = 0;
+        double current = 0; ///< Without excess, decayed with `currentTimeConstant`.
+        double usual = 0;   ///< Decayed with `usualTimeConstant`.
         Time firstAt{};
         Time updatedAt{};
     };
--- a/packages/scheduling/include/scheduling/wait_queue.h
+++ b/packages/scheduling/include/scheduling/wait_queue.h
@@ -19,7 +19,7 @@
 /// start and served last.
 Time effectiveGoal(const ScheduledRequest &request);
 
-/// Order of waiting requests of customers that do not flood: smaller urgency first (see
+/// Order of waiting requests that are not excess of a flood: smaller urgency first (see
 /// `engineUrgency()`), then those that can still meet their goal, then the earlier goal.
 bool isBefore(const ScheduledRequest &a, const ScheduledRequest &b, Time now);
 
@@ -45,25 +45,23 @@
 {
     bool isReady = false;      ///< The request may try to be sent now.
     bool hasFloorTurn = false; ///< It is its turn by `WaitQueueOptions::floorShare`.
-    bool isFlooding = false;   ///< Its customer sends far more than usual.
-    /// Expected work of requests of more urgent groups that wait here: a lower bound of the work
-    /// before it.
+    bool isExcess = false;     ///< It exceeds by far what its customer usually sends.
+    /// Expected work of more urgent requests that wait here: a lower bound of the work before it.
     Seconds workBefore{ 0 };
-    /// Time to the first event of more urgent requests as a share of the time to their goals,
-    /// recently and of those that wait; 1 or more if they miss their goals. For a flooding
-    /// customer, requests of the same urgency from others count too.
+    /// Time to the first event of more urgent short requests as a share of the time to their goals,
+    /// recently and of those that wait; 1 or more if they miss their goals.
     double urgentGoalUse = 0;
 };
 
 /// Orders the requests of one pool that wait at this instance for capacity. The caller polls
 /// `ready()` for each of them and reports what its tries gave. Not safe for concurrent use.
 ///
-/// The order is that of `isBefore()`, within one urgency first the customers that do not flood.
-/// Short prompts wait behind short ones only, because the limits that long prompts wait for
-/// (prefill backlog, memory) do not apply to them. Long prompts wait behind all more urgent
-/// requests. The number of requests that may try at once grows with each one sent and is halved
-/// when a try fails, as a queue that lets only its first request poll would be slower than the
-/// targets.
+/// The order is that of `isBefore()`; the excess of a customer's flood comes after all other
+/// requests. Short prompts wait behind short ones only, because the limits that long prompts wait
+/// for (prefill backlog, memory) do not apply to them. Long prompts and excess wait behind all
+/// requests before them. The number of requests that may try at once grows with each one sent and
+/// is halved when a try fails: a queue that lets only its first request poll would be slower than
+/// the targets.
 class WaitQueue
 {
 public:
@@ -101,8 +99,14 @@
     std::size_t size() const { return entries_.size(); }
 
 private:
-    static constexpr std::size_t kLevels = kMaxUrgency + 1;
-    enum Lane : std::size_t { ShortLane, LongLane, LaneCount };
+    /// Level of excess, after all levels of `engineUrgency()`.
+    static constexpr std::size_t kExcessLevel = kMaxUrgency + 1;
+    static constexpr std::size_t kLevels = kExcessLevel + 1;
+    enum Lane : std::size_t {
+        ShortLane, ///< Short prompts that are not excess.
+        HeldLane,  ///< Requests that also wait behind those of the other lane.
+        LaneCount
+    };
 
     struct Entry
     {
@@ -110,7 +114,6 @@
         Time goal{};
         Lane lane = ShortLane;
         std::size_t level = 0;
-        bool isFlooding = false;
         std::uint32_t overtaken = 0; ///< Later requests of the same lane that were sent.
     };
     using Key = std::pair<Time, std::uint64_t>; ///< Effective goal and id.
@@ -126,7 +129,6 @@
     };
 
     Group &groupOf(const Entry &entry);
-    const Group &groupAt(Lane lane, std::size_t level, bool isFlooding) const;
     /// Calls `visit` for the entries of the group in order until it returns false. Returns false if
     /// it did.
     template<typename Visit>
@@ -140,19 +142,18 @@
     bool waitsBehindShort(const Entry &entry, Time now) const;
     bool hasFloorTurn(const Entry &entry, Time now) const;
     double urgentGoalUse(const Entry &entry, Time now) const;
-    /// Returns the greatest level at which a request waits.
+    /// Returns the greatest level at which a request waits that is not excess.
     std::optional<std::size_t> leastUrgentLevel() const;
     void removeExpired(Time now);
 
     WaitQueueOptions options_;
     CustomerLoad customerLoad_;
     std::unordered_map<std::uint64_t, Entry> entries_;
-    /// By lane, level and whether the customer floods.
-    std::array<std::array<std::array<Group, 2>, kLevels>, LaneCount> groups_;
+    std::array<std::array<Group, kLevels>, LaneCount> groups_; ///< By lane and level.
     std::array<std::size_t, LaneCount> windows_{};
     /// Work that requests of a level may still get by the floor, by level.
     std::array<Seconds, kLevels> floorCredit_{};
-    std::array<GoalUse, kLevels> goalUse_{}; ///< Of customers that do not flood, by level.
+    std::array<GoalUse, kLevels> goalUse_{}; ///< Of short requests, by level.
     Time lastExpiryAt_{};
 };
 
--- a/packages/scheduling/src/admission_verdict.cpp
+++ b/packages/scheduling/src/admission_verdict.cpp
@@ -22,8 +22,8 @@
 {
     if (standing.hasFloorTurn)
         return false;
-    const double limit = isLong(request) || standing.isFlooding ? options.holdBackGoalUse
-                                                                : options.holdBackShortGoalUse;
+    const double limit = isLong(request) || standing.isExcess ? options.holdBackGoalUse
+                                                              : options.holdBackShortGoalUse;
     return standing.urgentGoalUse > limit;
 }
 
@@ -36,7 +36,7 @@
         return Seconds(0);
     const double slots = std::max(1.0, atLeastZero(capacity.slots));
     const double instances = std::max(1.0, atLeastZero(capacity.instances));
-    const double excess = atLeastZero(capacity.requestsInFlight) + 1 - slots;
+    const double excess = atLeastZero(capacity.requestsInFlight) + 1 - atLeastZero(capacity.slots);
     const Seconds slotDelay = options.slotHoldTime * (std::max(0.0, excess) / slots);
     // Engines compute short prompts first, so the backlog delays only long ones.
     const double rate = atLeastZero(options.prefillRate) * atLeastZero(capacity.speed);
--- a/packages/scheduling/src/customer_load.cpp
+++ b/packages/scheduling/src/customer_load.cpp
@@ -38,9 +38,6 @@
 
 bool CustomerLoad::recordArrival(const std::string &customer, Time now)
 {
-    decay(all_, now);
-    all_.current += 1;
-    all_.usual += 1;
     auto found = customers_.find(customer);
     if (found == customers_.end()) {
         if (customers_.size() >= options_.maxCustomers)
@@ -50,16 +47,21 @@
         found = customers_.try_emplace(customer).first;
     }
     Arrivals &own = found->second;
-    decay(own, now);
-    own.current += 1;
-    own.usual += 1;
+    for (Arrivals *arrivals : { &all_, &own }) {
+        decay(*arrivals, now);
+        arrivals->usual += 1;
+    }
     // If all customers send more than usual, none of them floods.
     const double othersExpected = expected(all_, now) - expected(own, now);
-    const double othersCurrent = all_.current - own.current;
     const double othersGrowth =
-            othersExpected > 0 ? std::max(1.0, othersCurrent / othersExpected) : 1.0;
-    return own.current
-           > options_.floodFactor * othersGrowth * expected(own, now) + options_.toleratedRequests;
+            othersExpected > 0 ? std::max(1.0, (all_.current - own.current) / othersExpected) : 1;
+    const double limit =
+            options_.floodFactor * othersGrowth * expected(own, now) + options_.toleratedRequests;
+    if (own.current + 1 > limit)
+        return true;
+    all_.current += 1;
+    own.current += 1;
+    return false;
 }
 
 void CustomerLoad::evictIdle(Time now)
--- a/packages/scheduling/src/return_schedule.cpp
+++ b/packages/scheduling/src/return_schedule.cpp
@@ -4,7 +4,6 @@
 #include "internal/values.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace chervilfield::scheduling {
 
@@ -41,8 +40,10 @@
 {
     if (wait <= start || max <= start)
         return std::min(wait, max);
+    // Hyperbolic, so that waits far beyond the maximum still differ.
     const Seconds range = max - start;
-    return start + range * -std::expm1(-((wait - start) / range));
+    const double excess = (wait - start) / range;
+    return start + range * (excess / (1 + excess));
 }
 
 } // namespace
@@ -80,11 +81,11 @@
             rate, toMicroseconds(before + work * jitterOf(request)), options_.retryAfter, 0);
     const Seconds max =
             std::max(Seconds(0), Seconds(request.deadline - now)) * options_.maxTimeLeftShare;
-    // A caller that does not wait for its turn leaves it to the next one.
+    const Seconds stated = compress(wait, max * options_.compressionStart, max);
     auto &promises = promises_.at(static_cast<std::size_t>(level));
-    if (wait < max && promises.size() < options_.maxPromises)
-        promises.push_back({ now + std::chrono::duration_cast<Time::duration>(wait), work });
-    return std::chrono::floor<milliseconds>(compress(wait, max * options_.compressionStart, max));
+    if (promises.size() < options_.maxPromises)
+        promises.push_back({ now + std::chrono::duration_cast<Time::duration>(stated), work });
+    return std::chrono::floor<milliseconds>(stated);
 }
 
 } // namespace chervilfield::scheduling
--- a/packages/scheduling/src/wait_queue.cpp
+++ b/packages/scheduling/src/wait_queue.cpp
@@ -50,25 +50,21 @@
 
 WaitQueue::Group &WaitQueue::groupOf(const Entry &entry)
 {
-    return groups_.at(entry.lane).at(entry.level).at(entry.isFlooding ? 1 : 0);
-}
-
-const WaitQueue::Group &WaitQueue::groupAt(Lane lane, std::size_t level, bool isFlooding) const
-{
-    return groups_.at(lane).at(level).at(isFlooding ? 1 : 0);
+    return groups_.at(entry.lane).at(entry.level);
 }
 
 void WaitQueue::add(const ScheduledRequest &request, Time now)
 {
     removeExpired(now);
     remove(request.id);
+    // A stream that has begun is finished first whoever its customer is.
+    const bool isExcess = customerLoad_.recordArrival(request.customer, now) && !request.hasStarted;
     Entry entry{ .request = request,
                  .goal = effectiveGoal(request),
-                 .lane = isLong(request) ? LongLane : ShortLane,
-                 .level = static_cast<std::size_t>(engineUrgency(request)) };
+                 .lane = isExcess || isLong(request) ? HeldLane : ShortLane,
+                 .level = isExcess ? kExcessLevel
+                                   : static_cast<std::size_t>(engineUrgency(request)) };
     entry.request.expectedWork = boundedWork(request.expectedWork);
-    // A stream that has begun is finished first whoever its customer is.
-    entry.isFlooding = customerLoad_.recordArrival(request.customer, now) && !request.hasStarted;
     Group &group = groupOf(entry);
     group.keys.emplace(entry.goal, request.id);
     group.work += entry.request.expectedWork;
@@ -130,11 +126,9 @@
 template<typename Visit>
 void WaitQueue::visitLane(Lane lane, Time now, Visit visit) const
 {
-    for (std::size_t level = 0; level < kLevels; ++level) {
-        for (const bool isFlooding : { false, true }) {
-            if (!visitGroup(groupAt(lane, level, isFlooding), now, visit))
-                return;
-        }
+    for (const Group &group : groups_.at(lane)) {
+        if (!visitGroup(group, now, visit))
+            return;
     }
 }
 
@@ -176,29 +170,26 @@
 
 std::optional<std::size_t> WaitQueue::leastUrgentLevel() const
 {
-    for (std::size_t level = kLevels; level-- > 0;) {
-        for (const Lane lane : { ShortLane, LongLane }) {
-            if (!groupAt(lane, level, false).keys.empty()
-                || !groupAt(lane, level, true).keys.empty())
-                return level;
-        }
+    for (std::size_t level = kExcessLevel; level-- > 0;) {
+        if (!groups_[ShortLane].at(level).keys.empty() || !groups_[HeldLane].at(level).keys.empty())
+            return level;
     }
     return std::nullopt;
 }
 
 bool WaitQueue::hasFloorTurn(const Entry &entry, Time now) const
 {
-    if (leastUrgentLevel() != entry.level
-        || floorCredit_.at(entry.level) < std::min(entry.request.expectedWork, kMaxFloorCredit)
-        || floorCredit_.at(entry.level) <= Seconds(0))
+    if (leastUrgentLevel() != entry.level)
+        return false;
+    const Seconds credit = floorCredit_.at(entry.level);
+    if (credit <= Seconds(0) || credit < std::min(entry.request.expectedWork, kMaxFloorCredit))
         return false;
-    // The first of its group; other customers precede those that flood.
     bool isFirst = false;
-    visitGroup(groupAt(entry.lane, entry.level, entry.isFlooding), now, [&](const Entry &first) {
+    visitGroup(groups_.at(entry.lane).at(entry.level), now, [&](const Entry &first) {
         isFirst = first.request.id == entry.request.id;
         return false;
     });
-    return isFirst && (!entry.isFlooding || groupAt(entry.lane, entry.level, false).keys.empty());
+    return isFirst;
 }
 
 bool WaitQueue::isWithinWindow(const Entry &entry, Time now) const
@@ -229,7 +220,7 @@
 
 bool WaitQueue::isReady(const Entry &entry, Time now) const
 {
-    if (entry.lane == LongLane && waitsBehindShort(entry, now))
+    if (entry.lane == HeldLane && waitsBehindShort(entry, now))
         return hasFloorTurn(entry, now);
     return isWithinWindow(entry, now) || hasFloorTurn(entry, now);
 }
@@ -243,12 +234,20 @@
 std::optional<std::uint64_t> WaitQueue::next(Time now) const
 {
     const Entry *first = nullptr;
-    for (const Lane lane : { ShortLane, LongLane }) {
-        visitLane(lane, now, [&](const Entry &entry) {
-            if (hasFloorTurn(entry, now) || first == nullptr || entry.level < first->level)
-                first = &entry;
-            return false;
-        });
+    bool firstHasFloorTurn = false;
+    const auto compare = [&](const Entry &entry) {
+        const bool isByFloor = hasFloorTurn(entry, now);
+        if (first == nullptr || (isByFloor && !firstHasFloorTurn)
+            || (isByFloor == firstHasFloorTurn && entry.level < first->level)) {
+            first = &entry;
+            firstHasFloorTurn = isByFloor;
+        }
+        return false;
+    };
+    for (const Lane lane : { ShortLane, HeldLane }) {
+        visitLane(lane, now, compare);
+        if (const auto least = leastUrgentLevel())
+            visitGroup(groups_.at(lane).at(*least), now, compare);
     }
     if (first == nullptr)
         return std::nullopt;
@@ -258,12 +257,11 @@
 double WaitQueue::urgentGoalUse(const Entry &entry, Time now) const
 {
     double result = 0;
-    const std::size_t end = entry.level + (entry.isFlooding ? 1 : 0);
-    for (std::size_t level = 0; level < end; ++level) {
+    for (std::size_t level = 0; level < entry.level; ++level) {
         const GoalUse &use = goalUse_.at(level);
         result = std::max(
                 result, use.value * decayFactor(now - use.updatedAt, options_.goalUseTimeConstant));
-        const Group &waiting = groupAt(ShortLane, level, false);
+        const Group &waiting = groups_[ShortLane].at(level);
         if (waiting.keys.empty())
             continue;
         const Entry &first = entries_.at(waiting.keys.begin()->second);
@@ -281,16 +279,10 @@
     const Entry &entry = found->second;
     Standing result{ .isReady = isReady(entry, now),
                      .hasFloorTurn = hasFloorTurn(entry, now),
-                     .isFlooding = entry.isFlooding,
+                     .isExcess = entry.level == kExcessLevel,
                      .urgentGoalUse = urgentGoalUse(entry, now) };
-    for (std::size_t level = 0; level <= entry.level; ++level) {
-        for (const Lane lane : { ShortLane, LongLane }) {
-            if (level < entry.level || entry.isFlooding)
-                result.workBefore += groupAt(lane, level, false).work;
-            if (level < entry.level)
-                result.workBefore += groupAt(lane, level, true).work;
-        }
-    }
+    for (std::size_t level = 0; level < entry.level; ++level)
+        result.workBefore += groups_[ShortLane].at(level).work + groups_[HeldLane].at(level).work;
     return result;
 }
 
