--- a/packages/scheduling/include/scheduling/customer_load.h
+++ b/packages/scheduling/include/scheduling/customer_load.h
@@ -13,7 +13,8 @@
 {
     /// Time constant of the current rate: short against floods, which last 5 to 8 s.
     Seconds currentTimeConstant{ 2 };
-    /// Time constant of the usual rate: a flood of 8 s raises it by an eighth of the difference.
+    /// Time constant of the usual rate, long against floods. A lasting growth becomes usual within
+    /// a few of it, because requests up to the limit count.
     Seconds usualTimeConstant{ 60 };
     /// Multiple of the usual rate beyond which requests are excess; customers that vary by half of
     /// their mean stay below it.
@@ -41,9 +42,10 @@
     std::size_t size() const { return customers_.size(); }
 
 private:
+    /// Arrivals without excess.
     struct Arrivals
     {
-        double current = 0; ///< Without excess, decayed with `currentTimeConstant`.
+        double current = 0; ///< Decayed with `currentTimeConstant`.
         double usual = 0;   ///< Decayed with `usualTimeConstant`.
         Time firstAt{};
         Time updatedAt{};
--- a/packages/scheduling/src/customer_load.cpp
+++ b/packages/scheduling/src/customer_load.cpp
@@ -47,10 +47,8 @@
         found = customers_.try_emplace(customer).first;
     }
     Arrivals &own = found->second;
-    for (Arrivals *arrivals : { &all_, &own }) {
-        decay(*arrivals, now);
-        arrivals->usual += 1;
-    }
+    decay(all_, now);
+    decay(own, now);
     // If all customers send more than usual, none of them floods.
     const double othersExpected = expected(all_, now) - expected(own, now);
     const double othersGrowth =
@@ -59,8 +57,10 @@
             options_.floodFactor * othersGrowth * expected(own, now) + options_.toleratedRequests;
     if (own.current + 1 > limit)
         return true;
-    all_.current += 1;
-    own.current += 1;
+    for (Arrivals *arrivals : { &all_, &own }) {
+        arrivals->current += 1;
+        arrivals->usual += 1;
+    }
     return false;
 }
 
--- a/packages/scheduling/src/wait_queue.cpp
+++ b/packages/scheduling/src/wait_queue.cpp
@@ -152,8 +152,8 @@
     const std::size_t least = leastUrgentLevel().value_or(entry.level);
     const Seconds work = entry.request.expectedWork;
     Seconds &credit = floorCredit_.at(least);
-    credit = entry.level == least ? std::max(Seconds(0), credit - work)
-                                  : std::min(kMaxFloorCredit, credit + work * options_.floorShare);
+    credit += work * options_.floorShare - (entry.level == least ? work : Seconds(0));
+    credit = std::clamp(credit, Seconds(0), kMaxFloorCredit);
     remove(id);
 }
 
