Usage limits and urgency: apply them to forwarded requests

Cause: no usage limit of a customer was enforced, and the priority of a customer hid the order of the routes, so that short and long requests of a customer had the same rank in the queues of engines. Change: the relay charges each request to the limit of its customer, refuses those beyond it with 429 and the time at which they would be admitted, and takes back the charge of requests that no target has run. Instances exchange the usage with their other state. The urgency at engines is computed by package scheduling.

--- a/packages/entry/include/entry/entry_app.h
+++ b/packages/entry/include/entry/entry_app.h
@@ -103,7 +103,8 @@
     PeerMesh peerMesh_;
     QuarantineSharing quarantineSharing_;
     Rollout rollout_;
-    net::HttpClient httpClient_; ///< Used on the traffic thread.
+    net::HttpClient httpClient_;       ///< Used on the traffic thread.
+    usage::UsageLimiter usageLimiter_; ///< Used on the traffic thread.
     dispatch::Placer placer_;
     quarantine::PartQuarantine partQuarantine_; ///< Used by the traffic thread.
     relay::Metrics metrics_;
--- a/packages/entry/include/entry/peer_mesh.h
+++ b/packages/entry/include/entry/peer_mesh.h
@@ -14,6 +14,7 @@
 #include "peers/load_exchange.h"
 #include "peers/quarantine_exchange.h"
 #include "peers/udp_transport.h"
+#include "peers/usage_exchange.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -35,6 +36,7 @@
 {
     std::vector<dispatch::TargetWork> work;  ///< Requests in flight of this instance by target.
     std::vector<dispatch::PrefixHint> hints; ///< Recent placements of prefixes.
+    std::vector<usage::UsageTotal> usage;    ///< Usage of customers with a limit.
 };
 
 /// Callbacks that pass on what the other instances send. The mesh calls them on the control I/O
@@ -47,6 +49,8 @@
             updateOthersWork;
     /// Called with the recent placements of another instance.
     std::function<void(std::vector<dispatch::PrefixHint>)> mergeHints;
+    /// Called with the latest balances of customers with a usage limit.
+    std::function<void(std::vector<usage::UsageBalance>)> applyUsageBalances;
     /// Called when another instance has ordered an engine to load weights or seen it finish.
     std::function<void(const peers::WeightsNotice &)> applyWeightsNotice;
     /// Called when another instance has learned of a target's rate limit.
@@ -153,8 +157,11 @@
     std::vector<net::Address> otherPeerAddresses() const;
     /// Returns the instances that may send requests, in the order of their names.
     dispatch::InstanceShare instanceShare() const;
-    /// Passes the members and targets to the load exchange if they have changed.
-    void updateLoadAssignment();
+    /// Passes the members, targets and usage limits to the exchanges if they have changed.
+    void updateAssignments();
+    /// Sends the usage of this instance to the aggregation points and passes balances to the hooks.
+    void exchangeUsage(const std::vector<usage::UsageTotal> &totals,
+                       const dispatch::InstanceShare &share);
 
     boost::asio::io_context &context_;
     const EntryOptions &options_;
@@ -166,7 +173,8 @@
     peers::LoadExchange loadExchange_;
     peers::HintExchange hintExchange_;
     peers::QuarantineExchange quarantineExchange_;
-    // Members and view from which the aggregation points of the load exchange were computed.
+    peers::UsageExchange usageExchange_;
+    // Members and view from which the aggregation points of the exchanges were computed.
     control::MemberSnapshotPtr assignedMembers_;
     fleet::ViewPtr assignedView_;
     std::vector<net::Address> seeds_;
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -122,6 +122,7 @@
                          } },
                rolloutOptions(options_)),
       httpClient_(trafficContext_.get_executor(), {}),
+      usageLimiter_(Clock::now(), std::random_device{}()),
       placer_(options_.dataCentre, std::random_device{}(), placementOptions(options_)),
       relay_({ .codec = platform_.codec,
                .client = httpClient_,
@@ -156,6 +157,7 @@
                                peerMesh_.announceRateLimit(notice);
                            });
                        },
+               .usageLimiter = &usageLimiter_,
                .options = relayOptions(options_) })
 {
 }
@@ -254,6 +256,7 @@
                             const dispatch::InstanceShare &share) {
                          boost::asio::post(trafficContext_, [this, share, work = std::move(work)] {
                              placer_.targetTracker().setInstanceShare(share);
+                             usageLimiter_.setInstances(share.instances, share.knownInstances);
                              updateOthersWork(work);
                          });
                      },
@@ -263,6 +266,12 @@
                              placer_.mergeHints(hints, Clock::now());
                          });
                      },
+             .applyUsageBalances =
+                     [this](std::vector<usage::UsageBalance> balances) {
+                         boost::asio::post(trafficContext_, [this, balances = std::move(balances)] {
+                             usageLimiter_.applyBalances(balances, Clock::now());
+                         });
+                     },
              .applyWeightsNotice =
                      [this](const peers::WeightsNotice &notice) { applyWeightsNotice(notice); },
              .applyRateLimitNotice =
@@ -343,7 +352,9 @@
 void EntryApp::exchangeTraffic()
 {
     TrafficDigest digest{ .work = placer_.targetTracker().ownWork(),
-                          .hints = placer_.takeHints(peers::HintExchange::kMaxHints) };
+                          .hints = placer_.takeHints(peers::HintExchange::kMaxHints),
+                          .usage = usageLimiter_.totals(Clock::now()) };
+    metrics_.setUsage(usageLimiter_.counters());
     relay_.reportQuarantines();
     boost::asio::post(controlContext_,
                       [this, digest = std::move(digest)] { peerMesh_.exchangeDigest(digest); });
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -58,6 +58,8 @@
               options.instance,
               [this](const std::string &to, const auto &datagram) { sendTo(to, datagram); },
               std::random_device{}()),
+      usageExchange_(options.instance, life,
+                     [this](const std::string &to, const auto &datagram) { sendTo(to, datagram); }),
       client_(context.get_executor(), { .connectTimeout = kPeerTimeout }),
       rowFetcher_(client_, viewUpdater, log), random_(std::random_device{}())
 {
@@ -165,6 +167,10 @@
         loadExchange_.receive(toString(from), *report, now);
     } else if (const auto *sums = std::get_if<peers::LoadSums>(&datagram)) {
         loadExchange_.receive(*sums, now);
+    } else if (const auto *usageReport = std::get_if<peers::UsageReport>(&datagram)) {
+        usageExchange_.receive(toString(from), *usageReport, usage::Time::clock::now());
+    } else if (const auto *balances = std::get_if<peers::UsageBalances>(&datagram)) {
+        usageExchange_.receive(toString(from), *balances, usage::Time::clock::now());
     } else if (const auto *hints = std::get_if<peers::PlacementHints>(&datagram)) {
         std::vector<dispatch::PrefixHint> prefixes;
         for (const peers::PlacementHint &hint : hints->hints)
@@ -187,7 +193,7 @@
     }
 }
 
-void PeerMesh::updateLoadAssignment()
+void PeerMesh::updateAssignments()
 {
     const auto members = actor_->snapshot();
     const auto view = viewUpdater_.view();
@@ -197,13 +203,21 @@
     for (const fleet::Target &target : view->targets())
         targets.push_back({ target.id, target.dataCentre });
     loadExchange_.assign(members->members, targets);
+    std::vector<peers::LimitedCustomer> limits;
+    if (view->isComplete()) {
+        for (const fleet::Customer &customer : view->configuration().customers) {
+            if (customer.usageLimit)
+                limits.push_back({ customer.name, *customer.usageLimit });
+        }
+    }
+    usageExchange_.assign(members->members, limits, usage::Time::clock::now());
     assignedMembers_ = members;
     assignedView_ = view;
 }
 
 void PeerMesh::exchangeDigest(const TrafficDigest &digest)
 {
-    updateLoadAssignment();
+    updateAssignments();
     const auto now = std::chrono::steady_clock::now();
     std::vector<peers::NamedLoad> ownLoads;
     for (const dispatch::TargetWork &work : digest.work) {
@@ -221,13 +235,24 @@
                                static_cast<double>(sums[kWorkIndex].prefillTokens),
                                static_cast<double>(sums[kMemoryIndex].prefillTokens) });
     }
-    hooks_.updateOthersWork(std::move(othersWork), instanceShare());
+    const dispatch::InstanceShare share = instanceShare();
+    hooks_.updateOthersWork(std::move(othersWork), share);
+    exchangeUsage(digest.usage, share);
     peers::PlacementHints message;
     for (const dispatch::PrefixHint &hint : digest.hints)
         message.hints.push_back({ hint.prefix, hint.target, hint.startedAt });
     hintExchange_.send(assignedMembers_->members, message, now);
 }
 
+void PeerMesh::exchangeUsage(const std::vector<usage::UsageTotal> &totals,
+                             const dispatch::InstanceShare &share)
+{
+    usageExchange_.tick(totals, share.instances, share.knownInstances, usage::Time::clock::now());
+    auto balances = usageExchange_.takeBalances();
+    if (!balances.empty())
+        hooks_.applyUsageBalances(std::move(balances));
+}
+
 dispatch::InstanceShare PeerMesh::instanceShare() const
 {
     dispatch::InstanceShare share{
--- a/packages/relay/include/relay/codec.h
+++ b/packages/relay/include/relay/codec.h
@@ -25,6 +25,9 @@
     std::string model;       ///< Empty for requests to plain services.
     std::uint32_t promptTokens = 0;
     std::uint32_t maxOutputTokens = 0;
+    /// Prompt tokens plus maximum number of output tokens; no value if the caller does not state
+    /// them.
+    std::optional<double> statedTokens;
     /// Parts of the prompt in order. Other requests may share all parts but the last.
     std::vector<dispatch::PromptPart> promptParts;
 };
@@ -39,7 +42,7 @@
     std::uint64_t weights = 0; ///< Version of the weights that the target must have; 0 for any.
     std::optional<net::Address> cacheSource; ///< Target or store to fetch cached prefixes from.
     std::optional<net::Address> cacheStore;  ///< Store to save prefixes in after the prefill.
-    int priority = 0;                        ///< Requests of priority 0 are served first.
+    int urgency = 0;         ///< Rank in the queue of an engine, from 0 (served first) to 9.
     std::string lastEventId; ///< Event after which the stream continues; empty for all events.
 };
 
--- a/packages/relay/include/relay/metrics.h
+++ b/packages/relay/include/relay/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.h"
+#include "usage/usage_limiter.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -35,6 +36,8 @@
     {
         quarantinedParts_.Set(static_cast<double>(count));
     }
+    /// Shows the decisions on usage limits so far.
+    void setUsage(const usage::UsageCounters &counters);
     void requestStarted() { openRequests_.Increment(); }
     void requestEnded() { openRequests_.Decrement(); }
 
@@ -52,6 +55,7 @@
     prometheus::Counter &resumes_;
     prometheus::Gauge &openRequests_;
     prometheus::Gauge &quarantinedParts_;
+    prometheus::Family<prometheus::Gauge> &usageDecisions_;
 };
 
 } // namespace chervilfield::relay
--- a/packages/relay/include/relay/relay.h
+++ b/packages/relay/include/relay/relay.h
@@ -11,6 +11,7 @@
 #include "quarantine/part_quarantine.h"
 #include "relay/codec.h"
 #include "relay/metrics.h"
+#include "usage/usage_limiter.h"
 
 #include <boost/asio/spawn.hpp>
 
@@ -130,6 +131,8 @@
     std::function<void(const fleet::Target &)> targetLeaving{};
     /// Called if other instances should learn of a rate limit. May be empty.
     std::function<void(const RateLimitChange &)> rateLimitChanged{};
+    /// Enforces the usage limits of customers. May be null.
+    usage::UsageLimiter *usageLimiter = nullptr;
     RelayOptions options{};
 };
 
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -101,6 +101,8 @@
         respondWithFailure(Result::DeadlineUnreachable, WorkStatus::NotRun);
         return false;
     }
+    if (!chargeUsage())
+        return false;
     for (std::size_t i = 0; i + 1 < caller_.promptParts.size(); ++i)
         sharedParts_.push_back(quarantine::partKey(caller_.model, caller_.promptParts[i].id));
     choosePool();
@@ -122,6 +124,29 @@
     return false;
 }
 
+bool Relay::Flow::chargeUsage()
+{
+    if (customer_ == nullptr || !customer_->usageLimit || context_.usageLimiter == nullptr)
+        return true;
+    const fleet::UsageLimit &limit = *customer_->usageLimit;
+    const double cost = usage::requestCost(limit, caller_.statedTokens);
+    const auto refusal = context_.usageLimiter->admit(customer_->name, limit, cost, startedAt_);
+    if (!refusal) {
+        chargedUsage_ = cost;
+        return true;
+    }
+    logUsageRefusal(*refusal, cost);
+    respondWithFailure(Result::UsageLimitReached, WorkStatus::NotRun, refusal->retryAfter);
+    return false;
+}
+
+void Relay::Flow::refundUsage()
+{
+    if (chargedUsage_ > 0 && !mayHaveRun_)
+        context_.usageLimiter->refund(customer_->name, *customer_->usageLimit, chargedUsage_,
+                                      Clock::now());
+}
+
 void Relay::Flow::choosePool()
 {
     double total = 0;
@@ -136,6 +161,18 @@
     }
 }
 
+scheduling::ScheduledRequest Relay::Flow::scheduledRequest() const
+{
+    const bool hasOwnPriority = customer_ != nullptr && customer_->priority;
+    return { .priority = hasOwnPriority ? *customer_->priority : route_->priority,
+             .promptTokens = static_cast<double>(caller_.promptTokens),
+             .arrivedAt = startedAt_,
+             .goalAt = startedAt_ + route_->latencyGoal,
+             .deadline = deadline_,
+             .hasStarted = hasResponseStarted_,
+             .customer = customer_ == nullptr ? std::string() : customer_->name };
+}
+
 dispatch::PlacementRequest Relay::Flow::placementRequest() const
 {
     return { .model = caller_.model,
@@ -234,10 +271,8 @@
                           .weights = placement.weights,
                           .cacheSource = placement.cacheSource,
                           .cacheStore = placement.cacheStore,
-                          .priority = route_->priority,
+                          .urgency = scheduling::engineUrgency(scheduledRequest()),
                           .lastEventId = caller_.lastEventId };
-    if (customer_ != nullptr && customer_->priority)
-        fields.priority = *customer_->priority;
     if (!caller_.model.empty())
         fields.cacheKey = base::toHex(dispatch::prefixHash(request, 0, placement.weights));
     if (lastEventId_)
@@ -404,7 +439,7 @@
         }
         context_.metrics.countSend(pool_, result_);
         mayHaveRun_ =
-                mayHaveRun_ || outcome == SendOutcome::Unknown || outcome == SendOutcome::Failed;
+                mayHaveRun_ || (outcome != SendOutcome::NotSent && outcome != SendOutcome::NotRun);
         if (outcome == SendOutcome::Answered || outcome == SendOutcome::Cancelled)
             return;
         if (!mayRetry(outcome))
@@ -440,6 +475,7 @@
     exchange_.watchPeer([this] { cancellation_.cancel(); });
     if (admit())
         sendWithRetries();
+    refundUsage();
     if (cancellation_.cancelled() && !isResponseComplete_)
         result_ = Result::RequestCancelled;
     context_.metrics.observeAnswerTime(pool_, Clock::now() - startedAt_);
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -2,6 +2,7 @@
 
 #include "relay/event_splitter.h"
 #include "relay/relay.h"
+#include "scheduling/urgency.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -62,9 +63,16 @@
     /// API key and the view lacks the caller's key. No key is required if the view has no
     /// customers.
     bool authenticate();
+    /// Charges the request to the usage limit of its customer. Responds with a failure and returns
+    /// false if the limit is used up.
+    bool chargeUsage();
+    /// Takes back the charge if no target has run the request.
+    void refundUsage();
     /// Chooses a pool of the route at random by weight.
     void choosePool();
     dispatch::PlacementRequest placementRequest() const;
+    /// Returns the properties that determine the order of the request among others.
+    scheduling::ScheduledRequest scheduledRequest() const;
     /// Chooses a target, waiting for capacity if need be. Responds with a failure and returns no
     /// value if no target accepts the request.
     std::optional<dispatch::Placement> place();
@@ -133,6 +141,7 @@
     ChoiceLoad loadOf(const fleet::Target &target) const;
     void logAnswer();
     void logRefusal(const dispatch::Refusal &refusal);
+    void logUsageRefusal(const usage::UsageRefusal &refusal, double cost);
     void logDrainRefusal(std::chrono::milliseconds timeout);
     void logSend(const dispatch::Placement &placement, SendOutcome outcome);
     /// Logs that the target closed the connection before the end of its response.
@@ -157,6 +166,7 @@
     const fleet::Route *route_ = nullptr;
     const fleet::Customer *customer_ = nullptr;
     std::string pool_;
+    double chargedUsage_ = 0; ///< Cost that was charged to the customer's usage limit.
     Clock::time_point deadline_;
     net::Cancellation cancellation_;
 
--- a/packages/relay/src/flow_log.cpp
+++ b/packages/relay/src/flow_log.cpp
@@ -50,6 +50,17 @@
                          { "result", base::resultInfo(refusal.code).name } });
 }
 
+void Relay::Flow::logUsageRefusal(const usage::UsageRefusal &refusal, double cost)
+{
+    context_.log.write("relay", "refused",
+                       { { "request", caller_.requestId },
+                         { "customer", customer_->name },
+                         { "cost", cost },
+                         { "balance", refusal.balance },
+                         { "retry_after_ms", refusal.retryAfter },
+                         { "result", base::resultInfo(base::Result::UsageLimitReached).name } });
+}
+
 void Relay::Flow::logDrainRefusal(milliseconds timeout)
 {
     const auto exitIn =
--- a/packages/relay/src/metrics.cpp
+++ b/packages/relay/src/metrics.cpp
@@ -47,7 +47,11 @@
                                 .Name("chervilfield_relay_quarantined_parts")
                                 .Help("Prompt parts whose requests are refused.")
                                 .Register(registry_)
-                                .Add({}))
+                                .Add({})),
+      usageDecisions_(BuildGauge()
+                              .Name("chervilfield_usage_decisions")
+                              .Help("Decisions on requests of customers with a usage limit.")
+                              .Register(registry_))
 {
 }
 
@@ -73,6 +77,21 @@
     answerTime_.Add({ { "pool", pool } }, kLatencyBuckets).Observe(elapsed.count());
 }
 
+void Metrics::setUsage(const usage::UsageCounters &counters)
+{
+    // A deployment without usage limits has no such time series.
+    if (counters.admitted + counters.refused == 0)
+        return;
+    const auto set = [this](const char *decision, std::uint64_t count) {
+        usageDecisions_.Add({ { "decision", decision } }).Set(static_cast<double>(count));
+    };
+    set("admitted", counters.admitted);
+    set("admitted-locally", counters.admittedLocally);
+    set("refused", counters.refused);
+    set("refused-locally", counters.refusedLocally);
+    set("refunded", counters.refunded);
+}
+
 std::string Metrics::exposition() const
 {
     return prometheus::TextSerializer().Serialize(registry_.Collect());
