--- a/packages/peers/src/load_exchange.cpp
+++ b/packages/peers/src/load_exchange.cpp
@@ -101,8 +101,10 @@
         return;
     }
     const bool isRelevant = point.isLocal || !current.empty();
+    const auto interval =
+            isRelevant ? std::optional(options_.refreshInterval) : options_.remoteRefreshInterval;
     const bool shouldRequestSums =
-            isRelevant && changes.empty() && now - point.lastReportAt >= options_.refreshInterval;
+            interval && changes.empty() && now - point.lastReportAt >= *interval;
     if (changes.empty() && !shouldRequestSums)
         return;
     point.lastReportAt = now;
@@ -116,8 +118,12 @@
 {
     membership::mergeSums(receivedSums_, membership::takeSums(reportedLoads_, self_, now, options_),
                           now);
+    membership::LoadDigestOptions idleOptions = options_;
+    idleOptions.minSendInterval = options_.idleSendInterval.value_or(options_.minSendInterval);
     for (const auto &[reporter, address] : reporterAddresses_) {
-        const auto sums = membership::takeSums(reportedLoads_, reporter, now, options_);
+        const bool isActive = membership::hasWork(reportedLoads_, reporter);
+        const auto sums = membership::takeSums(reportedLoads_, reporter, now,
+                                               isActive ? options_ : idleOptions);
         sendInBatches(send_, address, LoadSums{}, sums);
     }
 }
