--- a/packages/peers/src/usage_exchange.cpp
+++ b/packages/peers/src/usage_exchange.cpp
@@ -22,8 +22,9 @@
 // The interval of the ticks varies. An interval that has almost passed counts as passed, because
 // the next tick would come much too late.
 constexpr milliseconds kTickTolerance{ 15 };
-// A scarce balance that is older says nothing about the present one.
-constexpr std::chrono::seconds kMaxScarceAge{ 2 };
+// An older balance says nothing about the present one. A failed aggregation point is detected
+// within a few seconds.
+constexpr std::chrono::seconds kMaxBalanceAge{ 5 };
 // Peers that are no members send reports until their membership is known here.
 constexpr std::size_t kMaxPeers = 1024;
 // Upper bounds of the encoded size with the headers of UDP and IPv6.
@@ -80,11 +81,13 @@
     usage::LedgerLimit limit{ .customer = key, .limit = customer.limit };
     if (!customer.lastBalance)
         return limit;
-    const std::chrono::duration<double> age = now - customer.lastBalanceAt;
-    const double balance = customer.lastBalance->balance
-                           + customer.lastBalance->ratePerSecond * std::max(0.0, age.count());
-    limit.initialBalance = std::min(0.0, balance);
-    limit.wasScarce = age <= kMaxScarceAge && balance < customer.limit.burst / 2;
+    // Since the last balance, the instances have probably used their local shares, which together
+    // take the whole refill. Debt is therefore not reduced by the refill of this time.
+    const auto age = now - customer.lastBalanceAt;
+    if (age > kMaxBalanceAge)
+        return limit;
+    limit.initialBalance = std::min(0.0, customer.lastBalance->balance);
+    limit.wasScarce = customer.lastBalance->balance < customer.limit.burst / 2;
     return limit;
 }
 
--- a/packages/usage/include/usage/usage_ledger.h
+++ b/packages/usage/include/usage/usage_ledger.h
@@ -33,6 +33,10 @@
     /// Time for which a new bucket sends no balance unless it is scarce. At its usual load, the
     /// balance has risen above the cost of several requests by then.
     std::chrono::milliseconds warmUp{ 300 };
+    /// Time without a call from which this instance counts as having been frozen. The reports of
+    /// the usage of that time are still to come, so its refill is not capped at the burst, and no
+    /// balance is sent, until `warmUp` has passed.
+    std::chrono::milliseconds minPause{ 400 };
     /// Time after which a reporter is forgotten.
     std::chrono::minutes reporterLifetime{ 10 };
     std::size_t maxReporters = 1024;
@@ -41,7 +45,7 @@
     std::chrono::seconds maxDebt{ 10 };
     /// Age of the usage in a balance when an instance uses it: intervals of reports and balances,
     /// and the time between the threads of both instances.
-    std::chrono::milliseconds informationDelay{ 150 };
+    std::chrono::milliseconds informationDelay{ 500 };
 };
 
 /// Balances of the customers that one instance aggregates, as token buckets that are charged with
@@ -61,9 +65,10 @@
     void setLiveShare(double share, Time now);
 
     /// Charges the usage that an instance has reported since its last report. The first value of a
-    /// counter only sets the base: reporters send the value that was already accounted for before
-    /// the current one. Reports of an earlier life are ignored; the first one of a new life
-    /// replaces the counters.
+    /// counter only sets its base. If two successive entries have the same key, the first one is
+    /// the base: the usage up to it was charged by another aggregation point, for example while
+    /// this instance was frozen. Such usage is charged too, but never into debt. Reports of an
+    /// earlier life are ignored; the first one of a new life replaces the counters.
     void record(const std::string &reporter, std::uint64_t life,
                 std::span<const UsageEntry> entries, Time now);
 
@@ -102,6 +107,7 @@
         Time updatedAt{};
         Time startedAt{};
         bool wasScarce = false;
+        Time::duration pause{ 0 }; ///< Time for which this instance was frozen before `startedAt`.
         RecentUsage recent;
     };
     struct Reporter
@@ -111,11 +117,16 @@
         std::unordered_map<CustomerKey, double> counters; ///< By key of a customer or its refunds.
     };
 
+    /// Records a call at `now`, and the pause before it.
+    void noticePause(Time now);
+    double capacity(const Bucket &bucket, Time now) const;
     double currentBalance(const Bucket &bucket, Time now) const;
     double refillRate(const Bucket &bucket) const;
     void refill(Bucket &bucket, Time now) const;
     /// Charges a cost, or refunds a negative one.
     void charge(Bucket &bucket, double cost, Time now) const;
+    /// Charges a cost as far as the balance is positive.
+    void chargeToZero(Bucket &bucket, double cost, Time now) const;
     /// Returns the usage per second, without the largest report.
     static double recentRate(const Bucket &bucket, Time now);
     bool isScarce(const Bucket &bucket, Time now) const;
@@ -124,6 +135,7 @@
 
     UsageLedgerOptions options_;
     double liveShare_ = 1;
+    Time activeAt_{}; ///< Time of the last call.
     std::unordered_map<CustomerKey, Bucket> buckets_;
     std::unordered_map<CustomerKey, CustomerKey> customersByRefundKey_;
     std::map<std::string, Reporter> reporters_;
--- a/packages/usage/include/usage/usage_limiter.h
+++ b/packages/usage/include/usage/usage_limiter.h
@@ -35,14 +35,24 @@
     /// Time after which a balance without an answer to newer usage is no longer used.
     std::chrono::milliseconds maxSilence{ 500 };
     /// The same for a balance below half of the burst, which is sent every 100 ms.
-    std::chrono::milliseconds maxScarceSilence{ 300 };
+    std::chrono::milliseconds maxScarceSilence{ 250 };
     /// Time after which a balance is no longer used if newer ones do not include older usage of
     /// this instance, because its reports do not arrive.
     std::chrono::milliseconds maxUnincluded{ 1200 };
     /// Time for which a used customer remains in `UsageLimiter::totals()`.
     std::chrono::milliseconds recentUse{ 2000 };
+    /// Largest share of the burst at which an instance admits requests again after the balance was
+    /// used up. Each instance draws its own share below it. If all instances resumed at the same
+    /// moment, they would overdraw the balance again before they hear of each other.
+    double maxResumeShare = 0.6;
+    /// Debt as a share of the burst from which this applies. A single request or a new aggregation
+    /// point, which starts at 0, causes less debt than a customer far above its limit.
+    double minResumeDebt = 0.1;
     /// Lower bound of the capacity of a local share, in time of its refill.
     std::chrono::milliseconds minLocalBurst{ 100 };
+    /// Upper bound of the debt at the start of a local share, in time of its refill, unless one
+    /// request costs more.
+    std::chrono::milliseconds maxLocalDebt{ 2000 };
     std::chrono::milliseconds maxRetryAfter{ 30'000 };
 };
 
@@ -114,7 +124,7 @@
         fleet::UsageLimit limit;
         double cost = 0;
         double refunded = 0;
-        double lastCost = 0; ///< Cost of the last admitted request.
+        double largestCost = 0; ///< Largest cost of an admitted request.
         std::optional<Time> lastUsedAt;
         std::optional<Balance> balance;
         /// First usage after the last balance; its time of receipt if it did not include all usage.
@@ -122,6 +132,8 @@
         /// Time of the first usage that balances should include by now, but do not.
         std::optional<Time> unincludedSince;
         std::optional<LocalShare> local;
+        /// Share of the burst at which it admits again; set while it refuses.
+        std::optional<double> resumeShare;
         Time nextReturnAt{}; ///< Time up to which refused callers have been told to return.
     };
     static constexpr std::size_t kUnits = 2;
@@ -134,7 +146,9 @@
     double updateEstimate(Account &account, Time now) const;
     static double estimateFromBalance(const Account &account, Time now);
     LocalShare startLocalShare(const Account &account, Time now) const;
-    std::chrono::milliseconds retryAfter(Account &account, double balance, double cost, Time now);
+    /// Returns the time after which the caller should return. `missing` is the balance that is
+    /// missing before this instance admits again.
+    std::chrono::milliseconds retryAfter(Account &account, double missing, double cost, Time now);
     double nextRandom();
 
     Time startedAt_;
--- a/packages/usage/src/usage_ledger.cpp
+++ b/packages/usage/src/usage_ledger.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace chervilfield::usage {
 
@@ -50,6 +51,7 @@
 
 void UsageLedger::setLiveShare(double share, Time now)
 {
+    noticePause(now);
     share = std::isfinite(share) ? std::clamp(share, 0.0, 1.0) : 1;
     if (share == liveShare_)
         return;
@@ -61,6 +63,7 @@
 void UsageLedger::record(const std::string &reporterName, std::uint64_t life,
                          std::span<const UsageEntry> entries, Time now)
 {
+    noticePause(now);
     auto found = reporters_.find(reporterName);
     if (found == reporters_.end()) {
         if (reporters_.size() >= options_.maxReporters)
@@ -75,7 +78,8 @@
         reporter.counters.clear();
     }
     reporter.lastReportAt = now;
-    for (const UsageEntry &entry : entries) {
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        const UsageEntry &entry = entries[i];
         if (!std::isfinite(entry.cost) || entry.cost < 0)
             continue;
         const auto refunded = customersByRefundKey_.find(entry.customer);
@@ -88,7 +92,24 @@
             continue;
         const double delta = entry.cost - counter->second;
         counter->second = entry.cost;
-        charge(bucket->second, isRefund ? -delta : delta, now);
+        const bool isBase = i + 1 < entries.size() && entries[i + 1].customer == entry.customer;
+        if (!isBase)
+            charge(bucket->second, isRefund ? -delta : delta, now);
+        else if (!isRefund)
+            chargeToZero(bucket->second, delta, now);
+    }
+}
+
+void UsageLedger::noticePause(Time now)
+{
+    const Time previous = std::exchange(activeAt_, now);
+    if (previous == Time{} || now - previous < options_.minPause)
+        return;
+    for (auto &[key, bucket] : buckets_) {
+        bucket.startedAt = now;
+        bucket.wasScarce = false;
+        bucket.pause = now - previous;
+        refill(bucket, now);
     }
 }
 
@@ -97,7 +118,7 @@
     refill(bucket, now);
     const double floor =
             -bucket.limit.ratePerSecond * Seconds(options_.maxDebt).count() - bucket.limit.burst;
-    bucket.balance = std::clamp(bucket.balance - cost, floor, bucket.limit.burst);
+    bucket.balance = std::clamp(bucket.balance - cost, floor, capacity(bucket, now));
     if (cost <= 0)
         return;
     const std::int64_t index = slotIndex(now);
@@ -109,15 +130,29 @@
     slot.largest = std::max(slot.largest, cost);
 }
 
+void UsageLedger::chargeToZero(Bucket &bucket, double cost, Time now) const
+{
+    refill(bucket, now);
+    if (bucket.balance > 0)
+        bucket.balance = std::max(0.0, bucket.balance - cost);
+}
+
 double UsageLedger::refillRate(const Bucket &bucket) const
 {
     return bucket.limit.ratePerSecond * liveShare_;
 }
 
+double UsageLedger::capacity(const Bucket &bucket, Time now) const
+{
+    const bool isWarmingUp = now - bucket.startedAt < options_.warmUp;
+    return bucket.limit.burst
+           + (isWarmingUp ? refillRate(bucket) * Seconds(bucket.pause).count() : 0);
+}
+
 double UsageLedger::currentBalance(const Bucket &bucket, Time now) const
 {
     const double elapsed = std::max(0.0, Seconds(now - bucket.updatedAt).count());
-    return std::min(bucket.limit.burst, bucket.balance + refillRate(bucket) * elapsed);
+    return std::min(capacity(bucket, now), bucket.balance + refillRate(bucket) * elapsed);
 }
 
 void UsageLedger::refill(Bucket &bucket, Time now) const
@@ -179,7 +214,7 @@
     // that the balance is used up. The usage of this time is subtracted ahead.
     const double excess = std::max(0.0, recentRate(bucket, now) - refillRate(bucket));
     UsageBalance result{ .customer = customer,
-                         .balance = currentBalance(bucket, now)
+                         .balance = std::min(currentBalance(bucket, now), bucket.limit.burst)
                                     - excess * Seconds(options_.informationDelay).count(),
                          .ratePerSecond = refillRate(bucket),
                          .includedCost = -1 };
--- a/packages/usage/src/usage_limiter.cpp
+++ b/packages/usage/src/usage_limiter.cpp
@@ -102,9 +102,11 @@
     const double share = std::min(refilled, account.limit.burst) / known;
     const double unincluded = account.cost - account.refunded - last.includedCost;
     // The usage before the loss of contact was admitted from the whole balance and may exceed the
-    // share many times. The debt is limited to one request, so that the customer is not refused for
-    // minutes.
-    return { .balance = std::max(share - unincluded, std::min(share, -account.lastCost)),
+    // share many times. The debt is limited, so that the customer is not refused for minutes.
+    const double maxDebt =
+            std::max(account.largestCost,
+                     account.limit.ratePerSecond / known * Seconds(options_.maxLocalDebt).count());
+    return { .balance = std::max(share - unincluded, std::min(share, -maxDebt)),
              .capacity = std::max(share, minCapacity),
              .updatedAt = lostAt };
 }
@@ -136,16 +138,21 @@
     account.lastUsedAt = now;
     const double balance = updateEstimate(account, now);
     const bool isLocal = account.local.has_value();
-    if (balance <= 0) {
+    if (!isLocal && !account.resumeShare && balance < -options_.minResumeDebt * limit.burst)
+        account.resumeShare = nextRandom() * options_.maxResumeShare;
+    const double resumeAt =
+            isLocal ? 0 : std::min(account.resumeShare.value_or(0), 1.0) * limit.burst;
+    if (balance <= 0 || balance < resumeAt) {
         ++counters_.refused;
         counters_.refusedLocally += isLocal ? 1 : 0;
-        return UsageRefusal{ .retryAfter = retryAfter(account, balance, cost, now),
+        return UsageRefusal{ .retryAfter = retryAfter(account, resumeAt - balance, cost, now),
                              .balance = balance };
     }
+    account.resumeShare.reset();
     ++counters_.admitted;
     counters_.admittedLocally += isLocal ? 1 : 0;
     account.cost += cost;
-    account.lastCost = cost;
+    account.largestCost = std::max(account.largestCost, cost);
     if (isLocal)
         account.local->balance -= cost;
     if (!account.unansweredSince)
@@ -236,7 +243,7 @@
 // Each refused caller is promised the time after those that this instance has refused before. The
 // other instances refuse about as many, so a promise occupies the refill for its cost times the
 // number of instances. Jitter of one such interval spreads the callers of all instances evenly.
-std::chrono::milliseconds UsageLimiter::retryAfter(Account &account, double balance, double cost,
+std::chrono::milliseconds UsageLimiter::retryAfter(Account &account, double missing, double cost,
                                                    Time now)
 {
     const auto sharers = static_cast<double>(account.local ? knownInstances_ : liveInstances_);
@@ -245,7 +252,7 @@
         rate = account.balance->ratePerSecond;
     const Seconds maxWait(options_.maxRetryAfter);
     // A local balance is refilled only by its share of the rate.
-    const Seconds recovery(-balance * (account.local ? sharers : 1) / rate);
+    const Seconds recovery(missing * (account.local ? sharers : 1) / rate);
     const Seconds interval = std::min(maxWait, Seconds(cost * sharers / rate));
     const Seconds promised(account.nextReturnAt - now);
     const Seconds start = std::clamp(std::max(recovery, promised), Seconds(0), maxWait);
