--- a/packages/peers/include/peers/usage_exchange.h
+++ b/packages/peers/include/peers/usage_exchange.h
@@ -105,6 +105,7 @@
         double baseCost = 0;
         double baseRefunded = 0;
         bool isKnownToAggregator = false;
+        bool hasBalance = false; ///< The aggregation point has sent one.
         double sentCost = 0;
         double sentRefunded = 0;
         std::optional<usage::Time> sentAt;
@@ -118,8 +119,10 @@
         bool isLive = false;
         std::optional<usage::Time> reportedAt; ///< Time of the last report to it.
         std::optional<usage::Time> answeredAt; ///< Time of the last balances to it.
-        /// Customers that it has reported since its last balances.
+        /// Customers that it has reported since its last balances, or of which it needs a first
+        /// one.
         std::vector<usage::CustomerKey> pending;
+        bool hasReported = false; ///< It has reported usage since its last balances.
     };
 
     /// Returns the limit of a customer that is aggregated here from now on or already.
@@ -132,7 +135,12 @@
     void report(std::span<const usage::UsageTotal> totals, usage::Time now);
     void sendReport(const std::string &aggregator, const std::vector<usage::UsageEntry> &entries,
                     usage::Time now);
+    static void addPending(Peer &peer, const std::vector<usage::CustomerKey> &customers);
     void sendBalances(usage::Time now);
+    /// Sends the balances that peers wait for, to those that have reported usage or to the others.
+    /// Returns false if the byte limit did not permit all.
+    bool sendPending(const std::vector<usage::CustomerKey> &scarce, bool hasReported,
+                     usage::Time now);
     /// Sends balances to a peer. Returns false if the byte limit does not permit it.
     bool sendBalancesTo(const std::string &name, Peer &peer,
                         const std::vector<usage::CustomerKey> &customers, usage::Time now);
--- a/packages/peers/src/usage_exchange.cpp
+++ b/packages/peers/src/usage_exchange.cpp
@@ -95,12 +95,15 @@
                            const std::vector<LimitedCustomer> &limits, Time now)
 {
     std::map<std::string, Peer> peers;
+    std::vector<std::string> newPeers;
     for (const membership::Member &member : members) {
         if (member.name == self_)
             continue;
         Peer &peer = peers[member.name];
         if (const auto previous = peers_.find(member.name); previous != peers_.end())
             peer = std::move(previous->second);
+        else
+            newPeers.push_back(member.name);
         peer.address = member.peerAddress;
         peer.isLive = member.state != membership::MemberState::Dead;
     }
@@ -108,6 +111,7 @@
 
     const auto candidates = aggregationCandidates(members);
     std::vector<usage::LedgerLimit> ledgerLimits;
+    std::vector<CustomerKey> takenOver;
     std::set<CustomerKey> limited;
     for (const LimitedCustomer &entry : limits) {
         if (!usage::isLimited(entry.limit))
@@ -125,7 +129,9 @@
             customer.isKnownToAggregator = false;
             customer.baseCost = std::max(0.0, customer.total.cost - customer.total.debt);
             customer.baseRefunded = customer.total.refunded;
-            counters_.takeovers += name == self_ ? 1 : 0;
+            customer.hasBalance = false;
+            if (name == self_)
+                takenOver.push_back(key);
         }
         if (name == self_)
             ledgerLimits.push_back(ledgerLimit(key, customer, now));
@@ -139,6 +145,26 @@
         }
     }
     ledger_.setLimits(ledgerLimits, now);
+    counters_.takeovers += takenOver.size();
+    // An instance without a balance uses its share, which may be less than one request. All
+    // instances get a first balance, before they serve the customers.
+    for (auto &[name, peer] : peers_)
+        addPending(peer, takenOver);
+    std::vector<CustomerKey> aggregated;
+    for (const usage::LedgerLimit &limit : ledgerLimits)
+        aggregated.push_back(limit.customer);
+    for (const std::string &name : newPeers)
+        addPending(peers_[name], aggregated);
+}
+
+void UsageExchange::addPending(Peer &peer, const std::vector<CustomerKey> &customers)
+{
+    if (!peer.isLive)
+        return;
+    for (const CustomerKey customer : customers) {
+        if (std::ranges::find(peer.pending, customer) == peer.pending.end())
+            peer.pending.push_back(customer);
+    }
 }
 
 void UsageExchange::receive(const std::string &address, const UsageReport &report, Time now)
@@ -156,13 +182,15 @@
         found = peers_.emplace(report.sender, Peer{ .address = address }).first;
     }
     ledger_.record(report.sender, report.life, report.entries, now);
-    auto &pending = found->second.pending;
+    std::vector<CustomerKey> reported;
     for (const UsageEntry &entry : report.entries) {
         const auto customer = customers_.find(entry.customer);
-        if (customer != customers_.end() && customer->second.aggregator == self_
-            && std::ranges::find(pending, entry.customer) == pending.end())
-            pending.push_back(entry.customer);
+        if (customer != customers_.end() && customer->second.aggregator == self_)
+            reported.push_back(entry.customer);
     }
+    found->second.isLive = true;
+    found->second.hasReported = true;
+    addPending(found->second, reported);
 }
 
 void UsageExchange::receive(const std::string &address, const UsageBalances &balances, Time now)
@@ -184,6 +212,7 @@
 
 void UsageExchange::deliver(Customer &customer, UsageBalance balance, bool isOwnLife)
 {
+    customer.hasBalance = true;
     customer.isKnownToAggregator = isOwnLife && balance.includedCost >= 0;
     if (!customer.isKnownToAggregator)
         balance.includedCost = customer.baseCost - customer.baseRefunded;
@@ -279,12 +308,18 @@
 
 void UsageExchange::deliverOwnBalances(std::span<const usage::UsageTotal> totals, Time now)
 {
+    const auto deliverOwn = [&](CustomerKey key, Customer &customer) {
+        if (const auto balance = ledger_.balance(key, self_, now))
+            deliver(customer, *balance, true);
+    };
     for (const usage::UsageTotal &total : totals) {
         const auto found = customers_.find(total.customer);
-        if (found == customers_.end() || found->second.aggregator != self_)
-            continue;
-        if (const auto balance = ledger_.balance(total.customer, self_, now))
-            deliver(found->second, *balance, true);
+        if (found != customers_.end() && found->second.aggregator == self_)
+            deliverOwn(total.customer, found->second);
+    }
+    for (auto &[key, customer] : customers_) {
+        if (customer.aggregator == self_ && !customer.hasBalance)
+            deliverOwn(key, customer);
     }
 }
 
@@ -300,19 +335,8 @@
     lastTickAt_ = now;
     const auto scarce = ledger_.scarceCustomers(now);
     // Instances that serve the customers need the balances first.
-    for (auto &[name, peer] : peers_) {
-        if (peer.pending.empty())
-            continue;
-        const auto interval = scarce.empty() ? options_.replyInterval : options_.scarceInterval;
-        if (!hasPassed(peer.answeredAt, interval, now))
-            continue;
-        auto customers = peer.pending;
-        std::ranges::copy_if(scarce, std::back_inserter(customers), [&](CustomerKey customer) {
-            return std::ranges::find(peer.pending, customer) == peer.pending.end();
-        });
-        if (!sendBalancesTo(name, peer, customers, now))
-            return;
-    }
+    if (!sendPending(scarce, true, now) || !sendPending(scarce, false, now))
+        return;
     if (scarce.empty() || peers_.empty())
         return;
     auto peer = peers_.lower_bound(nextPeer_);
@@ -329,6 +353,23 @@
     }
 }
 
+bool UsageExchange::sendPending(const std::vector<CustomerKey> &scarce, bool hasReported, Time now)
+{
+    const auto interval = scarce.empty() ? options_.replyInterval : options_.scarceInterval;
+    for (auto &[name, peer] : peers_) {
+        if (peer.pending.empty() || peer.hasReported != hasReported
+            || !hasPassed(peer.answeredAt, interval, now))
+            continue;
+        auto customers = peer.pending;
+        std::ranges::copy_if(scarce, std::back_inserter(customers), [&](CustomerKey customer) {
+            return std::ranges::find(peer.pending, customer) == peer.pending.end();
+        });
+        if (!sendBalancesTo(name, peer, customers, now))
+            return false;
+    }
+    return true;
+}
+
 bool UsageExchange::sendBalancesTo(const std::string &name, Peer &peer,
                                    const std::vector<CustomerKey> &customers, Time now)
 {
@@ -348,16 +389,20 @@
         send_(peer.address, message);
         message.balances.clear();
     };
+    peer.pending.clear();
+    peer.hasReported = false;
     for (const CustomerKey customer : customers) {
         if (const auto balance = ledger_.balance(customer, name, now))
             message.balances.push_back(*balance);
+        else if (const auto found = customers_.find(customer);
+                 found != customers_.end() && found->second.aggregator == self_)
+            peer.pending.push_back(customer); // Its bucket is too new.
         if (message.balances.size() == kMaxUsageBalances)
             send();
     }
     if (!message.balances.empty())
         send();
     peer.answeredAt = now;
-    peer.pending.clear();
     return true;
 }
 
