Performance: learn the relative time and useful concurrency of targets

Targets of a pool differ in speed and change over time, but placement assumes the same prefill rate and the full slots for all of them. A model compares each observed time with the time predicted for its load and with those of the other targets seen at the same time. Placement multiplies its expected times by the learned relative time, weights rendezvous homes by speed and prefers a target of another data centre to one at which a request would wait. Without evidence for differences all decisions are as before.

--- a/packages/dispatch/include/dispatch/placement.h
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -106,6 +106,12 @@
     /// Cost of a target in another data centre: the round trip, and the same again for the
     /// bandwidth, the connections kept open there and the greater age of load information.
     Seconds otherDataCentreCost{ 0.02 };
+    /// Cost of a target at which the request would have to wait for others to end, in a pool whose
+    /// targets are known to differ. Above the cost of another data centre with a new connection,
+    /// because the wait is uncertain while the way is not.
+    Seconds queueingCost{ 0.04 };
+    /// Relative time from which a target is the home of no prefix, if there is another one.
+    double maxHomeRelativeTime = 2.2;
     /// Cost of a target without an idle connection: another round trip, and the connection that is
     /// used up at a target that many instances share.
     Seconds newConnectionCost{ 0.01 };
@@ -204,6 +210,7 @@
         std::uint64_t score = 0;
         /// True if requests of all instances have filled its cache, as far as is known here.
         bool isWarm = false;
+        double weightedScore = 0; ///< Rank of the target; higher is better.
     };
 
     /// Returns true if the candidate has capacity for the request under `acceptance`.
@@ -223,6 +230,15 @@
     std::vector<Home> findHomes(const PlacementRequest &request,
                                 std::span<const std::size_t> usable, const fleet::View &view,
                                 Time now) const;
+    /// Returns the rank of a target as the home of a prompt with this hash score. Targets become
+    /// homes in proportion to their learned speed; the order of equal ones is that of the scores.
+    double homeRank(std::uint64_t score, const fleet::Target &target, Time now) const;
+    /// Returns true if a request would wait at the target, in a pool whose targets are known to
+    /// differ.
+    bool wouldQueue(const fleet::Target &target, Time now) const;
+    /// Returns the state of the target that a request finds.
+    performance::Sample conditionsOf(const fleet::Target &target, double uncachedTokens,
+                                     Time now) const;
     /// Keeps the first `kept` indices and a bounded random sample of the rest.
     void limitCompared(std::vector<std::size_t> &indices, std::size_t kept, const fleet::View &view,
                        Time now);
--- a/packages/dispatch/include/dispatch/target_tracker.h
+++ b/packages/dispatch/include/dispatch/target_tracker.h
@@ -3,6 +3,7 @@
 #include "base/boot_clock.h"
 #include "dispatch/rate_limit.h"
 #include "fleet/configuration.h"
+#include "performance/performance_model.h"
 
 #include <chrono>
 #include <cstdint>
@@ -70,6 +71,18 @@
 {
     double waitingTokens = 0; ///< Prompt tokens to compute; 0 after the first event.
     double memoryTokens = 0;  ///< Tokens of the prompt and of the longest possible answer.
+    /// State of the target when the request was placed, without times. `Placer::place` sets it.
+    performance::Sample conditions{};
+};
+
+/// Times of an answer that was received without a fault.
+struct AnswerTimes
+{
+    /// Time from the send to the first event or, for other answers, to the whole answer; 0 if it
+    /// was recorded before.
+    Seconds timeToFirstEvent{ 0 };
+    /// Mean time between two events of a stream that has ended.
+    std::optional<Seconds> eventInterval;
 };
 
 /// Reason why a target did not serve a request.
@@ -109,13 +122,17 @@
     /// its next answer repeats it.
     std::chrono::milliseconds maxRequestedPause{ 300'000 };
     RateLimitOptions rateLimit; ///< Share of this instance in the limits of the targets.
+    performance::PerformanceOptions performance; ///< Learning of the targets' performance.
 };
 
 /// Tracks load and health of all targets that this instance uses. Not safe for concurrent use.
 class TargetTracker
 {
 public:
-    explicit TargetTracker(TargetTrackerOptions options = {}) : options_(options) {}
+    explicit TargetTracker(TargetTrackerOptions options = {})
+        : options_(options), performance_(options.performance)
+    {
+    }
 
     /// Returns the status of the target's current run. If the run is new, creates a status that has
     /// only the requests still in flight to the previous run. The reference is valid until the next
@@ -134,6 +151,22 @@
     /// Removes a request that has ended in any way, and counts its connection as idle.
     void endRequest(const fleet::Target &target, const InFlightRequest &request, Time now);
 
+    /// Records the times of an answer to a request, from which the performance of the target is
+    /// learned. Must be called at most once for each time, and not after a fault or a refusal.
+    void recordTimes(const fleet::Target &target, const InFlightRequest &request,
+                     const AnswerTimes &times, Time now);
+
+    /// Returns the learned performance of the target.
+    performance::TargetFigures performanceOf(const fleet::Target &target, Time now) const;
+
+    /// Returns the number of requests that the target executes concurrently with benefit: its
+    /// slots, or its useful concurrency if that is smaller. At least 1.
+    double usefulSlots(const fleet::Target &target, Time now) const;
+
+    /// Learned performance of the targets, for exchange with other instances.
+    performance::PerformanceModel &performance() { return performance_; }
+    const performance::PerformanceModel &performance() const { return performance_; }
+
     /// Returns true if an idle connection to the target is probably available.
     bool hasIdleConnection(const fleet::Target &target, Time now) const;
 
@@ -227,6 +260,7 @@
     using Run = std::pair<std::string, std::uint64_t>;
 
     TargetTrackerOptions options_;
+    performance::PerformanceModel performance_;
     InstanceShare instanceShare_;
     std::unordered_map<std::string, TargetStatus> targets_; ///< By target id.
     std::map<Run, Time> leavingRuns_; ///< When this instance learned that the run is leaving.
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -34,17 +34,19 @@
 {
     const TargetStatus *status = targetTracker_.find(target);
     const double slowness = status == nullptr ? 1 : std::max(0.5, status->report.slowness);
-    const double slots = std::max<std::uint32_t>(1, target.slots);
+    const double relativeTime = targetTracker_.performanceOf(target, now).relativeTime;
+    const double slots = targetTracker_.usefulSlots(target, now);
     const double occupied = targetTracker_.estimatedRequests(target, now) / slots;
     // The wait grows slowly while slots are free and steeply once requests have to queue.
-    candidate.expectedTime = options_.serviceTime * slowness * (1 + occupied * occupied);
+    candidate.expectedTime =
+            options_.serviceTime * slowness * relativeTime * (1 + occupied * occupied);
 }
 
 // Returns the time until a slot is free; requests that exceed the slots wait for earlier ones to
 // end.
 Seconds Placer::slotWait(const fleet::Target &target, Time now) const
 {
-    const double slots = std::max<std::uint32_t>(1, target.slots);
+    const double slots = targetTracker_.usefulSlots(target, now);
     const double excessRequests = targetTracker_.estimatedRequests(target, now) + 1 - slots;
     return options_.slotHoldTime * (std::max(0.0, excessRequests) / slots);
 }
@@ -54,15 +56,17 @@
 {
     const TargetStatus *status = targetTracker_.find(target);
     const double slowness = status == nullptr ? 1 : std::max(0.5, status->report.slowness);
+    // The learned time excludes the reported slowness, with which samples are compared.
+    const double timeFactor = slowness * targetTracker_.performanceOf(target, now).relativeTime;
     const Seconds queue =
             Seconds(targetTracker_.estimatedWaitingTokens(target, now) / options_.prefillRate)
-            * slowness;
+            * timeFactor;
     const Seconds prefill =
-            Seconds(candidate.uncachedTokens(request) / options_.prefillRate) * slowness;
+            Seconds(candidate.uncachedTokens(request) / options_.prefillRate) * timeFactor;
     const Seconds running = options_.delayPerRunningRequest
-                            * targetTracker_.estimatedRequests(target, now) * slowness;
+                            * targetTracker_.estimatedRequests(target, now) * timeFactor;
     candidate.expectedTime = std::max(queue, candidate.prefixWait) + prefill + running
-                             + slotWait(target, now) * slowness
+                             + slotWait(target, now) * timeFactor
                              + options_.fetchTimePerToken * candidate.fetchedTokens;
     if (request.promptTokens > options_.longPromptThresholdTokens)
         candidate.cost += prefill * targetTracker_.estimatedRequests(target, now)
@@ -74,6 +78,24 @@
     }
 }
 
+bool Placer::wouldQueue(const fleet::Target &target, Time now) const
+{
+    return targetTracker_.performance().hasDifferences(target.pool, now)
+           && targetTracker_.estimatedRequests(target, now) + 1
+                      > targetTracker_.usefulSlots(target, now);
+}
+
+performance::Sample Placer::conditionsOf(const fleet::Target &target, double uncachedTokens,
+                                         Time now) const
+{
+    const TargetStatus *status = targetTracker_.find(target);
+    return { .uncachedTokens = uncachedTokens,
+             .requestsAtSend = targetTracker_.estimatedRequests(target, now),
+             .waitingTokensAtSend = targetTracker_.estimatedWaitingTokens(target, now),
+             .slowness = status == nullptr ? 1 : status->report.slowness,
+             .slots = static_cast<double>(target.slots) };
+}
+
 void Placer::addCommonCost(Candidate &candidate, const PlacementRequest &request,
                            const fleet::View &view, Time now) const
 {
@@ -83,6 +105,9 @@
         candidate.cost += options_.otherDataCentreCost;
     if (!targetTracker_.hasIdleConnection(target, now))
         candidate.cost += options_.newConnectionCost;
+    candidate.wouldQueue = wouldQueue(target, now);
+    if (candidate.wouldQueue)
+        candidate.cost += options_.queueingCost;
     if (const TargetStatus *status = targetTracker_.find(target)) {
         candidate.shouldAvoid = status->avoidUntil > now || status->loadingUntil > now;
         candidate.cost += options_.costPerFault * status->faultCount;
@@ -150,7 +175,8 @@
 }
 
 // Most of the sample is in this instance's data centre, targets with idle connections first. The
-// rest lets requests leave an overloaded data centre.
+// rest lets requests leave an overloaded data centre. Local targets at which the request would wait
+// make room for targets of other data centres at which it would not.
 void Placer::limitCompared(std::vector<std::size_t> &indices, std::size_t kept,
                            const fleet::View &view, Time now)
 {
@@ -167,8 +193,18 @@
                                                      options_.maxComparedInOtherDataCentres);
     const auto localCount = std::min<std::ptrdiff_t>(otherDataCentres - begin,
                                                      options_.maxComparedTargets - otherCount);
-    indices.erase(std::rotate(begin + localCount, otherDataCentres, otherDataCentres + otherCount),
-                  indices.end());
+    const auto end =
+            std::rotate(begin + localCount, otherDataCentres, otherDataCentres + otherCount);
+    const auto doesQueue = [&](std::size_t index) {
+        return wouldQueue(view.targets()[index], now);
+    };
+    const auto firstFree = std::find_if_not(end, indices.end(), [&](std::size_t index) {
+        return view.targets()[index].dataCentre == dataCentre_ || doesQueue(index);
+    });
+    const bool allQueue = std::all_of(indices.begin(), end, doesQueue);
+    if (allQueue && localCount > 0 && firstFree != indices.end())
+        std::iter_swap(begin + localCount - 1, firstFree);
+    indices.erase(end, indices.end());
 }
 
 std::vector<Placer::Candidate> Placer::makeCandidates(const PlacementRequest &request,
@@ -194,6 +230,8 @@
         }
         candidate.expectedTime += candidate.sendDelay;
         addCommonCost(candidate, request, view, now);
+        candidate.conditions = conditionsOf(
+                target, request.model.empty() ? 0 : candidate.uncachedTokens(request), now);
         result.push_back(candidate);
     }
     return result;
@@ -267,7 +305,7 @@
     Placement placement{ .target = best->index,
                          .weights = best->weights,
                          .inFlightRequest = { best->uncachedTokens(request),
-                                              requestMemoryTokens(request) },
+                                              requestMemoryTokens(request), best->conditions },
                          .uncachedTokens = best->uncachedTokens(request),
                          .expectedTime = best->expectedTime,
                          .sendDelay = std::chrono::ceil<std::chrono::milliseconds>(best->sendDelay),
--- a/packages/dispatch/src/placement_prefix.cpp
+++ b/packages/dispatch/src/placement_prefix.cpp
@@ -6,6 +6,7 @@
 #include "internal/candidate.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace chervilfield::dispatch {
@@ -102,6 +103,22 @@
     }
 }
 
+// Weighted rendezvous hashing: with a weight w and a uniform hash u, the target with the highest
+// -w / ln(u) is chosen with a probability in proportion to w, and a changed weight moves no prefix
+// between other targets.
+double Placer::homeRank(std::uint64_t score, const fleet::Target &target, Time now) const
+{
+    constexpr double kHashRange = 18446744073709551616.0; // 2^64
+    const double uniform = std::min((static_cast<double>(score) + 0.5) / kHashRange, 1 - 0x1p-53);
+    const double relativeTime = targetTracker_.performance().steadyRelativeTime(
+            target.pool, target.key, target.startedAt, now);
+    // Such a target remains the home if all others leave.
+    constexpr double kLeastWeight = 1e-9;
+    const double weight =
+            relativeTime >= options_.maxHomeRelativeTime ? kLeastWeight : 1 / relativeTime;
+    return -weight / std::log(uniform);
+}
+
 std::vector<Placer::Home> Placer::findHomes(const PlacementRequest &request,
                                             std::span<const std::size_t> usable,
                                             const fleet::View &view, Time now) const
@@ -111,16 +128,24 @@
     if (parts == 0)
         return homes;
     const std::uint64_t key = prefixHash(request, parts, 0);
+    const bool hasDifferences = !usable.empty()
+                                && targetTracker_.performance().hasDifferences(
+                                        view.targets()[usable.front()].pool, now);
     for (const std::size_t index : usable) {
         const fleet::Target &target = view.targets()[index];
         const auto weights =
                 request.model.empty() ? 0 : targetTracker_.weightsOf(target, request.model);
         const std::uint64_t score = base::combineHash(key, target.key);
+        const Home home{ .index = index,
+                         .weights = weights,
+                         .score = score,
+                         .weightedScore = hasDifferences ? homeRank(score, target, now) : 0 };
         const auto known = std::ranges::find(homes, weights, &Home::weights);
         if (known == homes.end())
-            homes.push_back({ .index = index, .weights = weights, .score = score });
-        else if (score > known->score)
-            *known = { .index = index, .weights = weights, .score = score };
+            homes.push_back(home);
+        else if (std::pair(home.weightedScore, home.score)
+                 > std::pair(known->weightedScore, known->score))
+            *known = home;
     }
     for (Home &home : homes) {
         const TargetStatus *known = targetTracker_.find(view.targets()[home.index]);
--- a/packages/dispatch/src/target_tracker.cpp
+++ b/packages/dispatch/src/target_tracker.cpp
@@ -54,6 +54,27 @@
     entry.memoryTokens = std::max(0.0, entry.memoryTokens - request.memoryTokens);
 }
 
+void TargetTracker::recordTimes(const fleet::Target &target, const InFlightRequest &request,
+                                const AnswerTimes &times, Time now)
+{
+    performance::Sample sample = request.conditions;
+    sample.timeToFirstEvent = times.timeToFirstEvent;
+    sample.eventInterval = times.eventInterval;
+    performance_.record(target.pool, target.key, target.startedAt, sample, now);
+}
+
+performance::TargetFigures TargetTracker::performanceOf(const fleet::Target &target, Time now) const
+{
+    return performance_.figures(target.pool, target.key, target.startedAt, target.slots, now);
+}
+
+double TargetTracker::usefulSlots(const fleet::Target &target, Time now) const
+{
+    const double useful = performanceOf(target, now).usefulConcurrency;
+    const double slots = std::max<std::uint32_t>(1, target.slots);
+    return useful > 0 ? std::clamp(useful, 1.0, slots) : slots;
+}
+
 bool TargetTracker::hasIdleConnection(const fleet::Target &target, Time now) const
 {
     const TargetStatus *entry = find(target);
@@ -268,8 +289,12 @@
 void TargetTracker::retain(const std::vector<fleet::Target> &targets, Time now)
 {
     std::unordered_set<std::string> ids;
-    for (const fleet::Target &target : targets)
+    std::vector<performance::TargetRun> runs;
+    for (const fleet::Target &target : targets) {
         ids.insert(target.id);
+        runs.push_back({ target.pool, target.key, target.startedAt });
+    }
+    performance_.retain(runs, now);
     std::erase_if(targets_, [&ids](const auto &entry) {
         return entry.second.inFlight == 0 && !ids.contains(entry.first);
     });
