--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -93,7 +93,8 @@
              .requestsAtSend = targetTracker_.estimatedRequests(target, now),
              .waitingTokensAtSend = targetTracker_.estimatedWaitingTokens(target, now),
              .slowness = status == nullptr ? 1 : status->report.slowness,
-             .slots = static_cast<double>(target.slots) };
+             .slots = static_cast<double>(target.slots),
+             .isRemote = target.dataCentre != dataCentre_ };
 }
 
 void Placer::addCommonCost(Candidate &candidate, const PlacementRequest &request,
--- a/packages/peers/include/peers/datagram.h
+++ b/packages/peers/include/peers/datagram.h
@@ -2,6 +2,7 @@
 
 #include "membership/load_digest.h"
 #include "membership/protocol.h"
+#include "performance/types.h"
 #include "quarantine/types.h"
 
 #include <chrono>
@@ -38,6 +39,15 @@
 /// Maximum number of parts in one `QuarantinedParts`.
 constexpr std::size_t kMaxQuarantinedParts = 60;
 
+/// Maximum number of entries in one `PerformanceFigures`; as many as always fit into a datagram.
+constexpr std::size_t kMaxPerformanceFigures = 24;
+
+/// Maximum of `performance::SharedFigures::relativeTime`; its minimum is the reciprocal.
+constexpr double kMaxRelativeTime = 64;
+
+/// Maximum of `performance::SharedFigures::weight`.
+constexpr double kMaxPerformanceWeight = 1e6;
+
 /// Maximum remaining time of a part in `QuarantinedParts`.
 constexpr std::chrono::milliseconds kMaxQuarantineTime = std::chrono::hours(1);
 
@@ -125,10 +135,17 @@
     bool operator==(const QuarantinedParts &) const = default;
 };
 
+/// Performance of targets as the sender has observed it itself.
+struct PerformanceFigures
+{
+    std::vector<performance::SharedFigures> figures;
+    bool operator==(const PerformanceFigures &) const = default;
+};
+
 /// The content of one datagram between daemons.
 using Datagram = std::variant<membership::Packet, LoadReport, LoadSums, PlacementHints,
                               WeightsNotice, quarantine::CrashReport, InnocentParts,
-                              QuarantinedParts, RateLimitNotice, LeavingNotice>;
+                              QuarantinedParts, RateLimitNotice, LeavingNotice, PerformanceFigures>;
 
 /// Encodes the datagram in Thrift's compact protocol. Returns no value if the result would exceed
 /// `kMaxDatagramBytes`. Does not check the other limits, which `decode` enforces.
--- a/packages/peers/src/datagram.cpp
+++ b/packages/peers/src/datagram.cpp
@@ -259,6 +259,38 @@
     return result;
 }
 
+bool isValid(const performance::SharedFigures &figures)
+{
+    // The comparisons are false for values that are not numbers.
+    return figures.relativeTime >= 1 / kMaxRelativeTime && figures.relativeTime <= kMaxRelativeTime
+           && figures.usefulConcurrency >= 0
+           && figures.usefulConcurrency <= performance::kUnlimitedConcurrency && figures.weight >= 0
+           && figures.weight <= kMaxPerformanceWeight;
+}
+
+std::optional<Datagram> fromWire(const wire::PerformanceFigures &message)
+{
+    const std::size_t count = message.targets.size();
+    if (count > kMaxPerformanceFigures || message.startedAt.size() != count
+        || message.relativeTimes.size() != count || message.usefulConcurrencies.size() != count
+        || message.weights.size() != count)
+        return std::nullopt;
+    PerformanceFigures result;
+    for (std::size_t i = 0; i < count; ++i) {
+        const performance::SharedFigures figures{
+            .target = static_cast<std::uint64_t>(message.targets[i]),
+            .startedAt = static_cast<std::uint64_t>(message.startedAt[i]),
+            .relativeTime = message.relativeTimes[i],
+            .usefulConcurrency = message.usefulConcurrencies[i],
+            .weight = message.weights[i]
+        };
+        if (!isValid(figures))
+            return std::nullopt;
+        result.figures.push_back(figures);
+    }
+    return result;
+}
+
 // Groups the hints by target and life, so that these are sent only once per group.
 wire::PlacementHints toWire(const PlacementHints &hints)
 {
@@ -360,6 +392,18 @@
         }
         message.__set_quarantinedParts(body);
     }
+    void operator()(const PerformanceFigures &figures) const
+    {
+        wire::PerformanceFigures body;
+        for (const performance::SharedFigures &entry : figures.figures) {
+            body.targets.push_back(static_cast<std::int64_t>(entry.target));
+            body.startedAt.push_back(static_cast<std::int64_t>(entry.startedAt));
+            body.relativeTimes.push_back(entry.relativeTime);
+            body.usefulConcurrencies.push_back(entry.usefulConcurrency);
+            body.weights.push_back(entry.weight);
+        }
+        message.__set_performanceFigures(body);
+    }
 };
 
 } // namespace
@@ -386,7 +430,7 @@
                               + int{ set.placementHints } + int{ set.weightsNotice }
                               + int{ set.crashReport } + int{ set.innocentParts }
                               + int{ set.quarantinedParts } + int{ set.rateLimitNotice }
-                              + int{ set.leavingNotice };
+                              + int{ set.leavingNotice } + int{ set.performanceFigures };
     if (setFieldCount != 1)
         return std::nullopt;
     if (set.membership)
@@ -405,6 +449,8 @@
         return fromWire(message.rateLimitNotice);
     if (set.leavingNotice)
         return fromWire(message.leavingNotice);
+    if (set.performanceFigures)
+        return fromWire(message.performanceFigures);
     if (set.quarantinedParts)
         return fromWire(message.quarantinedParts);
     return fromWire(message.placementHints);
--- a/packages/peers/test/datagram_test.cpp
+++ b/packages/peers/test/datagram_test.cpp
@@ -103,6 +103,20 @@
     return quarantined;
 }
 
+Datagram makePerformanceFigures()
+{
+    PerformanceFigures result;
+    result.figures.resize(*rc::gen::inRange<std::size_t>(0, kMaxPerformanceFigures + 1));
+    for (performance::SharedFigures &figures : result.figures) {
+        figures = { .target = *rc::gen::arbitrary<std::uint64_t>(),
+                    .startedAt = *rc::gen::arbitrary<std::uint64_t>(),
+                    .relativeTime = *rc::gen::inRange(1, 4000) / 64.0,
+                    .usefulConcurrency = *rc::gen::inRange(0, 4096) * 1.0,
+                    .weight = *rc::gen::inRange(0, 1'000'000) / 3.0 };
+    }
+    return result;
+}
+
 // Returns datagrams of the kinds about quarantines with the largest permitted content.
 std::vector<std::pair<std::string, Datagram>> largestQuarantineDatagrams()
 {
@@ -121,7 +135,7 @@
 
 Datagram makeDatagram()
 {
-    switch (*rc::gen::inRange(0, 10)) {
+    switch (*rc::gen::inRange(0, 11)) {
     case 0:
         return makeMembership();
     case 1:
@@ -147,6 +161,8 @@
     case 8:
         return LeavingNotice{ .target = "i" + makeText(),
                               .startedAt = *rc::gen::arbitrary<std::uint64_t>() };
+    case 9:
+        return makePerformanceFigures();
     default:
         break;
     }
@@ -168,6 +184,7 @@
     CPPUNIT_TEST(hugeLengthsAreRejected);
     CPPUNIT_TEST(largestQuarantineDatagramsFit);
     CPPUNIT_TEST(quarantineDatagramsBeyondLimitsAreRejected);
+    CPPUNIT_TEST(performanceFiguresBeyondLimitsAreRejected);
     CPPUNIT_TEST(unknownFieldsAreSkipped);
     CPPUNIT_TEST(protocolFillsNoPacketBeyondLimit);
     CPPUNIT_TEST(maxEncodedBytesBoundsUpdates);
@@ -304,6 +321,64 @@
         }
     }
 
+    // Tests that performance figures are rejected if a value exceeds its limit or is not a number,
+    // that the longest list fits into a datagram, and that no truncated one is accepted. Guards
+    // against a faulty peer that determines the placement of this instance, and against limits that
+    // the size of a datagram does not allow.
+    void performanceFiguresBeyondLimitsAreRejected()
+    {
+        constexpr double kNan = std::numeric_limits<double>::quiet_NaN();
+        constexpr double kInfinity = std::numeric_limits<double>::infinity();
+        constexpr auto kMaxKey = std::numeric_limits<std::uint64_t>::max() / 2;
+        const auto make = [](std::size_t count, double relativeTime, double usefulConcurrency,
+                             double weight) {
+            return PerformanceFigures{ std::vector<performance::SharedFigures>(
+                    count, { .target = kMaxKey,
+                             .startedAt = kMaxKey,
+                             .relativeTime = relativeTime,
+                             .usefulConcurrency = usefulConcurrency,
+                             .weight = weight }) };
+        };
+        struct Row
+        {
+            const char *name;
+            PerformanceFigures figures;
+            bool isValid;
+        };
+        constexpr std::size_t kMost = kMaxPerformanceFigures;
+        const Row rows[] = {
+            { "none", make(0, 1, 0, 1), true },
+            { "most", make(kMost, 1.6, 12, 10), true },
+            { "too many", make(kMost + 1, 1.6, 12, 10), false },
+            { "slowest", make(1, kMaxRelativeTime, 12, 10), true },
+            { "too slow", make(1, kMaxRelativeTime * 1.01, 12, 10), false },
+            { "fastest", make(1, 1 / kMaxRelativeTime, 12, 10), true },
+            { "no time", make(1, 0, 12, 10), false },
+            { "negative time", make(1, -1, 12, 10), false },
+            { "time not a number", make(1, kNan, 12, 10), false },
+            { "infinite time", make(1, kInfinity, 12, 10), false },
+            { "unlimited concurrency", make(1, 1, performance::kUnlimitedConcurrency, 1), true },
+            { "too much concurrency", make(1, 1, 1e9, 1), false },
+            { "negative concurrency", make(1, 1, -1, 1), false },
+            { "concurrency not a number", make(1, 1, kNan, 1), false },
+            { "largest weight", make(1, 1, 0, kMaxPerformanceWeight), true },
+            { "too large weight", make(1, 1, 0, kMaxPerformanceWeight * 1.01), false },
+            { "negative weight", make(1, 1, 0, -1), false },
+            { "infinite weight", make(1, 1, 0, kInfinity), false },
+            { "weight not a number", make(1, 1, 0, kNan), false },
+        };
+        for (const Row &row : rows) {
+            const auto bytes = encode(row.figures);
+            CPPUNIT_ASSERT_MESSAGE(row.name, bytes.has_value());
+            const auto decoded = decode(*bytes);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.isValid, decoded.has_value());
+            if (row.isValid)
+                CPPUNIT_ASSERT_MESSAGE(row.name, decoded == Datagram(row.figures));
+            for (std::size_t size = 0; size < bytes->size(); ++size)
+                CPPUNIT_ASSERT_MESSAGE(row.name, !decode(std::string_view(*bytes).substr(0, size)));
+        }
+    }
+
     // Tests that a field of a later version does not change how a datagram is decoded, and that a
     // datagram of an unknown kind is rejected. Guards against builds that cannot run side by side.
     void unknownFieldsAreSkipped()
--- a/packages/performance/include/performance/performance_model.h
+++ b/packages/performance/include/performance/performance_model.h
@@ -110,7 +110,8 @@
         double logRatio = 0; ///< To the usual time of the pool at this instance.
         Time at{};
     };
-    static constexpr std::size_t kKinds = 2; ///< First events and event intervals.
+    /// First events of targets in this data centre and in others, and event intervals.
+    static constexpr std::size_t kKinds = 3;
     static constexpr std::size_t kTokenClasses = 5;
     static constexpr std::size_t kLoadClasses = 8;
     struct Pool
--- a/packages/performance/include/performance/types.h
+++ b/packages/performance/include/performance/types.h
@@ -29,6 +29,9 @@
     /// Mean time between two events of the stream.
     std::optional<Seconds> eventInterval;
     double slots = 0; ///< Requests that the target runs concurrently; 0 if unknown.
+    /// The target is in another data centre than this instance, so that the time to the first event
+    /// includes the round trip.
+    bool isRemote = false;
 };
 
 /// Learned performance of one run of a target.
--- a/packages/performance/src/performance_model.cpp
+++ b/packages/performance/src/performance_model.cpp
@@ -244,14 +244,14 @@
     };
     if (sample.timeToFirstEvent.count() > 0) {
         const double ratio = sample.timeToFirstEvent / predictedTime(sample, options_);
-        observe(pool, target, *state, 0, sample, std::log(ratio), now);
+        observe(pool, target, *state, sample.isRemote ? 1 : 0, sample, std::log(ratio), now);
         // The first event of an engine mainly depends on prompt tokens; see `eventInterval`.
         if (sample.uncachedTokens <= 0)
             addToCurve(sample.timeToFirstEvent);
     }
     if (sample.eventInterval) {
         const double time = sample.eventInterval->count() / boundedSlowness(sample);
-        observe(pool, target, *state, 1, sample, std::log(time), now);
+        observe(pool, target, *state, 2, sample, std::log(time), now);
         addToCurve(*sample.eventInterval);
     }
 }
@@ -519,7 +519,8 @@
                 findUsefulConcurrency(state->curve, variance, now, options_.concurrencyDecayTime);
         result.push_back({ .target = target,
                            .startedAt = state->startedAt,
-                           .relativeTime = std::exp(state->logTime.mean()),
+                           .relativeTime = std::exp(std::clamp(state->logTime.mean(), -kMaxLogRatio,
+                                                               kMaxLogRatio)),
                            .usefulConcurrency = opinion.usefulConcurrency,
                            .weight = state->logTime.weightAt(now, options_.decayTime) / variance });
     }
