--- a/packages/performance/include/performance/performance_model.h
+++ b/packages/performance/include/performance/performance_model.h
@@ -20,9 +20,13 @@
 {
     double sum = 0;
     double weight = 0;
+    double squaredWeight = 0; ///< Decayed sum of the squares of the weights.
     Time at{};
 
     double weightAt(Time now, Seconds decayTime) const;
+    /// Returns the number of equally weighted values whose mean has the same variance, decayed
+    /// since the last value.
+    double effectiveCount(Time now, Seconds decayTime) const;
     double mean() const { return weight > 0 ? sum / weight : 0; }
     void add(double value, double valueWeight, Time now, Seconds decayTime);
 };
@@ -97,6 +101,7 @@
         std::vector<SharedEvidence> shared;
         Time sharedAt{}; ///< When the own observations were last taken for sharing.
         /// Results of the latest refresh.
+        double estimatedLogTime = 0; ///< Including differences that chance may explain.
         double logRelativeTime = 0;
         double usefulConcurrency = 0;
         double confidence = 0;
@@ -136,6 +141,7 @@
     };
 
     double varianceOf(const Pool &pool) const;
+    double evidence(const TargetState &state, double variance, Time now) const;
     void observe(Pool &pool, std::uint64_t target, TargetState &state, std::size_t kind,
                  const Sample &sample, double logRatio, Time now);
     Estimate combine(TargetState &state, double variance, Time now) const;
--- a/packages/performance/include/performance/types.h
+++ b/packages/performance/include/performance/types.h
@@ -104,9 +104,14 @@
     /// Smallest difference between targets that counts, in the logarithm of times. Placement can't
     /// make use of smaller ones.
     double minDifference = 0.1;
-    /// Standard errors by which a target, or the spread of the pool, must exceed chance. Over 60
-    /// targets and some hundred independent estimates per hour, 4 makes false differences rare.
-    double minStandardErrors = 4;
+    /// Standard errors by which the spread of a pool must exceed chance.
+    double minPoolErrors = 2;
+    /// Standard errors by which a single target must differ from its pool. More than for the pool,
+    /// because there are many targets and some times are very long.
+    double minTargetErrors = 4;
+    /// Number of samples from which a target alone can differ from its pool. With fewer, one very
+    /// long time suffices for many standard errors.
+    double minSamples = 3;
     /// Maximum weight of the figures of one other instance, so that none determines the result.
     double maxSharedWeight = 40;
     /// Other instances whose figures are remembered per target.
--- a/packages/performance/src/performance_model.cpp
+++ b/packages/performance/src/performance_model.cpp
@@ -15,16 +15,24 @@
 // Logarithm of the largest factor between two times that is believed.
 constexpr double kMaxLogRatio = 2.1;
 // Variance of single samples before any was observed, and the number of samples that it counts for.
-constexpr double kPriorVariance = 0.16;
-constexpr double kPriorVarianceSamples = 10;
+constexpr double kPriorVariance = 0.15;
+constexpr double kPriorVarianceSamples = 15;
 // Lower bound of the variance of single samples: load reports are about this inaccurate.
 constexpr double kMinVariance = 0.01;
 // Weight at which the confidence is one half: the evidence of four samples of the prior variance.
 constexpr double kHalfConfidenceWeight = 4 / kPriorVariance;
-constexpr std::size_t kMaxRecentSamples = 48;
+constexpr std::size_t kMaxRecentSamples = 16;
 // Step of steady relative times in the logarithm: about a third slower or faster.
 constexpr double kStep = 0.3;
 
+// Returns the share of a difference that counts if it is this many standard errors beyond what is
+// expected by chance. The share grows gradually, so that figures do not jump.
+double countedShare(double errors, double minErrors)
+{
+    constexpr double kRange = 2;
+    return std::clamp((errors - minErrors) / kRange, 0.0, 1.0);
+}
+
 double decayFactor(Time at, Time now, Seconds decayTime)
 {
     return now <= at ? 1 : std::exp(-Seconds(now - at) / decayTime);
@@ -176,11 +184,17 @@
     return weight * decayFactor(at, now, decayTime);
 }
 
+double DecayedMean::effectiveCount(Time now, Seconds decayTime) const
+{
+    return weight > 0 ? weight * weight / squaredWeight * decayFactor(at, now, decayTime) : 0;
+}
+
 void DecayedMean::add(double value, double valueWeight, Time now, Seconds decayTime)
 {
     const double factor = decayFactor(at, now, decayTime);
     sum = sum * factor + value * valueWeight;
     weight = weight * factor + valueWeight;
+    squaredWeight = squaredWeight * factor * factor + valueWeight * valueWeight;
     at = std::max(at, now);
 }
 
@@ -286,9 +300,10 @@
     if (others.size() >= options_.minComparedSamples) {
         const auto count = static_cast<double>(others.size());
         const double variance = varianceOf(pool);
-        const double known = state.logRelativeTime;
-        // A single sample moves the estimate by a bounded amount, however extreme it is.
-        const double maxStep = std::max(0.7, 3 * std::sqrt(variance));
+        // A single sample moves the estimate by a bounded amount, however extreme it is. The bound
+        // follows the estimate, so that it does not keep a real change from being learned.
+        const double known = state.estimatedLogTime;
+        const double maxStep = std::max(0.4, 1.5 * std::sqrt(variance));
         const double value =
                 std::clamp(deviation - median(others), known - maxStep, known + maxStep);
         // The variance of a median is pi / 2 times that of a mean.
@@ -314,6 +329,16 @@
         pool.recent.pop_front();
 }
 
+// Returns the reciprocal of the variance of the own observations. A value that was compared with
+// few others is less certain; see `observe`.
+double PerformanceModel::evidence(const TargetState &state, double variance, Time now) const
+{
+    const double count = state.logTime.effectiveCount(now, options_.decayTime);
+    const double valueWeight =
+            state.logTime.weight > 0 ? state.logTime.squaredWeight / state.logTime.weight : 0;
+    return count * valueWeight / variance;
+}
+
 // Returns the mean of the own and the shared observations. Values far from their median count as if
 // they were at most a factor of two away, so that a faulty instance has little influence.
 PerformanceModel::Estimate PerformanceModel::combine(TargetState &state, double variance,
@@ -321,7 +346,7 @@
 {
     constexpr double kMaxDistance = 0.7;
     std::vector<WeightedValue> values;
-    const double ownWeight = state.logTime.weightAt(now, options_.decayTime) / variance;
+    const double ownWeight = evidence(state, variance, now);
     if (ownWeight > 0)
         values.push_back({ state.logTime.mean(), ownWeight });
     for (const SharedEvidence &shared : state.shared) {
@@ -402,31 +427,43 @@
     // Spread of the pool beyond what chance explains, as in a random-effects model.
     double totalWeight = 0;
     double squares = 0;
+    // A few targets far from the others are not a spread of the pool; each of them counts alone.
+    constexpr double kMaxSquare = 16;
+    double boundedSquares = 0;
     double count = 0;
     for (const Estimate &estimate : estimates) {
         if (estimate.weight <= 0)
             continue;
         const double distance = estimate.logTime - center;
-        squares += distance * distance * estimate.weight;
+        const double square = distance * distance * estimate.weight;
+        squares += square;
+        boundedSquares += std::min(square, kMaxSquare);
         totalWeight += estimate.weight;
         ++count;
     }
-    const double excess = squares - count - options_.minStandardErrors * std::sqrt(2 * count);
+    // Variance of the squares; 2 for a normal distribution, while times have heavier tails.
+    constexpr double kSquareVariance = 4;
+    const double chance = std::sqrt(kSquareVariance * std::max(1.0, count));
     const double minSpread = options_.minDifference * options_.minDifference;
-    const double spread = excess > 0 ? excess / totalWeight : 0;
-    const double poolSpread = spread > minSpread ? spread : 0;
+    const double spread = totalWeight > 0 ? (squares - count) / totalWeight : 0;
+    const double poolErrors = (boundedSquares - count) / chance;
+    const double poolSpread =
+            spread > minSpread ? spread * countedShare(poolErrors, options_.minPoolErrors) : 0;
     pool.usefulConcurrency = limits.size() * 2 > pool.targets.size() ? median(limits) : 0;
     pool.hasDifferences = pool.usefulConcurrency > 0;
     for (const Estimate &estimate : estimates) {
         TargetState &state = *estimate.state;
         state.logRelativeTime = 0;
+        state.estimatedLogTime = 0;
         if (estimate.weight > 0) {
             const double distance = estimate.logTime - center;
+            state.estimatedLogTime = std::clamp(distance, -kMaxLogRatio, kMaxLogRatio);
             const double errors = std::abs(distance) * std::sqrt(estimate.weight);
             // The share of the distance that counts: by the spread of the pool, or because the
             // target alone is beyond chance.
             const double byPool = poolSpread / (poolSpread + 1 / estimate.weight);
-            const double byTarget = std::clamp((errors - options_.minStandardErrors) / 2, 0.0, 1.0);
+            const bool hasEnough = estimate.weight * variance >= options_.minSamples;
+            const double byTarget = hasEnough ? countedShare(errors, options_.minTargetErrors) : 0;
             const double counted = distance * std::max(byPool, byTarget);
             if (std::abs(counted) >= options_.minDifference / 2
                 && std::abs(distance) >= options_.minDifference)
@@ -519,10 +556,10 @@
                 findUsefulConcurrency(state->curve, variance, now, options_.concurrencyDecayTime);
         result.push_back({ .target = target,
                            .startedAt = state->startedAt,
-                           .relativeTime = std::exp(std::clamp(state->logTime.mean(), -kMaxLogRatio,
-                                                               kMaxLogRatio)),
+                           .relativeTime = std::exp(
+                                   std::clamp(state->logTime.mean(), -kMaxLogRatio, kMaxLogRatio)),
                            .usefulConcurrency = opinion.usefulConcurrency,
-                           .weight = state->logTime.weightAt(now, options_.decayTime) / variance });
+                           .weight = evidence(*state, variance, now) });
     }
     return result;
 }
