--- a/packages/scheduling/include/scheduling/admission_verdict.h
+++ b/packages/scheduling/include/scheduling/admission_verdict.h
@@ -37,6 +37,11 @@
     double holdBackGoalUse = 0.5;
     /// The same for short requests of less urgent kinds: the goal is about to be missed.
     double holdBackShortGoalUse = 0.8;
+    /// Share of the slots that long prompts leave free for more urgent short requests, at most as
+    /// many as these use. They hold a slot several times as long, so that short requests would wait
+    /// for each other once long ones have taken all slots. The excess of floods leaves twice as
+    /// many free.
+    double reservedSlotsShare = 0.1;
     /// A request whose goal no target would meet now waits for a better one until this share of the
     /// time to its goal has passed.
     double maxInTimeWaitShare = 0.4;
@@ -55,7 +60,8 @@
 ///   sent.
 /// - A request that is not ready waits, except a stream that has begun.
 /// - Long prompts, the excess of floods and then less urgent short requests wait while more urgent
-///   requests come close to their goals, except for the share that the floor guarantees.
+///   requests come close to their goals; the first two also leave some slots free. The share that
+///   the floor guarantees is excepted.
 /// - A late request is sent while the pool has a free slot.
 Verdict decide(const ScheduledRequest &request, const Standing &standing,
                std::optional<Seconds> timeToFirstEvent, const PoolCapacity &capacity,
--- a/packages/scheduling/include/scheduling/wait_queue.h
+++ b/packages/scheduling/include/scheduling/wait_queue.h
@@ -37,6 +37,7 @@
     std::uint32_t maxOvertaken = 4;
     /// Time constant of `Standing::urgentGoalUse`, about the shortest usual goal.
     Seconds goalUseTimeConstant{ 0.3 };
+    Seconds urgentSlotsTimeConstant{ 1 }; ///< Time constant of `Standing::urgentSlots`.
     CustomerLoadOptions customerLoad{};
 };
 
@@ -51,6 +52,8 @@
     /// Time to the first event of more urgent short requests as a share of the time to their goals,
     /// recently and of those that wait; 1 or more if they miss their goals.
     double urgentGoalUse = 0;
+    /// Slots that more urgent short requests of this instance have recently used on average.
+    double urgentSlots = 0;
 };
 
 /// Orders the requests of one pool that wait at this instance for capacity. The caller polls
@@ -122,7 +125,8 @@
         std::set<Key> keys;
         Seconds work{ 0 }; ///< Sum over the requests.
     };
-    struct GoalUse
+    /// Exponentially weighted average or sum.
+    struct Average
     {
         double value = 0;
         Time updatedAt{};
@@ -153,7 +157,9 @@
     std::array<std::size_t, LaneCount> windows_{};
     /// Work that requests of a level may still get by the floor, by level.
     std::array<Seconds, kLevels> floorCredit_{};
-    std::array<GoalUse, kLevels> goalUse_{}; ///< Of short requests, by level.
+    std::array<Average, kLevels> goalUse_{}; ///< Of short requests, by level.
+    /// Slot time of short requests that were sent within the time constant, by level.
+    std::array<Average, kLevels> sentWork_{};
     Time lastExpiryAt_{};
 };
 
--- a/packages/scheduling/src/admission_verdict.cpp
+++ b/packages/scheduling/src/admission_verdict.cpp
@@ -17,14 +17,27 @@
     return atLeastZero(capacity.requestsInFlight) < capacity.slots;
 }
 
+// Returns true if the request would take one of the slots that are kept for more urgent ones.
+bool takesReservedSlot(const Standing &standing, const PoolCapacity &capacity,
+                       const SchedulingOptions &options)
+{
+    const double slots = atLeastZero(capacity.slots);
+    const double urgentSlots =
+            atLeastZero(standing.urgentSlots) * std::max(1.0, atLeastZero(capacity.instances));
+    const double reserved = std::min(options.reservedSlotsShare * slots, urgentSlots)
+                            * (standing.isExcess ? 2 : 1);
+    return atLeastZero(capacity.requestsInFlight) + 1 > slots - reserved && reserved > 0;
+}
+
 bool isHeldBack(const ScheduledRequest &request, const Standing &standing,
-                const SchedulingOptions &options)
+                const PoolCapacity &capacity, const SchedulingOptions &options)
 {
     if (standing.hasFloorTurn)
         return false;
-    const double limit = isLong(request) || standing.isExcess ? options.holdBackGoalUse
-                                                              : options.holdBackShortGoalUse;
-    return standing.urgentGoalUse > limit;
+    if (!isLong(request) && !standing.isExcess)
+        return standing.urgentGoalUse > options.holdBackShortGoalUse;
+    return standing.urgentGoalUse > options.holdBackGoalUse
+           || takesReservedSlot(standing, capacity, options);
 }
 
 } // namespace
@@ -61,7 +74,7 @@
         return Verdict::Wait;
     if (request.hasStarted)
         return Verdict::SendNow;
-    if (!standing.isReady || isHeldBack(request, standing, options))
+    if (!standing.isReady || isHeldBack(request, standing, capacity, options))
         return Verdict::Wait;
     const Seconds goalTime = effectiveGoal(request) - request.arrivedAt;
     const Seconds waited = now - request.arrivedAt;
--- a/packages/scheduling/src/wait_queue.cpp
+++ b/packages/scheduling/src/wait_queue.cpp
@@ -154,6 +154,12 @@
     Seconds &credit = floorCredit_.at(least);
     credit += work * options_.floorShare - (entry.level == least ? work : Seconds(0));
     credit = std::clamp(credit, Seconds(0), kMaxFloorCredit);
+    if (entry.lane == ShortLane) {
+        Average &sent = sentWork_.at(entry.level);
+        sent.value *= decayFactor(now - sent.updatedAt, options_.urgentSlotsTimeConstant);
+        sent.value += work.count();
+        sent.updatedAt = now;
+    }
     remove(id);
 }
 
@@ -162,7 +168,7 @@
     const auto level = static_cast<std::size_t>(engineUrgency(request));
     if (isLong(request) || request.hasStarted)
         return;
-    GoalUse &use = goalUse_.at(level);
+    Average &use = goalUse_.at(level);
     const double decay = decayFactor(now - use.updatedAt, options_.goalUseTimeConstant);
     use.value = decay * use.value + (1 - decay) * goalUseOf(request, effectiveGoal(request), now);
     use.updatedAt = now;
@@ -258,7 +264,7 @@
 {
     double result = 0;
     for (std::size_t level = 0; level < entry.level; ++level) {
-        const GoalUse &use = goalUse_.at(level);
+        const Average &use = goalUse_.at(level);
         result = std::max(
                 result, use.value * decayFactor(now - use.updatedAt, options_.goalUseTimeConstant));
         const Group &waiting = groups_[ShortLane].at(level);
@@ -281,8 +287,12 @@
                      .hasFloorTurn = hasFloorTurn(entry, now),
                      .isExcess = entry.level == kExcessLevel,
                      .urgentGoalUse = urgentGoalUse(entry, now) };
-    for (std::size_t level = 0; level < entry.level; ++level)
+    for (std::size_t level = 0; level < entry.level; ++level) {
         result.workBefore += groups_[ShortLane].at(level).work + groups_[HeldLane].at(level).work;
+        const Average &sent = sentWork_.at(level);
+        result.urgentSlots += sent.value / options_.urgentSlotsTimeConstant.count()
+                              * decayFactor(now - sent.updatedAt, options_.urgentSlotsTimeConstant);
+    }
     return result;
 }
 
