--- a/packages/scheduling/test/load_patterns_test.cpp
+++ b/packages/scheduling/test/load_patterns_test.cpp
@@ -17,9 +17,10 @@
 namespace {
 
 const Time kStart{ std::chrono::hours(1) };
-constexpr int kLoadStartMs = 10'000; ///< From here on, the load pattern.
-constexpr int kLoadEndMs = 18'000;
-constexpr int kEndMs = 25'000;
+// The usual load of customers is known after a minute.
+constexpr int kLoadStartMs = 60'000; ///< From here on, the load pattern.
+constexpr int kLoadEndMs = 68'000;
+constexpr int kEndMs = 75'000;
 
 /// Requests of one kind and customer.
 struct Load
