Scheduling: order waiting requests by their latest start

Ordered by the goal, an overloaded queue sends each request so late that it just misses its goal. Requests whose remaining time to the goal is shorter than their work now count as late and follow the others.

--- a/packages/scheduling/include/scheduling/wait_queue.h
+++ b/packages/scheduling/include/scheduling/wait_queue.h
@@ -19,8 +19,12 @@
 /// start and served last.
 Time effectiveGoal(const ScheduledRequest &request);
 
+/// Returns the time from which a request is expected to miss its effective goal.
+Time latestStart(const ScheduledRequest &request);
+
 /// Order of waiting requests that are not excess of a flood: smaller urgency first (see
-/// `engineUrgency()`), then those that can still meet their goal, then the earlier goal.
+/// `engineUrgency()`), then those that can still meet their goal, then the earlier latest start.
+/// Ordered by the goal alone, an overloaded queue sends each request just too late.
 bool isBefore(const ScheduledRequest &a, const ScheduledRequest &b, Time now);
 
 /// Parameters of `WaitQueue`.
@@ -114,12 +118,13 @@
     struct Entry
     {
         ScheduledRequest request;
-        Time goal{};
+        Time goal{}; ///< Effective goal.
+        Time latestStart{};
         Lane lane = ShortLane;
         std::size_t level = 0;
         std::uint32_t overtaken = 0; ///< Later requests of the same lane that were sent.
     };
-    using Key = std::pair<Time, std::uint64_t>; ///< Effective goal and id.
+    using Key = std::pair<Time, std::uint64_t>; ///< Latest start and id.
     struct Group
     {
         std::set<Key> keys;
--- a/packages/scheduling/src/admission_verdict.cpp
+++ b/packages/scheduling/src/admission_verdict.cpp
@@ -24,8 +24,8 @@
     const double slots = atLeastZero(capacity.slots);
     const double urgentSlots =
             atLeastZero(standing.urgentSlots) * std::max(1.0, atLeastZero(capacity.instances));
-    const double reserved = std::min(options.reservedSlotsShare * slots, urgentSlots)
-                            * (standing.isExcess ? 2 : 1);
+    const double reserved =
+            std::min(options.reservedSlotsShare * slots, urgentSlots) * (standing.isExcess ? 2 : 1);
     return atLeastZero(capacity.requestsInFlight) + 1 > slots - reserved && reserved > 0;
 }
 
--- a/packages/scheduling/src/wait_queue.cpp
+++ b/packages/scheduling/src/wait_queue.cpp
@@ -39,11 +39,17 @@
     return std::max(request.goalAt, request.arrivedAt + minGoalTime);
 }
 
+Time latestStart(const ScheduledRequest &request)
+{
+    return effectiveGoal(request)
+           - std::chrono::duration_cast<Time::duration>(boundedWork(request.expectedWork));
+}
+
 bool isBefore(const ScheduledRequest &a, const ScheduledRequest &b, Time now)
 {
     const auto rank = [now](const ScheduledRequest &request) {
-        const Time goal = effectiveGoal(request);
-        return std::tuple(engineUrgency(request), goal < now, goal, request.id);
+        const Time start = latestStart(request);
+        return std::tuple(engineUrgency(request), start < now, start, request.id);
     };
     return rank(a) < rank(b);
 }
@@ -61,12 +67,13 @@
     const bool isExcess = customerLoad_.recordArrival(request.customer, now) && !request.hasStarted;
     Entry entry{ .request = request,
                  .goal = effectiveGoal(request),
+                 .latestStart = latestStart(request),
                  .lane = isExcess || isLong(request) ? HeldLane : ShortLane,
                  .level = isExcess ? kExcessLevel
                                    : static_cast<std::size_t>(engineUrgency(request)) };
     entry.request.expectedWork = boundedWork(request.expectedWork);
     Group &group = groupOf(entry);
-    group.keys.emplace(entry.goal, request.id);
+    group.keys.emplace(entry.latestStart, request.id);
     group.work += entry.request.expectedWork;
     entries_.emplace(request.id, std::move(entry));
 }
@@ -77,7 +84,7 @@
     if (found == entries_.end())
         return;
     Group &group = groupOf(found->second);
-    group.keys.erase({ found->second.goal, id });
+    group.keys.erase({ found->second.latestStart, id });
     group.work -= found->second.request.expectedWork;
     if (group.keys.empty())
         group.work = Seconds(0);
