--- a/packages/scheduling/include/scheduling/admission_verdict.h
+++ b/packages/scheduling/include/scheduling/admission_verdict.h
@@ -41,7 +41,7 @@
     /// many as these use. They hold a slot several times as long, so that short requests would wait
     /// for each other once long ones have taken all slots. The excess of floods leaves twice as
     /// many free.
-    double reservedSlotsShare = 0.05;
+    double reservedSlotsShare = 0.1;
     /// A request whose goal no target would meet now waits for a better one until this share of the
     /// time to its goal has passed.
     double maxInTimeWaitShare = 0.4;
--- a/packages/scheduling/src/wait_queue.cpp
+++ b/packages/scheduling/src/wait_queue.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-// Credit of the floor that is kept while nothing of its level can be sent.
+// Limit of the credit that is kept while nothing of its level can be sent, and of the debt.
 constexpr Seconds kMaxFloorCredit{ 1 };
 
 // Returns the share of the time to the goal that has passed, at most 10.
@@ -147,7 +147,8 @@
     const Entry &entry = found->second;
     std::size_t &window = windows_.at(entry.lane);
     window = std::min(options_.maxWindow, window + 1);
-    if (!hasFloorTurn(entry, now)) {
+    const bool isByFloor = hasFloorTurn(entry, now);
+    if (!isByFloor) {
         std::size_t count = 0;
         visitLane(entry.lane, now, [&](const Entry &other) {
             if (other.request.id == id || ++count > options_.maxWindow)
@@ -159,8 +160,10 @@
     const std::size_t least = leastUrgentLevel().value_or(entry.level);
     const Seconds work = entry.request.expectedWork;
     Seconds &credit = floorCredit_.at(least);
-    credit += work * options_.floorShare - (entry.level == least ? work : Seconds(0));
-    credit = std::clamp(credit, Seconds(0), kMaxFloorCredit);
+    // Work that was sent in the usual order uses up credit, but leaves no debt.
+    if (entry.level == least)
+        credit = isByFloor ? credit - work : std::max(credit - work, std::min(credit, Seconds(0)));
+    credit = std::clamp(credit + work * options_.floorShare, -kMaxFloorCredit, kMaxFloorCredit);
     if (entry.lane == ShortLane) {
         Average &sent = sentWork_.at(entry.level);
         sent.value *= decayFactor(now - sent.updatedAt, options_.urgentSlotsTimeConstant);
@@ -194,8 +197,10 @@
 {
     if (leastUrgentLevel() != entry.level)
         return false;
+    // Half of the work before the turn and half after it keep the share on average; each of many
+    // instances would otherwise be one request behind.
     const Seconds credit = floorCredit_.at(entry.level);
-    if (credit <= Seconds(0) || credit < std::min(entry.request.expectedWork, kMaxFloorCredit))
+    if (credit <= Seconds(0) || credit < std::min(entry.request.expectedWork / 2, kMaxFloorCredit))
         return false;
     bool isFirst = false;
     visitGroup(groups_.at(entry.lane).at(entry.level), now, [&](const Entry &first) {
