--- a/packages/scheduling/include/scheduling/wait_queue.h
+++ b/packages/scheduling/include/scheduling/wait_queue.h
@@ -60,6 +60,18 @@
     double urgentSlots = 0;
 };
 
+/// What a `WaitQueue` has done since its start, for metrics.
+struct WaitQueueCounts
+{
+    std::uint64_t added = 0;
+    std::uint64_t excess = 0; ///< Added requests in excess of what their customers may send.
+    std::uint64_t sent = 0;
+    std::uint64_t sentByFloor = 0;  ///< Those of `sent` whose turn was by the floor.
+    std::uint64_t refusedTries = 0; ///< Tries for which no target had capacity.
+    /// Requests that were still in the queue at their deadline: the caller did not remove them.
+    std::uint64_t expired = 0;
+};
+
 /// Orders the requests of one pool that wait at this instance for capacity. The caller polls
 /// `ready()` for each of them and reports what its tries gave. Not safe for concurrent use.
 ///
@@ -105,6 +117,8 @@
 
     std::size_t size() const { return entries_.size(); }
 
+    const WaitQueueCounts &counts() const { return counts_; }
+
 private:
     /// Level of excess, after all levels of `engineUrgency()`.
     static constexpr std::size_t kExcessLevel = kMaxUrgency + 1;
@@ -166,6 +180,7 @@
     /// Slot time of short requests that were sent within the time constant, by level.
     std::array<Average, kLevels> sentWork_{};
     Time lastExpiryAt_{};
+    WaitQueueCounts counts_;
 };
 
 } // namespace chervilfield::scheduling
--- a/packages/scheduling/src/wait_queue.cpp
+++ b/packages/scheduling/src/wait_queue.cpp
@@ -72,6 +72,8 @@
                  .level = isExcess ? kExcessLevel
                                    : static_cast<std::size_t>(engineUrgency(request)) };
     entry.request.expectedWork = boundedWork(request.expectedWork);
+    ++counts_.added;
+    counts_.excess += isExcess ? 1 : 0;
     Group &group = groupOf(entry);
     group.keys.emplace(entry.latestStart, request.id);
     group.work += entry.request.expectedWork;
@@ -102,6 +104,7 @@
         if (entry.request.deadline <= now)
             expired.push_back(id);
     }
+    counts_.expired += expired.size();
     for (const std::uint64_t id : expired)
         remove(id);
 }
@@ -111,6 +114,7 @@
     const auto found = entries_.find(id);
     if (found == entries_.end())
         return;
+    ++counts_.refusedTries;
     std::size_t &window = windows_.at(found->second.lane);
     window = std::max(options_.minWindow, window / 2);
 }
@@ -148,6 +152,8 @@
     std::size_t &window = windows_.at(entry.lane);
     window = std::min(options_.maxWindow, window + 1);
     const bool isByFloor = hasFloorTurn(entry, now);
+    ++counts_.sent;
+    counts_.sentByFloor += isByFloor ? 1 : 0;
     if (!isByFloor) {
         std::size_t count = 0;
         visitLane(entry.lane, now, [&](const Entry &other) {
@@ -255,6 +261,8 @@
     bool firstHasFloorTurn = false;
     const auto compare = [&](const Entry &entry) {
         const bool isByFloor = hasFloorTurn(entry, now);
+        ++counts_.sent;
+        counts_.sentByFloor += isByFloor ? 1 : 0;
         if (first == nullptr || (isByFloor && !firstHasFloorTurn)
             || (isByFloor == firstHasFloorTurn && entry.level < first->level)) {
             first = &entry;
--- a/packages/scheduling/test/load_patterns_test.cpp
+++ b/packages/scheduling/test/load_patterns_test.cpp
@@ -88,10 +88,13 @@
             endRequests();
             addArrivals();
             // The order of polls does not depend on that of the arrivals.
-            std::shuffle(waiting_.begin(), waiting_.end(), random_);
-            std::erase_if(waiting_, [this](Waiting &waiting) {
-                return waiting.pollAt <= now_ && !poll(waiting);
-            });
+            const auto dueEnd = std::partition(
+                    waiting_.begin(), waiting_.end(),
+                    [this](const Waiting &waiting) { return waiting.pollAt <= now_; });
+            std::shuffle(waiting_.begin(), dueEnd, random_);
+            const auto kept = std::remove_if(waiting_.begin(), dueEnd,
+                                             [this](Waiting &waiting) { return !poll(waiting); });
+            waiting_.erase(kept, dueEnd);
         }
         return outcomes_;
     }
--- a/packages/scheduling/test/wait_queue_test.cpp
+++ b/packages/scheduling/test/wait_queue_test.cpp
@@ -106,6 +106,7 @@
     CPPUNIT_TEST(excessComesLast);
     CPPUNIT_TEST(floorIsKept);
     CPPUNIT_TEST(urgentGoalUseOfWaitingAndServed);
+    CPPUNIT_TEST(countsTellWhatHappened);
     CPPUNIT_TEST(isBeforeIsStrictOrder);
     CPPUNIT_TEST(someRequestIsAlwaysReady);
     CPPUNIT_TEST_SUITE_END();
@@ -336,6 +337,30 @@
         CPPUNIT_ASSERT(use(1, 4400) < 0.05);
     }
 
+    // Guards against metrics that hide requests which their flow has forgotten in the queue.
+    void countsTellWhatHappened()
+    {
+        WaitQueue queue;
+        queue.add(requestOf(1, 0, kShort), kStart);
+        queue.add(requestOf(2, 0, kShort), kStart);
+        queue.add(requestOf(3, 0, kLong), kStart);
+        queue.recordRefused(1);
+        queue.recordRefused(9);
+        queue.recordSent(2, kStart);
+        queue.recordSent(9, kStart);
+        queue.remove(1);
+        // The last one expires.
+        queue.add(requestOf(4, 0, kShort, 5000), kStart + milliseconds(5000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.size());
+        const WaitQueueCounts &counts = queue.counts();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), counts.added);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), counts.excess);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), counts.sent);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), counts.sentByFloor);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), counts.refusedTries);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), counts.expired);
+    }
+
     // Guards against an order that depends on the order of arrival or comparison.
     void isBeforeIsStrictOrder()
     {
