--- a/packages/scheduling/src/wait_queue.cpp
+++ b/packages/scheduling/src/wait_queue.cpp
@@ -261,8 +261,6 @@
     bool firstHasFloorTurn = false;
     const auto compare = [&](const Entry &entry) {
         const bool isByFloor = hasFloorTurn(entry, now);
-        ++counts_.sent;
-        counts_.sentByFloor += isByFloor ? 1 : 0;
         if (first == nullptr || (isByFloor && !firstHasFloorTurn)
             || (isByFloor == firstHasFloorTurn && entry.level < first->level)) {
             first = &entry;
