Scheduling: do not refuse what faster engines could still serve

The delay of the pool was taken for a lower bound although engines prefill up to 1.6 times as fast as the rate it used.

--- a/packages/scheduling/include/scheduling/admission_verdict.h
+++ b/packages/scheduling/include/scheduling/admission_verdict.h
@@ -28,8 +28,9 @@
 /// Parameters of `decide()`.
 struct SchedulingOptions
 {
-    /// Prompt tokens per second of a usual target; see `dispatch::PlacementOptions::prefillRate`.
-    double prefillRate = 40'000;
+    /// Prompt tokens per second of a usual target. Above that of the known engines (40,000 to
+    /// 64,000), so that a backlog does not refuse what faster engines could still serve.
+    double maxPrefillRate = 100'000;
     /// Usual time that a request occupies a slot; see `dispatch::PlacementOptions::slotHoldTime`.
     Seconds slotHoldTime{ 0.6 };
     /// Value of `Standing::urgentGoalUse` above which long prompts and the excess of floods are
@@ -48,7 +49,7 @@
 };
 
 /// Returns the time until the pool is expected to have capacity for one more request: zero while
-/// slots are free. It is a lower bound, because requests that arrive later may be more urgent.
+/// slots are free. It is optimistic: it leaves out more urgent requests that arrive later.
 Seconds expectedPoolDelay(const ScheduledRequest &request, const Standing &standing,
                           const PoolCapacity &capacity, const SchedulingOptions &options);
 
--- a/packages/scheduling/src/admission_verdict.cpp
+++ b/packages/scheduling/src/admission_verdict.cpp
@@ -52,7 +52,7 @@
     const double excess = atLeastZero(capacity.requestsInFlight) + 1 - atLeastZero(capacity.slots);
     const Seconds slotDelay = options.slotHoldTime * (std::max(0.0, excess) / slots);
     // Engines compute short prompts first, so the backlog delays only long ones.
-    const double rate = atLeastZero(options.prefillRate) * atLeastZero(capacity.speed);
+    const double rate = atLeastZero(options.maxPrefillRate) * atLeastZero(capacity.speed);
     const Seconds backlogDelay = isLong(request) && rate > 0
                                          ? Seconds(atLeastZero(capacity.backlogTokens) / rate)
                                          : Seconds(0);
