--- a/packages/scheduling/include/scheduling/wait_queue.h
+++ b/packages/scheduling/include/scheduling/wait_queue.h
@@ -19,8 +19,12 @@
 /// start and served last.
 Time effectiveGoal(const ScheduledRequest &request);
 
+/// Returns the time from which a request is expected to miss its effective goal.
+Time latestStart(const ScheduledRequest &request);
+
 /// Order of waiting requests that are not excess of a flood: smaller urgency first (see
-/// `engineUrgency()`), then those that can still meet their goal, then the earlier goal.
+/// `engineUrgency()`), then those that can still meet their goal, then the earlier latest start.
+/// Ordered by the goal alone, an overloaded queue sends each request just too late.
 bool isBefore(const ScheduledRequest &a, const ScheduledRequest &b, Time now);
 
 /// Parameters of `WaitQueue`.
@@ -37,6 +41,7 @@
     std::uint32_t maxOvertaken = 4;
     /// Time constant of `Standing::urgentGoalUse`, about the shortest usual goal.
     Seconds goalUseTimeConstant{ 0.3 };
+    Seconds urgentSlotsTimeConstant{ 1 }; ///< Time constant of `Standing::urgentSlots`.
     CustomerLoadOptions customerLoad{};
 };
 
@@ -51,6 +56,20 @@
     /// Time to the first event of more urgent short requests as a share of the time to their goals,
     /// recently and of those that wait; 1 or more if they miss their goals.
     double urgentGoalUse = 0;
+    /// Slots that more urgent short requests of this instance have recently used on average.
+    double urgentSlots = 0;
+};
+
+/// What a `WaitQueue` has done since its start, for metrics.
+struct WaitQueueCounts
+{
+    std::uint64_t added = 0;
+    std::uint64_t excess = 0; ///< Added requests in excess of what their customers may send.
+    std::uint64_t sent = 0;
+    std::uint64_t sentByFloor = 0;  ///< Those of `sent` whose turn was by the floor.
+    std::uint64_t refusedTries = 0; ///< Tries for which no target had capacity.
+    /// Requests that were still in the queue at their deadline: the caller did not remove them.
+    std::uint64_t expired = 0;
 };
 
 /// Orders the requests of one pool that wait at this instance for capacity. The caller polls
@@ -98,6 +117,8 @@
 
     std::size_t size() const { return entries_.size(); }
 
+    const WaitQueueCounts &counts() const { return counts_; }
+
 private:
     /// Level of excess, after all levels of `engineUrgency()`.
     static constexpr std::size_t kExcessLevel = kMaxUrgency + 1;
@@ -111,18 +132,20 @@
     struct Entry
     {
         ScheduledRequest request;
-        Time goal{};
+        Time goal{}; ///< Effective goal.
+        Time latestStart{};
         Lane lane = ShortLane;
         std::size_t level = 0;
         std::uint32_t overtaken = 0; ///< Later requests of the same lane that were sent.
     };
-    using Key = std::pair<Time, std::uint64_t>; ///< Effective goal and id.
+    using Key = std::pair<Time, std::uint64_t>; ///< Latest start and id.
     struct Group
     {
         std::set<Key> keys;
         Seconds work{ 0 }; ///< Sum over the requests.
     };
-    struct GoalUse
+    /// Exponentially weighted average or sum.
+    struct Average
     {
         double value = 0;
         Time updatedAt{};
@@ -153,8 +176,11 @@
     std::array<std::size_t, LaneCount> windows_{};
     /// Work that requests of a level may still get by the floor, by level.
     std::array<Seconds, kLevels> floorCredit_{};
-    std::array<GoalUse, kLevels> goalUse_{}; ///< Of short requests, by level.
+    std::array<Average, kLevels> goalUse_{}; ///< Of short requests, by level.
+    /// Slot time of short requests that were sent within the time constant, by level.
+    std::array<Average, kLevels> sentWork_{};
     Time lastExpiryAt_{};
+    WaitQueueCounts counts_;
 };
 
 } // namespace chervilfield::scheduling
--- a/packages/scheduling/src/wait_queue.cpp
+++ b/packages/scheduling/src/wait_queue.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-// Credit of the floor that is kept while nothing of its level can be sent.
+// Limit of the credit that is kept while nothing of its level can be sent, and of the debt.
 constexpr Seconds kMaxFloorCredit{ 1 };
 
 // Returns the share of the time to the goal that has passed, at most 10.
@@ -39,11 +39,17 @@
     return std::max(request.goalAt, request.arrivedAt + minGoalTime);
 }
 
+Time latestStart(const ScheduledRequest &request)
+{
+    return effectiveGoal(request)
+           - std::chrono::duration_cast<Time::duration>(boundedWork(request.expectedWork));
+}
+
 bool isBefore(const ScheduledRequest &a, const ScheduledRequest &b, Time now)
 {
     const auto rank = [now](const ScheduledRequest &request) {
-        const Time goal = effectiveGoal(request);
-        return std::tuple(engineUrgency(request), goal < now, goal, request.id);
+        const Time start = latestStart(request);
+        return std::tuple(engineUrgency(request), start < now, start, request.id);
     };
     return rank(a) < rank(b);
 }
@@ -61,12 +67,15 @@
     const bool isExcess = customerLoad_.recordArrival(request.customer, now) && !request.hasStarted;
     Entry entry{ .request = request,
                  .goal = effectiveGoal(request),
+                 .latestStart = latestStart(request),
                  .lane = isExcess || isLong(request) ? HeldLane : ShortLane,
                  .level = isExcess ? kExcessLevel
                                    : static_cast<std::size_t>(engineUrgency(request)) };
     entry.request.expectedWork = boundedWork(request.expectedWork);
+    ++counts_.added;
+    counts_.excess += isExcess ? 1 : 0;
     Group &group = groupOf(entry);
-    group.keys.emplace(entry.goal, request.id);
+    group.keys.emplace(entry.latestStart, request.id);
     group.work += entry.request.expectedWork;
     entries_.emplace(request.id, std::move(entry));
 }
@@ -77,7 +86,7 @@
     if (found == entries_.end())
         return;
     Group &group = groupOf(found->second);
-    group.keys.erase({ found->second.goal, id });
+    group.keys.erase({ found->second.latestStart, id });
     group.work -= found->second.request.expectedWork;
     if (group.keys.empty())
         group.work = Seconds(0);
@@ -95,6 +104,7 @@
         if (entry.request.deadline <= now)
             expired.push_back(id);
     }
+    counts_.expired += expired.size();
     for (const std::uint64_t id : expired)
         remove(id);
 }
@@ -104,6 +114,7 @@
     const auto found = entries_.find(id);
     if (found == entries_.end())
         return;
+    ++counts_.refusedTries;
     std::size_t &window = windows_.at(found->second.lane);
     window = std::max(options_.minWindow, window / 2);
 }
@@ -140,7 +151,10 @@
     const Entry &entry = found->second;
     std::size_t &window = windows_.at(entry.lane);
     window = std::min(options_.maxWindow, window + 1);
-    if (!hasFloorTurn(entry, now)) {
+    const bool isByFloor = hasFloorTurn(entry, now);
+    ++counts_.sent;
+    counts_.sentByFloor += isByFloor ? 1 : 0;
+    if (!isByFloor) {
         std::size_t count = 0;
         visitLane(entry.lane, now, [&](const Entry &other) {
             if (other.request.id == id || ++count > options_.maxWindow)
@@ -152,8 +166,16 @@
     const std::size_t least = leastUrgentLevel().value_or(entry.level);
     const Seconds work = entry.request.expectedWork;
     Seconds &credit = floorCredit_.at(least);
-    credit += work * options_.floorShare - (entry.level == least ? work : Seconds(0));
-    credit = std::clamp(credit, Seconds(0), kMaxFloorCredit);
+    // Work that was sent in the usual order uses up credit, but leaves no debt.
+    if (entry.level == least)
+        credit = isByFloor ? credit - work : std::max(credit - work, std::min(credit, Seconds(0)));
+    credit = std::clamp(credit + work * options_.floorShare, -kMaxFloorCredit, kMaxFloorCredit);
+    if (entry.lane == ShortLane) {
+        Average &sent = sentWork_.at(entry.level);
+        sent.value *= decayFactor(now - sent.updatedAt, options_.urgentSlotsTimeConstant);
+        sent.value += work.count();
+        sent.updatedAt = now;
+    }
     remove(id);
 }
 
@@ -162,7 +184,7 @@
     const auto level = static_cast<std::size_t>(engineUrgency(request));
     if (isLong(request) || request.hasStarted)
         return;
-    GoalUse &use = goalUse_.at(level);
+    Average &use = goalUse_.at(level);
     const double decay = decayFactor(now - use.updatedAt, options_.goalUseTimeConstant);
     use.value = decay * use.value + (1 - decay) * goalUseOf(request, effectiveGoal(request), now);
     use.updatedAt = now;
@@ -181,8 +203,10 @@
 {
     if (leastUrgentLevel() != entry.level)
         return false;
+    // Half of the work before the turn and half after it keep the share on average; each of many
+    // instances would otherwise be one request behind.
     const Seconds credit = floorCredit_.at(entry.level);
-    if (credit <= Seconds(0) || credit < std::min(entry.request.expectedWork, kMaxFloorCredit))
+    if (credit <= Seconds(0) || credit < std::min(entry.request.expectedWork / 2, kMaxFloorCredit))
         return false;
     bool isFirst = false;
     visitGroup(groups_.at(entry.lane).at(entry.level), now, [&](const Entry &first) {
@@ -258,7 +282,7 @@
 {
     double result = 0;
     for (std::size_t level = 0; level < entry.level; ++level) {
-        const GoalUse &use = goalUse_.at(level);
+        const Average &use = goalUse_.at(level);
         result = std::max(
                 result, use.value * decayFactor(now - use.updatedAt, options_.goalUseTimeConstant));
         const Group &waiting = groups_[ShortLane].at(level);
@@ -281,8 +305,12 @@
                      .hasFloorTurn = hasFloorTurn(entry, now),
                      .isExcess = entry.level == kExcessLevel,
                      .urgentGoalUse = urgentGoalUse(entry, now) };
-    for (std::size_t level = 0; level < entry.level; ++level)
+    for (std::size_t level = 0; level < entry.level; ++level) {
         result.workBefore += groups_[ShortLane].at(level).work + groups_[HeldLane].at(level).work;
+        const Average &sent = sentWork_.at(level);
+        result.urgentSlots += sent.value / options_.urgentSlotsTimeConstant.count()
+                              * decayFactor(now - sent.updatedAt, options_.urgentSlotsTimeConstant);
+    }
     return result;
 }
 
