Performance: compare samples with earlier and later ones

The first samples after a change of the instance's own speed were compared with samples from before it and counted against their targets. A sample is now compared with eight samples on each side, and counts less while those disagree. Event intervals take part in the tests as at real engines.

--- a/packages/performance/include/performance/performance_model.h
+++ b/packages/performance/include/performance/performance_model.h
@@ -106,12 +106,13 @@
         double usefulConcurrency = 0;
         double confidence = 0;
         int steadyLevel = 0;
-        Time steadySince{};
+        Time steadySince{}; ///< When the relative time was last close to that level.
     };
     /// A recent sample, for comparison with those of other targets.
     struct RecentSample
     {
         std::uint64_t target = 0;
+        std::uint64_t startedAt = 0;
         double logRatio = 0; ///< To the usual time of the pool at this instance.
         Time at{};
     };
@@ -126,6 +127,7 @@
         std::array<detail::DecayedMean, kKinds * kTokenClasses * kLoadClasses> usual;
         std::array<detail::DecayedMean, kKinds> usualOfKind;
         std::deque<RecentSample> recent; ///< Oldest first.
+        std::size_t compared = 0;        ///< Number of samples in `recent` that were compared.
         detail::DecayedMean variance;    ///< Squared deviations of single samples.
         double usefulConcurrency = 0;    ///< Median of the targets.
         bool hasDifferences = false;
@@ -142,9 +144,11 @@
 
     double varianceOf(const Pool &pool) const;
     double evidence(const TargetState &state, double variance, Time now) const;
-    void observe(Pool &pool, std::uint64_t target, TargetState &state, std::size_t kind,
+    void observe(Pool &pool, std::uint64_t target, const TargetState &state, std::size_t kind,
                  const Sample &sample, double logRatio, Time now);
-    Estimate combine(TargetState &state, double variance, Time now) const;
+    void compareRecent(Pool &pool, Time now);
+    void compare(Pool &pool, std::size_t index);
+    Estimate combine(TargetState &state, double sampleVariance, Time now) const;
     double combineConcurrency(const TargetState &state, double variance, Time now) const;
     void refresh(const std::string &name, Pool &pool, Time now) const;
     void updateSteadyLevel(const std::string &pool, std::uint64_t target, TargetState &state,
--- a/packages/performance/include/performance/types.h
+++ b/packages/performance/include/performance/types.h
@@ -91,7 +91,7 @@
     Seconds minTime{ 0.01 };     ///< Predicted time of a request without work at an idle target.
     /// Time constant of the exponential decay of observed relative times. Targets slow down and
     /// recover within some ten seconds.
-    std::chrono::milliseconds decayTime{ 10'000 };
+    std::chrono::milliseconds decayTime{ 8000 };
     /// The same for times by concurrency, which need more samples and change with the run only.
     std::chrono::milliseconds concurrencyDecayTime{ 60'000 };
     /// The same for the usual times of the pool at this instance.
@@ -105,7 +105,7 @@
     /// make use of smaller ones.
     double minDifference = 0.1;
     /// Standard errors by which the spread of a pool must exceed chance.
-    double minPoolErrors = 2;
+    double minPoolErrors = 3;
     /// Standard errors by which a single target must differ from its pool. More than for the pool,
     /// because there are many targets and some times are very long.
     double minTargetErrors = 4;
@@ -121,7 +121,7 @@
     double minUsefulShare = 0.25;
     /// Interval at which figures are computed from the evidence.
     std::chrono::milliseconds refreshInterval{ 200 };
-    /// Minimum time between two changes of the steady relative time.
+    /// Time for which a difference must last until the steady relative time follows it.
     std::chrono::milliseconds steadyTime{ 3000 };
 };
 
--- a/packages/performance/src/performance_model.cpp
+++ b/packages/performance/src/performance_model.cpp
@@ -21,7 +21,8 @@
 constexpr double kMinVariance = 0.01;
 // Weight at which the confidence is one half: the evidence of four samples of the prior variance.
 constexpr double kHalfConfidenceWeight = 4 / kPriorVariance;
-constexpr std::size_t kMaxRecentSamples = 16;
+// Number of earlier and of later samples that a sample is compared with.
+constexpr std::size_t kComparedOnEachSide = 8;
 // Step of steady relative times in the logarithm: about a third slower or faster.
 constexpr double kStep = 0.3;
 
@@ -29,7 +30,7 @@
 // expected by chance. The share grows gradually, so that figures do not jump.
 double countedShare(double errors, double minErrors)
 {
-    constexpr double kRange = 2;
+    constexpr double kRange = 1;
     return std::clamp((errors - minErrors) / kRange, 0.0, 1.0);
 }
 
@@ -270,9 +271,9 @@
     }
 }
 
-// Compares the sample with the usual time for its load and with the recent samples of other
-// targets, and records the rest as an observation of the target.
-void PerformanceModel::observe(Pool &pool, std::uint64_t target, TargetState &state,
+// Compares the sample with the usual time for its load, and keeps the rest for the comparison with
+// samples of other targets.
+void PerformanceModel::observe(Pool &pool, std::uint64_t target, const TargetState &state,
                                std::size_t kind, const Sample &sample, double logRatio, Time now)
 {
     const std::size_t load = loadClass(sample.requestsAtSend + 1, kLoadClasses);
@@ -289,34 +290,6 @@
                           : (usual.mean() * usualWeight + usualOfKind.mean() * kMeanWeight)
                                     / (usualWeight + kMeanWeight);
     const double deviation = std::clamp(logRatio - expected, -kMaxLogRatio, kMaxLogRatio);
-    std::vector<double> others;
-    for (const RecentSample &recent : pool.recent) {
-        if (recent.target == target || now - recent.at > options_.comparisonAge)
-            continue;
-        const auto other = pool.targets.find(recent.target);
-        others.push_back(recent.logRatio
-                         - (other == pool.targets.end() ? 0 : other->second.logRelativeTime));
-    }
-    if (others.size() >= options_.minComparedSamples) {
-        const auto count = static_cast<double>(others.size());
-        const double variance = varianceOf(pool);
-        // A single sample moves the estimate by a bounded amount, however extreme it is. The bound
-        // follows the estimate, so that it does not keep a real change from being learned.
-        const double known = state.estimatedLogTime;
-        const double maxStep = std::max(0.4, 1.5 * std::sqrt(variance));
-        const double value =
-                std::clamp(deviation - median(others), known - maxStep, known + maxStep);
-        // The variance of a median is pi / 2 times that of a mean.
-        constexpr double kMedianVariance = 1.57;
-        const Seconds decay = options_.decayTime;
-        const double ownWeight = state.logTime.weightAt(now, decay);
-        if (ownWeight > 0) {
-            const double error = value - state.logTime.mean();
-            const double share = ownWeight / (ownWeight + 1);
-            pool.variance.add(error * error * share, share, now, usualDecay);
-        }
-        state.logTime.add(value, 1 / (1 + kMedianVariance / count), now, decay);
-    }
     const double usualValue = logRatio - state.logRelativeTime;
     // Bounded for the same reason as above.
     const double bounded = isFirstOfKind ? usualValue
@@ -324,9 +297,75 @@
                                                       expected + kMaxLogRatio);
     usual.add(bounded, 1, now, usualDecay);
     usualOfKind.add(bounded, 1, now, usualDecay);
-    pool.recent.push_back({ .target = target, .logRatio = deviation, .at = now });
-    if (pool.recent.size() > kMaxRecentSamples)
-        pool.recent.pop_front();
+    pool.recent.push_back(
+            { .target = target, .startedAt = state.startedAt, .logRatio = deviation, .at = now });
+    compareRecent(pool, now);
+}
+
+// Compares samples as soon as there are enough later ones. With earlier samples alone, the first
+// ones after a change of the instance's own speed would count against their targets.
+void PerformanceModel::compareRecent(Pool &pool, Time now)
+{
+    while (pool.compared < pool.recent.size()) {
+        const std::size_t later = pool.recent.size() - 1 - pool.compared;
+        if (later < kComparedOnEachSide
+            && now - pool.recent[pool.compared].at < options_.comparisonAge / 2)
+            return;
+        compare(pool, pool.compared);
+        ++pool.compared;
+        if (pool.compared > kComparedOnEachSide) {
+            pool.recent.pop_front();
+            --pool.compared;
+        }
+    }
+}
+
+// Records the difference of a sample to those of other targets before and after it as an
+// observation of its target.
+void PerformanceModel::compare(Pool &pool, std::size_t index)
+{
+    const RecentSample &sample = pool.recent[index];
+    const auto found = pool.targets.find(sample.target);
+    if (found == pool.targets.end() || found->second.startedAt != sample.startedAt)
+        return;
+    TargetState &state = found->second;
+    std::vector<double> others;
+    for (std::size_t i = 0; i < std::min(pool.recent.size(), index + kComparedOnEachSide + 1);
+         ++i) {
+        const RecentSample &other = pool.recent[i];
+        if (other.target == sample.target || sample.at - other.at > options_.comparisonAge
+            || other.at - sample.at > options_.comparisonAge)
+            continue;
+        const auto known = pool.targets.find(other.target);
+        others.push_back(other.logRatio
+                         - (known == pool.targets.end() ? 0 : known->second.logRelativeTime));
+    }
+    if (others.size() < options_.minComparedSamples)
+        return;
+    const auto count = static_cast<double>(others.size());
+    const double variance = varianceOf(pool);
+    // A single sample moves the estimate by a bounded amount, however extreme it is. The bound
+    // follows the estimate, so that it does not keep a real change from being learned.
+    const double known = state.estimatedLogTime;
+    const double maxStep = std::max(0.7, 2.5 * std::sqrt(variance));
+    const double middle = median(others);
+    const double value = std::clamp(sample.logRatio - middle, known - maxStep, known + maxStep);
+    for (double &other : others)
+        other = std::abs(other - middle);
+    // Standard deviation of the others, as estimated from their median distance. It exceeds the
+    // usual one while the instance changes between slow and fast, when samples tell little.
+    const double spread = 1.48 * median(others);
+    const double certainty = std::min(1.0, variance / std::max(1e-9, spread * spread));
+    const Seconds decay = options_.decayTime;
+    const double ownWeight = state.logTime.weightAt(sample.at, decay);
+    if (ownWeight > 0) {
+        const double error = value - state.logTime.mean();
+        const double share = ownWeight / (ownWeight + 1);
+        pool.variance.add(error * error * share, share, sample.at, options_.usualTimeDecayTime);
+    }
+    // The variance of a median is pi / 2 times that of a mean.
+    constexpr double kMedianVariance = 1.57;
+    state.logTime.add(value, certainty / (1 + kMedianVariance / count), sample.at, decay);
 }
 
 // Returns the reciprocal of the variance of the own observations. A value that was compared with
@@ -341,27 +380,37 @@
 
 // Returns the mean of the own and the shared observations. Values far from their median count as if
 // they were at most a factor of two away, so that a faulty instance has little influence.
-PerformanceModel::Estimate PerformanceModel::combine(TargetState &state, double variance,
+PerformanceModel::Estimate PerformanceModel::combine(TargetState &state, double sampleVariance,
                                                      Time now) const
 {
     constexpr double kMaxDistance = 0.7;
     std::vector<WeightedValue> values;
-    const double ownWeight = evidence(state, variance, now);
-    if (ownWeight > 0)
-        values.push_back({ state.logTime.mean(), ownWeight });
-    for (const SharedEvidence &shared : state.shared) {
-        const double weight = shared.weight * decayFactor(shared.at, now, options_.decayTime);
-        values.push_back({ shared.logTime, weight });
-    }
+    // Sum of the weights with decay squared: the variance of the weighted sum.
+    double variance = 0;
+    double newest = 0; // Decay of the newest evidence.
+    const auto add = [&](double value, double weight, Time at) {
+        const double decay = decayFactor(at, now, options_.decayTime);
+        if (weight <= 0)
+            return;
+        values.push_back({ value, weight * decay });
+        variance += weight * decay * decay;
+        newest = std::max(newest, decay);
+    };
+    add(state.logTime.mean(), evidence(state, sampleVariance, state.logTime.at), state.logTime.at);
+    for (const SharedEvidence &shared : state.shared)
+        add(shared.logTime, shared.weight, shared.at);
     Estimate estimate{ .state = &state };
     const double center = weightedMedian(values);
+    double total = 0;
     for (const auto &[value, weight] : values) {
         estimate.logTime +=
                 std::clamp(value, center - kMaxDistance, center + kMaxDistance) * weight;
-        estimate.weight += weight;
+        total += weight;
     }
-    if (estimate.weight > 0)
-        estimate.logTime /= estimate.weight;
+    if (total <= 0 || variance <= 0)
+        return estimate;
+    estimate.logTime /= total;
+    estimate.weight = total * total / variance * newest;
     return estimate;
 }
 
@@ -392,7 +441,9 @@
     constexpr std::size_t kMaxChanges = 64;
     constexpr double kHysteresis = 0.75;
     const double deviation = state.logRelativeTime / kStep - state.steadyLevel;
-    if (std::abs(deviation) <= kHysteresis || now - state.steadySince < options_.steadyTime)
+    if (std::abs(deviation) <= kHysteresis)
+        state.steadySince = now;
+    if (now - state.steadySince < options_.steadyTime)
         return;
     const int before = state.steadyLevel;
     state.steadyLevel = static_cast<int>(std::round(state.logRelativeTime / kStep));
@@ -443,7 +494,9 @@
     }
     // Variance of the squares; 2 for a normal distribution, while times have heavier tails.
     constexpr double kSquareVariance = 4;
-    const double chance = std::sqrt(kSquareVariance * std::max(1.0, count));
+    // Few targets are compared with each other only, which makes large sums more likely.
+    constexpr double kMinCount = 10;
+    const double chance = std::sqrt(kSquareVariance * (count + kMinCount));
     const double minSpread = options_.minDifference * options_.minDifference;
     const double spread = totalWeight > 0 ? (squares - count) / totalWeight : 0;
     const double poolErrors = (boundedSquares - count) / chance;
--- a/packages/performance/test/performance_model_test.cpp
+++ b/packages/performance/test/performance_model_test.cpp
@@ -96,11 +96,12 @@
         {
             const char *name;
             PerformanceWorld::Options options;
+            bool hasStreams = true;
         };
         const Row rows[] = {
             { "90 instances", {} },
             { "without sharing", { .isSharing = false } },
-            { "plain services", { .targets = 4, .samplesPerSecond = 1 } },
+            { "plain services", { .targets = 4, .samplesPerSecond = 1 }, false },
             { "one instance", { .instances = 1, .targets = 12, .samplesPerSecond = 5 } },
         };
         constexpr double kMaxFalseShare = 0.001;
@@ -109,6 +110,8 @@
                 PerformanceWorld::Options options = row.options;
                 options.seed = seed;
                 PerformanceWorld world(options);
+                if (!row.hasStreams)
+                    world.eventInterval = {};
                 double falseFigures = 0;
                 double figures = 0;
                 for (int i = 0; i < 30; ++i) {
@@ -312,12 +315,11 @@
         CPPUNIT_ASSERT(once > 0 && often <= once);
         CPPUNIT_ASSERT(model.takeShared(10, now).empty());
         model.record("p", 1, 1, usualSample(), now);
+        // The sample has nothing to be compared with.
+        CPPUNIT_ASSERT(model.takeShared(10, now).empty());
         const auto other = PerformanceWorld::keyOf(1);
-        for (int i = 0; i < 10; ++i)
+        for (int i = 0; i < 8; ++i)
             model.record("p", other, 1, usualSample(), now);
-        // The sample of the first target had nothing to be compared with.
-        CPPUNIT_ASSERT(model.takeShared(10, now).empty());
-        model.record("p", 1, 1, usualSample(), now);
         const auto shared = model.takeShared(10, now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), shared.size());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), shared.front().target);
--- a/packages/performance/test/performance_world.h
+++ b/packages/performance/test/performance_world.h
@@ -114,8 +114,10 @@
             return;
         Sample interval = sample;
         interval.timeToFirstEvent = Seconds(0);
-        interval.eventInterval = eventInterval(target, sample.requestsAtSend + 1) * sample.slowness
-                                 * std::exp(std::normal_distribution<double>(0, 0.2)(random_));
+        interval.eventInterval = eventInterval(target, sample.requestsAtSend + 1)
+                                 * relativeTime(target) * sample.slowness
+                                 * instanceSlowness(instance)
+                                 * std::exp(std::normal_distribution<double>(0, 0.3)(random_));
         models_[instance].record("p", keyOf(target), startedAt[target], interval, now);
     }
 
@@ -146,8 +148,10 @@
     std::function<double(std::size_t target)> relativeTime = [](std::size_t) { return 1; };
     /// Factor on all times that an instance observes.
     std::function<double(std::size_t instance)> instanceSlowness = [](std::size_t) { return 1; };
-    /// Time between two events with this many concurrent requests; not observed if unset.
-    std::function<Seconds(std::size_t target, double concurrency)> eventInterval;
+    /// Time between two events of a usual target with this many concurrent requests; not observed
+    /// if unset, as at plain services.
+    std::function<Seconds(std::size_t target, double concurrency)> eventInterval =
+            [](std::size_t, double concurrency) { return Seconds(0.004 + 0.0001 * concurrency); };
     /// Changes the figures that an instance sends.
     std::function<void(std::size_t instance, std::vector<SharedFigures> &)> corrupt;
 
