Placement: homes of prefixes among many targets only, and stores before old copies

Cause: the first engine with new weights was the home of all prefixes for these weights. Prefixes were also fetched from engines that had evicted them, and then computed again, although a cache store held them. Change: with at least 64 instances, targets are homes for a version of the weights only if a quarter of the pool has it; a prefix that its engine used more than a second ago, or is only expected at its home, is fetched from a store. Each prefix has one of the stores. Engines that load weights are polled every 100 ms.

--- a/packages/dispatch/include/dispatch/placement.h
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -130,6 +130,13 @@
     /// as a share of its prefill time, with at least `minInstancesForHomes` instances. A copy
     /// elsewhere evicts other prefixes and leaves the home unused, which then evicts the prefix.
     double manyInstancesNonHomeCostShare = 2;
+    /// Minimum share of the targets that must have a version of the weights for one of them to be
+    /// the home of a prefix, with at least `minInstancesForHomes` instances.
+    double minHomeGroupShare = 0.25;
+    /// Maximum time since the last use of a prefix at an engine for which it is fetched from there
+    /// rather than from a store, with at least `minInstancesForHomes` instances. Busy engines evict
+    /// prefixes within seconds, and a prefix that is not found is computed again.
+    std::chrono::milliseconds holderFetchAge{ 1000 };
     /// Time after which an engine with new weights is expected to cache the prefixes whose home it
     /// is. Until then they are expected to be cached nowhere.
     std::chrono::milliseconds homeWarmUpTime{ 2000 };
@@ -208,6 +215,7 @@
         std::size_t index = 0; ///< Into the targets of the view.
         std::uint64_t weights = 0;
         std::uint64_t score = 0;
+        std::size_t groupSize = 1; ///< Number of targets with these weights.
         /// True if requests of all instances have filled its cache, as far as is known here.
         bool isWarm = false;
         double weightedScore = 0; ///< Rank of the target; higher is better.
@@ -277,8 +285,11 @@
     {
         return targetTracker_.instanceShare().instances >= options_.minInstancesForHomes;
     }
-    /// Sets the first configured store as source and destination of the prefix.
-    static void setCacheStore(Placement &placement, const fleet::View &view);
+    /// Returns true if a cache store is configured.
+    static bool hasCacheStore(const fleet::View &view);
+    /// Sets the store of the prefix, if any is configured, as its source and destination.
+    void setCacheStore(Placement &placement, const PlacementRequest &request,
+                       const fleet::View &view) const;
     /// Returns the target of `holder` if its run has not ended and it probably still caches the
     /// prefix, or null.
     const fleet::Target *findLiveHolder(const Holder &holder, const fleet::View &view,
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -317,9 +317,12 @@
     if (best->fetchSource != nullptr)
         placement.cacheSource = best->fetchSource->address;
     else if (best->isExpectedAtHome
+             || (reliesOnHomes()
+                 && prefixTokens(request, sharedPartCount(request))
+                            >= options_.minSharedPrefixTokens)
              || prefixTokens(request, sharedPartCount(request)) - best->cachedTokens
                         >= options_.minSharedPrefixTokens)
-        setCacheStore(placement, view);
+        setCacheStore(placement, request, view);
     return placement;
 }
 
--- a/packages/dispatch/src/placement_prefix.cpp
+++ b/packages/dispatch/src/placement_prefix.cpp
@@ -58,6 +58,7 @@
     const auto home = std::ranges::find(homes, candidate.weights, &Home::weights);
     const bool isExpected = home != homes.end() && home->isWarm && reliesOnHomes();
     const std::size_t homeParts = isExpected ? homePartCount(request) : 0;
+    const bool prefersStore = reliesOnHomes() && hasCacheStore(view);
     candidate.isHome = home != homes.end() && home->index == candidate.index;
     for (std::size_t parts = sharedPartCount(request); parts > 0; --parts) {
         const double tokens = prefixTokens(request, parts);
@@ -76,7 +77,9 @@
                 candidate.isDuplicate = false;
                 return;
             }
-            const bool canServe = status == nullptr || status->avoidUntil <= now;
+            const bool canServe =
+                    (status == nullptr || status->avoidUntil <= now)
+                    && (!prefersStore || now - holder.usedAt < options_.holderFetchAge);
             if (isReady && canServe && candidate.fetchSource == nullptr
                 && tokens >= options_.minSharedPrefixTokens) {
                 candidate.fetchSource = live;
@@ -95,7 +98,8 @@
             return;
         }
         if (tokens >= options_.minSharedPrefixTokens) {
-            candidate.fetchSource = &view.targets()[home->index];
+            if (!prefersStore)
+                candidate.fetchSource = &view.targets()[home->index];
             candidate.fetchedTokens = tokens;
             candidate.isExpectedAtHome = true;
             return;
@@ -143,9 +147,20 @@
         const auto known = std::ranges::find(homes, weights, &Home::weights);
         if (known == homes.end())
             homes.push_back(home);
-        else if (std::pair(home.weightedScore, home.score)
-                 > std::pair(known->weightedScore, known->score))
+        else if (const std::size_t groupSize = ++known->groupSize;
+                 std::pair(home.weightedScore, home.score)
+                 > std::pair(known->weightedScore, known->score)) {
             *known = home;
+            known->groupSize = groupSize;
+        }
+    }
+    // The first targets with new weights would be the homes of all prefixes, and would receive most
+    // requests of all instances within the delay of load information.
+    if (reliesOnHomes()) {
+        std::erase_if(homes, [&](const Home &home) {
+            return static_cast<double>(home.groupSize)
+                   < options_.minHomeGroupShare * static_cast<double>(usable.size());
+        });
     }
     for (Home &home : homes) {
         const TargetStatus *known = targetTracker_.find(view.targets()[home.index]);
@@ -171,17 +186,35 @@
     }
 }
 
+bool Placer::hasCacheStore(const fleet::View &view)
+{
+    return view.isComplete()
+           && std::ranges::any_of(view.configuration().pools,
+                                  [](const fleet::Pool &pool) { return pool.store.has_value(); });
+}
+
 // A prefix that no engine is known to cache may still be in a store. If not, the engine that
-// computes it saves it there, so that the prefix outlives its eviction and the engine.
-void Placer::setCacheStore(Placement &placement, const fleet::View &view)
+// computes it saves it there, so that the prefix outlives its eviction and the engine. With several
+// stores, rendezvous hashing gives each prefix one of them, so that they hold different prefixes.
+void Placer::setCacheStore(Placement &placement, const PlacementRequest &request,
+                           const fleet::View &view) const
 {
-    const auto &pools = view.configuration().pools;
-    const auto store = std::ranges::find_if(
-            pools, [](const fleet::Pool &pool) { return pool.store.has_value(); });
-    if (store == pools.end())
+    const std::uint64_t key = prefixHash(request, homePartCount(request), 0);
+    const fleet::CacheStore *best = nullptr;
+    std::uint64_t bestScore = 0;
+    for (const fleet::Pool &pool : view.configuration().pools) {
+        if (!pool.store)
+            continue;
+        const std::uint64_t score = base::combineHash(key, base::hash64(pool.name));
+        if (best == nullptr || (reliesOnHomes() && score > bestScore)) {
+            best = &*pool.store;
+            bestScore = score;
+        }
+    }
+    if (best == nullptr)
         return;
-    placement.cacheSource = store->store->address;
-    placement.cacheStore = store->store->address;
+    placement.cacheSource = best->address;
+    placement.cacheStore = best->address;
 }
 
 void Placer::recordSent(const PlacementRequest &request, const Placement &placement,
--- a/packages/entry/include/entry/rollout.h
+++ b/packages/entry/include/entry/rollout.h
@@ -38,7 +38,7 @@
     /// names.
     std::chrono::milliseconds standbyDelay{ 1500 };
     /// Interval between state polls of a loading engine.
-    std::chrono::milliseconds statePollInterval{ 250 };
+    std::chrono::milliseconds statePollInterval{ 100 };
     /// Maximum wait for a load, which is then retried.
     std::chrono::milliseconds loadTimeout{ 6000 };
     /// Maximum age of the state that an engine returns. If an order got no answer and the
