--- a/packages/control/include/control/member_actor.h
+++ b/packages/control/include/control/member_actor.h
@@ -41,6 +41,9 @@
     /// Called when a peer reports a higher configuration revision than the one last passed to
     /// `MemberActor::setRevision`.
     std::function<void(std::uint64_t revision, const std::string &address)> revisionSeen;
+    /// Called when a peer reports a later era of the store than the one last passed to
+    /// `MemberActor::setRevision`.
+    std::function<void(std::uint64_t storeEra)> storeEraSeen{};
 };
 
 /// Actor that owns the member table of a daemon, runs the membership protocol and publishes
@@ -66,8 +69,9 @@
 
     /// Replaces the addresses that the protocol contacts to join the other daemons.
     void setSeeds(std::vector<std::string> addresses);
-    /// Sets the configuration revision in force, which the protocol announces to peers.
-    void setRevision(std::uint64_t revision);
+    /// Sets the configuration revision in force, in an era of the store, which the protocol
+    /// announces to peers.
+    void setRevision(std::uint64_t revision, std::uint64_t storeEra = 0);
 
     /// Announces that this daemon takes no new work.
     void leave();
--- a/packages/control/src/member_actor.cpp
+++ b/packages/control/src/member_actor.cpp
@@ -108,6 +108,9 @@
     } else if (const auto *newer = std::get_if<membership::NewerRevision>(&output)) {
         if (options.revisionSeen)
             options.revisionSeen(newer->revision, newer->address);
+    } else if (const auto *era = std::get_if<membership::NewerEra>(&output)) {
+        if (options.storeEraSeen)
+            options.storeEraSeen(era->storeEra);
     } else if (const auto *conflict = std::get_if<membership::NameConflict>(&output)) {
         LOG_EVERY_N(ERROR, 100) << "[control] Member name " << conflict->other.name
                                 << " is also used by a process that started later, at "
@@ -212,9 +215,9 @@
     post(membership::SeedsChanged{ std::move(addresses) });
 }
 
-void MemberActor::setRevision(std::uint64_t revision)
+void MemberActor::setRevision(std::uint64_t revision, std::uint64_t storeEra)
 {
-    post(membership::RevisionChanged{ revision });
+    post(membership::RevisionChanged{ .revision = revision, .storeEra = storeEra });
 }
 
 void MemberActor::leave()
--- a/packages/entry/include/entry/peer_mesh.h
+++ b/packages/entry/include/entry/peer_mesh.h
@@ -128,7 +128,10 @@
     FollowerResult pollFollower(const std::string &table, const boost::asio::yield_context &yield);
 
     /// Sets the revision of the view that this instance reports to the others.
-    void setRevision(std::uint64_t revision) { actor_->setRevision(revision); }
+    void setRevision(std::uint64_t revision)
+    {
+        actor_->setRevision(revision, viewUpdater_.storeEra());
+    }
     /// Tells the others that this instance is draining.
     void leave() { actor_->leave(); }
     /// Tells the others that this instance is about to exit.
--- a/packages/entry/include/entry/quarantine_store.h
+++ b/packages/entry/include/entry/quarantine_store.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -67,8 +68,9 @@
 
 /// Keeps the quarantines in the platform's store, so that they outlive all instances. All
 /// quarantines share one row: the store has no expiry, and each write of the row omits those that
-/// have ended. The row is read at the start, after a failed write and before a removal. Runs on the
-/// control I/O thread.
+/// have ended. The row is read at the start, after a failed write and before a removal. If the
+/// store is restored to an older copy, each instance that has quarantines reads the row again in
+/// its turn and writes what it lacks. Runs on the control I/O thread.
 class QuarantineStore
 {
 public:
@@ -96,7 +98,8 @@
     /// Sets the quarantines in force.
     void update(std::vector<quarantine::QuarantinedPart> active, Clock::time_point now);
 
-    /// Records that another instance knows that the store has the quarantine.
+    /// Records that another instance knows that the store has the quarantine. Has no effect if the
+    /// store was restored while the quarantine was in force: the other instance may not know that.
     void markSaved(const quarantine::QuarantinedPart &part, Clock::time_point now);
 
     /// Removes a quarantine from the store that was lifted before its end. Only the instances with
@@ -114,6 +117,10 @@
     /// Writes the row with all unsaved quarantines and without the lifted ones. Returns false if a
     /// call to the store failed.
     bool save(const boost::asio::yield_context &yield);
+    /// Forgets what the store is known to have if it was restored since the last call.
+    void checkEra(Clock::time_point now);
+    /// Records that the row has the quarantine.
+    void recordSaved(const quarantine::QuarantinedPart &part, Clock::time_point now);
     bool isSaveDue(Clock::time_point now) const;
     /// Returns the row with the unsaved quarantines and without those that were lifted or ended.
     std::vector<SavedQuarantine>
@@ -134,8 +141,18 @@
     /// Lifted quarantines that the row may still hold, and when the row cannot hold them any more.
     std::map<quarantine::PartKey, Clock::time_point> lifted_;
     std::vector<SavedQuarantine> row_; ///< Content of the row at the last read or write.
-    std::uint64_t rowVersion_ = 0;     ///< 0 if there is no row.
+    fleet::StoreVersion rowVersion_;   ///< Version 0 if there is no row.
     bool isRowKnown_ = false;          ///< False if another instance may have changed the row.
+    bool isLoaded_ = false;            ///< Whether the row has ever been read.
+    /// Whether the store was restored since the row was last read.
+    bool isRestored_ = false;
+    std::uint64_t era_ = 0; ///< Latest known era of the store.
+    /// Quarantines that were in force when the store was restored, until this instance has read or
+    /// written them.
+    std::set<quarantine::PartKey> unconfirmed_;
+    /// Lifted quarantines that the row no longer holds, and when no row can hold them any more. A
+    /// restored row may hold them again.
+    std::map<quarantine::PartKey, Clock::time_point> removed_;
 };
 
 } // namespace chervilfield::entry
--- a/packages/entry/include/entry/rollout.h
+++ b/packages/entry/include/entry/rollout.h
@@ -112,8 +112,15 @@
     /// live ones comes last.
     bool mayLead(Clock::time_point now) const;
     bool holdsLease() const;
+    /// Records when this instance learned of the era of the store.
+    void observeEra();
+    /// Returns true if the lease with the row `current`, which was read in the latest era, may be
+    /// taken.
+    bool mayTake(const std::optional<leases::LeaseRow> &current) const;
     /// Acquires or renews the lease as needed. Returns true if this instance holds it.
     bool ensureLease(const boost::asio::yield_context &yield);
+    /// Reads the row and writes it if the lease may be taken. A lease that is held from an earlier
+    /// era of the store stays held if that fails.
     bool acquireLease(const boost::asio::yield_context &yield);
     void renewLease(const boost::asio::yield_context &yield);
     void releaseLease(const boost::asio::yield_context &yield);
@@ -145,7 +152,11 @@
     /// Hash of the pending tasks. It changes when the lease holder makes progress.
     std::uint64_t pendingTasksHash_ = 0;
     Clock::time_point leaseReadAt_{};
-    std::uint64_t highestRefusedToken_ = 0; ///< Highest fencing token that was refused.
+    std::uint64_t highestFence_ = 0; ///< Highest fencing token that was read, issued or refused.
+    std::uint64_t era_ = 0;          ///< Latest known era of the store.
+    leases::SteadyTime eraSeenAt_{}; ///< When this instance learned of `era_`.
+    /// Time until which no other instance can hold the lease, because this one had it.
+    leases::SteadyTime exclusiveUntil_{};
     Clock::time_point lastOrderAt_{};
     /// Versions by model that an engine run is known to have loaded, by engine id and start time.
     /// The registration of the engine follows later.
--- a/packages/entry/include/entry/view_updater.h
+++ b/packages/entry/include/entry/view_updater.h
@@ -2,6 +2,7 @@
 
 #include "base/boot_clock.h"
 #include "base/event_log.h"
+#include "entry/store_eras.h"
 #include "fleet/deployment_schema.h"
 #include "fleet/store.h"
 #include "fleet/store_clock.h"
@@ -115,17 +116,27 @@
     /// Returns true if the store did not respond to the last poll for the table.
     bool isPollFailing(const std::string &table) const;
 
-    /// Returns the version of the newest row other than a target. Instances send it to each other,
-    /// so that one that missed a change learns of it.
+    /// Returns the version of the newest row other than a target, in `storeEra()`. Instances send
+    /// it to each other, so that one that missed a change learns of it.
     std::uint64_t revision() const;
 
+    /// Returns the latest era of the store of which a table other than that of the targets was
+    /// read.
+    std::uint64_t storeEra() const;
+
+    /// Reads the tables from the store again that are of an earlier era. Must be called when a peer
+    /// knows the era `storeEra`.
+    void requestEra(std::uint64_t storeEra);
+
     /// Returns the rows that a peer asks for. `revisionInForce` is the version of the store up to
     /// which they are complete, or 0 if they may be out of date.
     peers::ConfigurationEntries entries(const peers::EntriesQuery &query) const;
 
     /// Applies the rows of `table` that a peer has sent, or those of all tables if `table` is
     /// empty. They were requested at `requestedAt`. Returns true if they are up to date, because
-    /// the peer reaches the store.
+    /// the peer reaches the store. Does not merge rows of another era of the store. Those of a
+    /// later one are read from the store, or taken from the peer if the store is unreachable and
+    /// the peer has sent the whole tables.
     bool merge(const peers::ConfigurationEntries &entries, Clock::time_point requestedAt,
                const std::string &table = {});
 
@@ -135,7 +146,14 @@
 
     /// Returns the version of the store up to which the changes of `table` are known, or of every
     /// table if it is empty.
-    std::uint64_t version(const std::string &table = {}) const;
+    std::uint64_t version(const std::string &table = {}) const
+    {
+        return storeVersion(table).version;
+    }
+
+    /// Returns the same with its era. If the tables are of different eras, it is that of the
+    /// earliest one.
+    fleet::StoreVersion storeVersion(const std::string &table = {}) const;
 
     const fleet::DeploymentSchema &schema() const { return schema_; }
 
@@ -173,6 +191,14 @@
     void recordCopy(const std::string &table, Clock::time_point time);
     /// Returns `table`, or all tables if it is empty. The list is empty for an unknown table.
     std::vector<std::string> selectTables(const std::string &table) const;
+    /// Returns true if a peer knows a later era than that of the table, which must be read again.
+    bool isEraRequested(const std::string &table) const;
+    /// Records that the store was restored to an older copy before `copy` of the table was read.
+    void beginEra(const std::string &table, const fleet::StoreRows &copy);
+    /// Returns true if the rows that a peer has sent may be applied to the tables. Otherwise they
+    /// are of another era, or not all of them have arrived.
+    bool mayMerge(const std::map<std::string, fleet::StoreRows> &rows,
+                  const std::vector<std::string> &tables);
     /// Returns true if the store responded for the table within `maxCurrentAge`.
     bool isStoreResponding(const std::string &table) const;
     /// Returns the time up to which all changes of the tables are known, or no value if a table has
@@ -196,7 +222,7 @@
     void scheduleRebuild(std::chrono::milliseconds delay);
     /// Returns the rows of one version as an entry, compressed if it is large.
     peers::ConfigurationEntry
-    compressedEntry(const std::string &table, std::uint64_t version,
+    compressedEntry(const std::string &table, const fleet::StoreVersion &version,
                     const std::vector<const fleet::StoreRow *> &rows) const;
 
     boost::asio::io_context &context_;
@@ -224,7 +250,7 @@
     /// a later version, and deletions may be added when they become known.
     struct EntryKey
     {
-        std::uint64_t version = 0;
+        fleet::StoreVersion version;
         /// Table, key and whether it is deleted, of each row.
         std::vector<std::tuple<std::string, std::string, bool>> rows;
         std::string table;
@@ -232,6 +258,14 @@
     };
     /// Large entries of the latest versions, since many peers ask for the same ones.
     mutable std::map<EntryKey, peers::ConfigurationEntry> compressedEntries_;
+    /// Latest era that a peer has stated, by table that must be read again because of it.
+    std::map<std::string, std::uint64_t> requestedEras_;
+    std::uint64_t highestRequestedEra_ = 0; ///< Highest argument of `requestEra`.
+    PreviousTargets previousTargets_;
+    /// Time until which changes that the store has lost may not have been written again.
+    Clock::time_point eraSettledAt_{};
+    /// Era in which the row of the last configuration was read.
+    std::uint64_t configurationEra_ = 0;
     Clock::time_point startedAt_ = Clock::now();
     fleet::WeightsHistory weightsHistory_;
     std::map<std::string, std::string> reportedReasons_; ///< Last logged reason by rejected row.
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -134,6 +134,11 @@
                                              [=, this](const yield_context &yield) {
                                                  fetchNewerRows(*peer, revision, yield);
                                              });
+                     },
+             .storeEraSeen =
+                     [this](std::uint64_t storeEra) {
+                         boost::asio::post(context_,
+                                           [this, storeEra] { viewUpdater_.requestEra(storeEra); });
                      } };
 }
 
--- a/packages/entry/src/quarantine_store.cpp
+++ b/packages/entry/src/quarantine_store.cpp
@@ -115,16 +115,51 @@
     active_ = std::move(active);
     std::erase_if(savedUntil_, [now](const auto &entry) { return entry.second <= now; });
     std::erase_if(lifted_, [now](const auto &entry) { return entry.second <= now; });
-    for (const QuarantinedPart &part : active_)
+    std::erase_if(removed_, [now](const auto &entry) { return entry.second <= now; });
+    for (const QuarantinedPart &part : active_) {
         lifted_.erase(part.part);
+        removed_.erase(part.part);
+    }
+    std::erase_if(unconfirmed_, [this](quarantine::PartKey part) {
+        return std::ranges::find(active_, part, &QuarantinedPart::part) == active_.end();
+    });
+    checkEra(now);
     if (unsavedParts(now).empty() && lifted_.empty())
         pendingSince_.reset();
     else if (!pendingSince_)
         pendingSince_ = now;
 }
 
+void QuarantineStore::checkEra(Clock::time_point now)
+{
+    if (store_.era() <= era_)
+        return;
+    era_ = store_.era();
+    if (!isLoaded_)
+        return;
+    savedUntil_.clear();
+    isRowKnown_ = false;
+    isRestored_ = true;
+    for (const QuarantinedPart &part : active_)
+        unconfirmed_.insert(part.part);
+    lifted_.merge(removed_);
+    removed_.clear();
+    // Instances read the row one after another, so that only the first one writes it.
+    if (!unconfirmed_.empty() || !lifted_.empty())
+        pendingSince_ = now;
+    log_.write("quarantine", "store-restored",
+               { { "era", era_ }, { "parts", unconfirmed_.size() }, { "lifted", lifted_.size() } });
+}
+
 void QuarantineStore::markSaved(const QuarantinedPart &part, Clock::time_point now)
 {
+    if (!unconfirmed_.contains(part.part))
+        recordSaved(part, now);
+}
+
+void QuarantineStore::recordSaved(const QuarantinedPart &part, Clock::time_point now)
+{
+    unconfirmed_.erase(part.part);
     auto &until = savedUntil_[part.part];
     until = std::max(until, now + part.remaining);
 }
@@ -187,12 +222,19 @@
                    { { "result", base::resultInfo(base::toResult(error)).name } });
         return false;
     }
+    const auto now = Clock::now();
+    checkEra(now);
+    if (rows->era < era_)
+        return false;
     isRowKnown_ = true;
+    isLoaded_ = true;
+    // Other instances know the quarantines in force. A restored row may hold lifted ones besides.
+    const bool isRestored = std::exchange(isRestored_, false);
     row_.clear();
-    rowVersion_ = 0;
+    rowVersion_ = { .era = rows->era };
     const auto found = std::ranges::find(rows->rows, kKey, &fleet::StoreRow::key);
     if (found != rows->rows.end()) {
-        rowVersion_ = found->version;
+        rowVersion_.version = found->version;
         if (auto decoded = decodeQuarantines(found->value, error)) {
             row_ = *std::move(decoded);
         } else {
@@ -201,7 +243,6 @@
         }
     }
     const std::size_t rowSize = row_.size();
-    const auto now = Clock::now();
     std::erase_if(row_, [&](const SavedQuarantine &quarantine) {
         const auto remaining = remainingTime(quarantine, wallNow(), options_.clockTolerance);
         if (!remaining)
@@ -209,14 +250,17 @@
         if (lifted_.contains(quarantine.part))
             return false;
         const QuarantinedPart part{ .part = quarantine.part, .remaining = *remaining };
-        markSaved(part, now);
-        hooks_.loaded(part);
+        recordSaved(part, now);
+        const bool isActive =
+                std::ranges::find(active_, part.part, &QuarantinedPart::part) != active_.end();
+        if (!isRestored || isActive)
+            hooks_.loaded(part);
         return false;
     });
     log_.write("quarantine", "loaded",
                { { "parts", row_.size() },
                  { "ended", rowSize - row_.size() },
-                 { "version", rowVersion_ } });
+                 { "version", rowVersion_.version } });
     return true;
 }
 
@@ -247,6 +291,7 @@
     const bool holdsLifted = std::ranges::any_of(
             row_, [this](const auto &quarantine) { return lifted_.contains(quarantine.part); });
     if (unsaved.empty() && !holdsLifted) {
+        removed_.merge(lifted_);
         lifted_.clear();
         return true;
     }
@@ -256,26 +301,31 @@
     std::error_code error;
     const auto version = store_.write({ .table = kTable,
                                         .key = kKey,
-                                        .expectedVersion = rowVersion_,
+                                        .expectedVersion = rowVersion_.version,
                                         .value = encodeQuarantines(row) },
                                       yield, error);
-    if (!version) {
+    const bool isOtherEra = version && version->era != rowVersion_.era;
+    if (!version || isOtherEra) {
         isRowKnown_ = false;
+        checkEra(Clock::now());
         log_.write("quarantine", "save-failed",
                    { { "parts", unsaved.size() },
+                     { "other_era", isOtherEra },
                      { "result", base::resultInfo(base::toResult(error)).name } });
         return false;
     }
     row_ = std::move(row);
     rowVersion_ = *version;
-    for (const auto &[part, endsAt] : removed)
+    for (const auto &[part, endsAt] : removed) {
         lifted_.erase(part);
+        removed_[part] = endsAt;
+    }
     for (const QuarantinedPart &part : unsaved)
-        markSaved(part, Clock::now());
+        recordSaved(part, Clock::now());
     log_.write("quarantine", "saved",
                { { "parts", unsaved.size() },
                  { "lifted", removed.size() },
-                 { "version", rowVersion_ } });
+                 { "version", rowVersion_.version } });
     if (!unsaved.empty())
         hooks_.saved(unsaved);
     return true;
@@ -291,6 +341,7 @@
     backoff = options_.minBackoff;
     while (true) {
         sleepFor(options_.checkInterval, yield);
+        checkEra(Clock::now());
         if (!isSaveDue(Clock::now()))
             continue;
         if (save(yield)) {
--- a/packages/entry/src/rollout.cpp
+++ b/packages/entry/src/rollout.cpp
@@ -97,15 +97,25 @@
     return heldLease_ && leaseNow() < leases::validUntil(*heldLease_, clockBounds_);
 }
 
+void Rollout::observeEra()
+{
+    if (store_.era() <= era_)
+        return;
+    era_ = store_.era();
+    eraSeenAt_ = leaseNow();
+    log_.write("rollout", "store-restored", { { "era", era_ }, { "held", holdsLease() } });
+}
+
 bool Rollout::ensureLease(const yield_context &yield)
 {
-    if (holdsLease()) {
-        const auto remaining = leases::validUntil(*heldLease_, clockBounds_) - leaseNow();
-        if (remaining < options_.lease.duration / 2)
-            renewLease(yield);
-        return holdsLease();
-    }
-    return acquireLease(yield);
+    if (!holdsLease())
+        return acquireLease(yield);
+    const auto remaining = leases::validUntil(*heldLease_, clockBounds_) - leaseNow();
+    if (heldLease_->era < era_)
+        acquireLease(yield);
+    else if (remaining < options_.lease.duration / 2)
+        renewLease(yield);
+    return holdsLease();
 }
 
 void Rollout::renewLease(const yield_context &yield)
@@ -118,28 +128,52 @@
                                         .expectedVersion = heldLease_->version,
                                         .value = leases::encodeLease(heldLease_->row) },
                                       yield, error);
-    if (version) {
-        leases::recordRenewal(*heldLease_, *version, sentAt, sentAtWall);
+    observeEra();
+    if (version && version->era == heldLease_->era) {
+        leases::recordRenewal(*heldLease_, version->version, sentAt, sentAtWall);
+        exclusiveUntil_ = leases::validUntil(*heldLease_, clockBounds_);
         return;
     }
     log_.write("rollout", "renewal-failed",
                { { "fence", heldLease_->row.fence },
                  { "result", base::resultInfo(base::toResult(error)).name } });
+    // The store was restored, and the lease lasts until its end, but the row must be read again.
+    if (heldLease_->era < era_)
+        return;
+    if (error == Result::RevisionConflict)
+        exclusiveUntil_ = {};
     // After an undecided write the version of the row is unknown, so the lease must be read again.
     if (error == Result::RevisionConflict || error == Result::WriteUndecided)
         heldLease_.reset();
 }
 
+bool Rollout::mayTake(const std::optional<leases::LeaseRow> &current) const
+{
+    const auto now = leaseNow();
+    if (leases::isFromEarlierEra(current, era_) && now >= exclusiveUntil_) {
+        // The last holder may have been lost with its row, but all instances use the same times.
+        const leases::LeaseRow lost{ .times = options_.lease };
+        if (now - eraSeenAt_ < leases::takeoverWait(lost, options_.fencingMode, clockBounds_))
+            return false;
+    }
+    if (!current || current->holder == options_.instance
+        || (leases::isFromEarlierEra(current, era_) && now < exclusiveUntil_))
+        return true;
+    return leases::canTake(*current, *observation_, options_.fencingMode, clockBounds_, now);
+}
+
 bool Rollout::acquireLease(const yield_context &yield)
 {
-    heldLease_.reset();
+    if (!holdsLease())
+        heldLease_.reset();
     const auto now = Clock::now();
     if (now - leaseReadAt_ < options_.leaseReadInterval)
         return false;
     leaseReadAt_ = now;
     std::error_code error;
     const auto rows = store_.readAll(kLeaseTable, yield, error);
-    if (!rows)
+    observeEra();
+    if (!rows || rows->era < era_)
         return false;
     const auto found = std::ranges::find(rows->rows, kLeaseKey, &fleet::StoreRow::key);
     std::optional<leases::LeaseRow> current;
@@ -149,16 +183,17 @@
         current = leases::decodeLease(found->value, error);
         if (!current)
             return false;
-        observation_ = leases::observe(observation_, version, leaseNow());
-        const bool isOwn = current->holder == options_.instance;
-        if (!isOwn
-            && !leases::canTake(*current, *observation_, options_.fencingMode, clockBounds_,
-                                leaseNow()))
-            return false;
+        observation_ = leases::observe(observation_, version, leaseNow(), era_);
+        highestFence_ = std::max(highestFence_, current->fence);
     }
-    leases::LeaseRow row = leases::takenRow(
-            current, { .holder = options_.instance, .target = {}, .times = options_.lease });
-    row.fence = std::max(row.fence, highestRefusedToken_ + 1);
+    if (!mayTake(current))
+        return false;
+    const std::uint64_t era = era_;
+    const std::uint64_t minFence = std::max(leases::minFence(era, version), highestFence_ + 1);
+    const leases::LeaseRow row = leases::takenRow(current, { .holder = options_.instance,
+                                                             .target = {},
+                                                             .times = options_.lease,
+                                                             .minFence = minFence });
     const auto sentAt = leaseNow();
     const auto sentAtWall = std::chrono::system_clock::now();
     const auto written = store_.write({ .table = kLeaseTable,
@@ -166,10 +201,14 @@
                                         .expectedVersion = version,
                                         .value = leases::encodeLease(row) },
                                       yield, error);
-    if (!written)
+    observeEra();
+    // In another era the condition proves nothing, so the row must be read again.
+    if (!written || written->era != era)
         return false;
-    heldLease_ = leases::HeldLease{ .row = row, .version = *written };
-    leases::recordRenewal(*heldLease_, *written, sentAt, sentAtWall);
+    heldLease_ = leases::HeldLease{ .row = row, .version = written->version, .era = era };
+    leases::recordRenewal(*heldLease_, written->version, sentAt, sentAtWall);
+    exclusiveUntil_ = leases::validUntil(*heldLease_, clockBounds_);
+    highestFence_ = std::max(highestFence_, row.fence);
     log_.write("rollout", "lease-taken",
                { { "fence", row.fence }, { "before", current ? current->holder : std::string() } });
     return true;
@@ -177,6 +216,12 @@
 
 void Rollout::releaseLease(const yield_context &yield)
 {
+    exclusiveUntil_ = {};
+    if (heldLease_->era < era_) {
+        // The row of another era is not the one that was written.
+        heldLease_.reset();
+        return;
+    }
     const leases::LeaseRow row{
         .holder = {}, .fence = heldLease_->row.fence, .times = heldLease_->row.times, .target = {}
     };
@@ -276,8 +321,9 @@
         return recordLoaded(task, "already");
     case fleet::OrderOutcome::StaleFence:
         if (heldLease_)
-            highestRefusedToken_ = std::max(highestRefusedToken_, heldLease_->row.fence);
+            highestFence_ = std::max(highestFence_, heldLease_->row.fence);
         heldLease_.reset();
+        exclusiveUntil_ = {};
         return recordNotTaken(task);
     case fleet::OrderOutcome::Rejected:
         return recordNotTaken(task);
@@ -327,6 +373,7 @@
 {
     while (true) {
         sleepFor(options_.tickInterval, yield);
+        observeEra();
         const auto now = Clock::now();
         auto pending = pendingTasks();
         if (pending.empty() && loadingEngines_.empty()) {
--- a/packages/entry/src/row_fetcher.cpp
+++ b/packages/entry/src/row_fetcher.cpp
@@ -75,9 +75,10 @@
     }
     const ActiveTable active(activeTables_, table);
     const auto requestedAt = ViewUpdater::Clock::now();
-    const peers::EntriesQuery query{ .after = viewUpdater_.version(table),
-                                     .table = table,
-                                     .acceptsCompressed = true };
+    const fleet::StoreVersion known = viewUpdater_.storeVersion(table);
+    const peers::EntriesQuery query{
+        .after = known.version, .table = table, .acceptsCompressed = true, .storeEra = known.era
+    };
     std::error_code error;
     const bool hasTargets = table == viewUpdater_.schema().targetTable;
     const auto entries = peers::fetchEntries(client_, peer, query,
--- a/packages/entry/src/view_updater.cpp
+++ b/packages/entry/src/view_updater.cpp
@@ -1,10 +1,11 @@
 #include "entry/view_updater.h"
 
+#include "row_transfer.h"
+
 #include "base/result.h"
 #include "net/http_server.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/json.hpp>
 
 #include <algorithm>
 #include <array>
@@ -14,62 +15,10 @@
 
 namespace chervilfield::entry {
 
-namespace json = boost::json;
 using base::Result;
 using boost::asio::yield_context;
 using std::chrono::milliseconds;
 
-namespace {
-
-// Encodes all rows of one version as one entry, because revisions must increase from entry to entry
-// of a response.
-std::string encodeRows(const std::vector<const fleet::StoreRow *> &rows)
-{
-    json::array list;
-    for (const fleet::StoreRow *row : rows) {
-        list.push_back(json::object{ { "table", row->table },
-                                     { "key", row->key },
-                                     { "value", row->value },
-                                     { "deleted", row->isDeleted } });
-    }
-    return json::serialize(list);
-}
-
-// Returns no value if the entry or one of its rows is malformed.
-std::optional<std::vector<fleet::StoreRow>> decodeRows(const peers::ConfigurationEntry &entry)
-{
-    std::vector<fleet::StoreRow> rows;
-    const auto text = peers::decompressedValue(entry);
-    if (!text)
-        return std::nullopt;
-    json::error_code error;
-    // Rows of other writers may hold any bytes, which the sender copies into the text.
-    const json::value value = json::parse(*text, error, {}, { .allow_invalid_utf8 = true });
-    if (error || !value.is_array())
-        return std::nullopt;
-    for (const json::value &item : value.get_array()) {
-        const json::object *object = item.if_object();
-        if (object == nullptr)
-            return std::nullopt;
-        const json::value *table = object->if_contains("table");
-        const json::value *key = object->if_contains("key");
-        const json::value *content = object->if_contains("value");
-        const json::value *deleted = object->if_contains("deleted");
-        if (!table || !key || !content || !deleted || !table->is_string() || !key->is_string()
-            || !content->is_string() || !deleted->is_bool())
-            return std::nullopt;
-        rows.push_back({ .table = std::string(table->get_string()),
-                         .partition = {},
-                         .key = std::string(key->get_string()),
-                         .value = std::string(content->get_string()),
-                         .version = entry.revision,
-                         .isDeleted = deleted->get_bool() });
-    }
-    return rows;
-}
-
-} // namespace
-
 ViewUpdater::ViewUpdater(boost::asio::io_context &context, fleet::Store &store,
                          const fleet::DeploymentSchema &schema, base::EventLog &log, Hooks hooks,
                          ViewUpdaterOptions options)
@@ -127,14 +76,15 @@
     confirmedAt_ = oldest;
 }
 
-std::uint64_t ViewUpdater::version(const std::string &table) const
+fleet::StoreVersion ViewUpdater::storeVersion(const std::string &table) const
 {
     const auto names = selectTables(table);
     if (names.empty())
-        return 0;
-    std::uint64_t lowest = std::numeric_limits<std::uint64_t>::max();
+        return {};
+    constexpr auto kMax = std::numeric_limits<std::uint64_t>::max();
+    fleet::StoreVersion lowest{ .era = kMax, .version = kMax };
     for (const std::string &name : names)
-        lowest = std::min(lowest, tables_.at(name).version());
+        lowest = std::min(lowest, tables_.at(name).storeVersion());
     return lowest;
 }
 
@@ -146,12 +96,12 @@
 
 std::uint64_t ViewUpdater::revision() const
 {
-    std::uint64_t newest = 0;
+    fleet::StoreVersion newest;
     for (const auto &[name, table] : tables_) {
         if (name != schema_.targetTable)
-            newest = std::max(newest, table.newestRowVersion());
+            newest = std::max(newest, { .era = table.era(), .version = table.newestRowVersion() });
     }
-    return newest;
+    return newest.version;
 }
 
 void ViewUpdater::recordStoreResponse(const std::string &table)
@@ -213,18 +163,23 @@
 {
     const auto pollStartedAt = Clock::now();
     fleet::TableReplica &replica = tables_[table];
+    const fleet::StoreVersion known = replica.storeVersion();
     std::error_code error;
     bool hasChanged = false;
     std::optional<fleet::StoreRows> rows;
-    if (storeRespondedAt_.contains(table))
-        rows = store_.changes(table, replica.version(), wait, yield, error);
-    // After the first full read, another one is needed only if the store has lost the history.
-    const bool needsFullRead = !rows && (!error || error == Result::NotFound);
+    if (storeRespondedAt_.contains(table) && !isEraRequested(table))
+        rows = store_.changes(table, known.version, wait, yield, error);
+    // After the first full read, another one is needed only if the store has lost the history or
+    // was restored to an older copy, in which the same versions stand for other changes.
+    const bool needsFullRead = rows ? rows->era > known.era : !error || error == Result::NotFound;
     if (needsFullRead) {
         error.clear();
         rows = store_.readAll(table, yield, error);
     }
-    if (!rows) {
+    // An answer of an earlier era than the replica is late.
+    if (rows && rows->era < replica.era())
+        error = Result::StoreUnavailable;
+    if (!rows || error) {
         recordStoreFailure(table, pollStartedAt, error);
         return false;
     }
@@ -233,6 +188,11 @@
     const WeightsEvidence evidence{ .setAfter = previous == completeUntil_.end()
                                                         ? std::nullopt
                                                         : std::optional(previous->second) };
+    if (needsFullRead) {
+        requestedEras_.erase(table);
+        if (rows->era > replica.era())
+            beginEra(table, *rows);
+    }
     const bool hasTime = rows->storeTime > milliseconds::zero();
     recordCopy(table, hasTime ? storeClock_.observe(rows->storeTime, pollStartedAt, Clock::now())
                               : pollStartedAt);
@@ -249,7 +209,8 @@
     while (true) {
         const std::uint64_t previousVersion = tables_[table].version();
         boost::system::error_code ignored;
-        const bool mayPollFollower = storeRespondedAt_.contains(table) && hooks_.pollFollower;
+        const bool mayPollFollower = storeRespondedAt_.contains(table) && hooks_.pollFollower
+                                     && (!isEraRequested(table) || isPollFailing(table));
         // Each table is copied on its own, so that deregistrations do not wait behind a large
         // configuration.
         const FollowerResult followerResult =
@@ -389,6 +350,9 @@
 
 void ViewUpdater::recordCopy(const std::string &table, Clock::time_point time)
 {
+    // A change that the store has lost is not known before it is written again.
+    if (completeUntil_.contains(table) && Clock::now() < eraSettledAt_)
+        return;
     auto &known = completeUntil_.try_emplace(table, time).first->second;
     known = std::max(known, time);
 }
@@ -419,8 +383,14 @@
 {
     const auto startedAt = Clock::now();
     const fleet::ViewPtr previousView = view();
-    fleet::Deployment deployment =
-            schema_.readDeployment(tables_, previousView->sharedConfiguration());
+    auto previous = previousView->sharedConfiguration();
+    const std::uint64_t previousEra = std::exchange(configurationEra_, storeEra());
+    if (previousEra != configurationEra_)
+        previous = withoutRowVersion(previous);
+    fleet::Deployment deployment = schema_.readDeployment(tables_, previous);
+    if (configurationEra_ > 0)
+        deployment.configuration =
+                laterConfiguration(std::move(deployment.configuration), previous);
     for (const fleet::RejectedRow &row : deployment.rejectedRows) {
         std::string &previous = reportedReasons_[row.table + '/' + row.key];
         if (std::exchange(previous, row.reason) != row.reason)
@@ -428,6 +398,7 @@
                        { { "table", row.table }, { "key", row.key }, { "reason", row.reason } });
     }
     // If the configuration row cannot be read, the new view is incomplete.
+    previousTargets_.apply(deployment.targets, tables_.at(schema_.targetTable), startedAt);
     retainUnlistedTargets(deployment.targets);
     recordDesiredWeights(deployment.desiredWeights, evidence.setAfter);
     applyPeerAges(evidence);
@@ -450,12 +421,19 @@
 peers::ConfigurationEntries ViewUpdater::entries(const peers::EntriesQuery &query) const
 {
     const auto names = selectTables(query.table);
+    const std::uint64_t era = storeVersion(query.table).era;
+    peers::ConfigurationEntries result{ .revisionInForce = 0, .entries = {}, .storeEra = era };
+    const bool isOneEra = std::ranges::all_of(
+            names, [&](const std::string &name) { return tables_.at(name).era() == era; });
+    if (!isOneEra || query.storeEra > era)
+        return result;
+    // Versions of an earlier era do not tell which rows the peer has.
+    const std::uint64_t after = query.storeEra == era ? query.after : 0;
     std::map<std::uint64_t, std::vector<const fleet::StoreRow *>> rowsByVersion;
     std::vector<fleet::StoreRows> changes;
     changes.reserve(names.size());
     for (const std::string &name : names)
-        changes.push_back(tables_.at(name).changesAfter(query.after));
-    peers::ConfigurationEntries result{ .revisionInForce = 0, .entries = {} };
+        changes.push_back(tables_.at(name).changesAfter(after));
     for (std::size_t i = 0; i < names.size(); ++i) {
         for (const fleet::StoreRow &row : changes[i].rows)
             rowsByVersion[row.version].push_back(&row);
@@ -472,9 +450,10 @@
         result.age = std::chrono::ceil<milliseconds>(Clock::now() - *time);
     for (const auto &[rowVersion, rows] : rowsByVersion) {
         if (query.acceptsCompressed)
-            result.entries.push_back(compressedEntry(query.table, rowVersion, rows));
+            result.entries.push_back(
+                    compressedEntry(query.table, { .era = era, .version = rowVersion }, rows));
         else
-            result.entries.push_back({ rowVersion, encodeRows(rows) });
+            result.entries.push_back({ rowVersion, detail::encodeRows(rows) });
     }
     if (isUpToDate && peers::fitsTransfer(result))
         result.revisionInForce = version(query.table);
@@ -484,7 +463,7 @@
 }
 
 peers::ConfigurationEntry
-ViewUpdater::compressedEntry(const std::string &table, std::uint64_t version,
+ViewUpdater::compressedEntry(const std::string &table, const fleet::StoreVersion &version,
                              const std::vector<const fleet::StoreRow *> &rows) const
 {
     EntryKey key{ .version = version, .rows = {}, .table = table };
@@ -493,7 +472,8 @@
     const auto found = compressedEntries_.find(key);
     if (found != compressedEntries_.end())
         return found->second;
-    peers::ConfigurationEntry entry{ .revision = version, .value = encodeRows(rows) };
+    peers::ConfigurationEntry entry{ .revision = version.version,
+                                     .value = detail::encodeRows(rows) };
     peers::compressValue(entry);
     if (!entry.isCompressed)
         return entry;
@@ -506,25 +486,18 @@
 bool ViewUpdater::merge(const peers::ConfigurationEntries &entries, Clock::time_point requestedAt,
                         const std::string &table)
 {
-    std::map<std::string, fleet::StoreRows> byTable;
-    bool isComplete = true;
-    for (const peers::ConfigurationEntry &entry : entries.entries) {
-        auto rows = decodeRows(entry);
-        isComplete = isComplete && rows.has_value();
-        for (fleet::StoreRow &row : rows.value_or(std::vector<fleet::StoreRow>()))
-            byTable[row.table].rows.push_back(std::move(row));
-    }
-    const bool isUpToDate = isComplete && entries.revisionInForce > 0;
     const auto names = selectTables(table);
+    const auto [byTable, isUpToDate] = detail::decodeRows(entries, names);
+    if (!mayMerge(byTable, names))
+        return false;
     bool hasChanged = false;
     for (const std::string &name : names) {
-        fleet::StoreRows &rows = byTable[name];
-        if (isUpToDate) {
-            rows.version = entries.revisionInForce;
-            if (const auto keys = entries.presentKeys.find(name); keys != entries.presentKeys.end())
-                rows.presentKeys = keys->second;
-        }
-        hasChanged = tables_.at(name).apply(rows) || hasChanged;
+        const fleet::StoreRows &rows = byTable.at(name);
+        const bool isNewEra = rows.era > tables_.at(name).era();
+        if (isNewEra)
+            beginEra(name, rows);
+        hasChanged = (isNewEra ? tables_.at(name).replace(rows) : tables_.at(name).apply(rows))
+                     || hasChanged;
     }
     const WeightsEvidence evidence{ .setAfter = completeUntil(names),
                                     .peerAges = entries.weightsAges,
--- a/packages/entry/test/fake_store.h
+++ b/packages/entry/test/fake_store.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -15,7 +16,8 @@
 
 namespace chervilfield::entry {
 
-/// In-memory version of the platform's table service, for single-threaded tests.
+/// In-memory version of the platform's table service, for single-threaded tests. A copy of it can
+/// be restored later.
 class FakeStore : public fleet::Store
 {
 public:
@@ -30,6 +32,11 @@
     int refusedCalls = 0;          ///< Failed calls of `readAll` and `write`.
     int writes = 0;                ///< Calls of `write` that took effect.
     std::function<void()> onWrite; ///< Called once, after the next write took effect.
+    /// Called once, when the next answer to a read is ready and before it is sent.
+    std::function<void()> onRead;
+    std::function<void()> beforeRead;  ///< Called once, before the next read.
+    std::function<void()> beforeWrite; ///< Called once, before the next write takes effect.
+    std::uint64_t startEra = 0;        ///< Era of a store that was never restored.
 
     void put(const std::string &table, const std::string &key, const std::string &value)
     {
@@ -45,6 +52,16 @@
     }
     void erase(const std::string &table, const std::string &key) { setRow(table, key, {}, true); }
 
+    /// Restores the rows and the version of an earlier copy and begins the next era.
+    void restore(const FakeStore &copy)
+    {
+        rows_ = copy.rows_;
+        version_ = copy.version_;
+        ++restorations_;
+    }
+    std::uint64_t currentEra() const { return startEra + restorations_; }
+    std::uint64_t currentVersion() const { return version_; }
+
     /// Returns the value of a row, empty if there is none.
     std::string valueOf(const std::string &table, const std::string &key) const
     {
@@ -63,11 +80,16 @@
             error = base::Result::StoreUnavailable;
             return std::nullopt;
         }
-        fleet::StoreRows all{ .rows = {}, .version = version_, .storeTime = storeTime() };
+        call(beforeRead);
+        fleet::StoreRows all{
+            .rows = {}, .version = version_, .storeTime = storeTime(), .era = currentEra()
+        };
         for (const auto &[key, row] : rows_) {
             if (key.first == table && !row.isDeleted)
                 all.rows.push_back(row);
         }
+        recordEra();
+        call(onRead);
         return all;
     }
 
@@ -87,17 +109,23 @@
         while (true) {
             if (isUnreachable)
                 error = base::Result::StoreUnavailable;
-            else if (std::exchange(hasLostHistory, false))
+            else if (std::exchange(hasLostHistory, false)
+                     || (currentEra() > startEra && after > version_))
                 error = base::Result::NotFound;
+            if (!isUnreachable)
+                recordEra();
             if (error)
                 return std::nullopt;
-            fleet::StoreRows found{ .rows = {}, .version = version_, .storeTime = storeTime() };
+            fleet::StoreRows found{
+                .rows = {}, .version = version_, .storeTime = storeTime(), .era = currentEra()
+            };
             for (const auto &[key, row] : rows_) {
                 if (key.first == table && row.version > after)
                     found.rows.push_back(row);
             }
             if (!found.rows.empty() || std::chrono::steady_clock::now() >= pollDeadline) {
                 ++answeredPolls;
+                call(onRead);
                 const auto arrival = std::chrono::steady_clock::now() + responseDelay;
                 while (std::chrono::steady_clock::now() < arrival)
                     waitBriefly(yield);
@@ -107,14 +135,18 @@
         }
     }
 
-    std::optional<std::uint64_t> write(const fleet::ConditionalWrite &write,
-                                       boost::asio::yield_context, std::error_code &error) override
+    std::optional<fleet::StoreVersion> write(const fleet::ConditionalWrite &write,
+                                             boost::asio::yield_context,
+                                             std::error_code &error) override
     {
         if (isUnreachable) {
             ++refusedCalls;
             error = base::Result::StoreUnavailable;
             return std::nullopt;
         }
+        call(beforeWrite);
+        const std::uint64_t era = currentEra();
+        recordEra();
         const auto found = rows_.find({ write.table, write.key });
         const bool exists = found != rows_.end() && !found->second.isDeleted;
         if ((exists ? found->second.version : 0) != write.expectedVersion) {
@@ -123,16 +155,26 @@
         }
         ++writes;
         put(write.table, write.key, write.value);
-        if (const auto callback = std::exchange(onWrite, nullptr))
-            callback();
+        const std::uint64_t version = version_;
+        call(onWrite);
         if (dropsWriteReplies) {
             error = base::Result::WriteUndecided;
             return std::nullopt;
         }
-        return version_;
+        return fleet::StoreVersion{ .era = era, .version = version };
     }
 
+    std::uint64_t era() const override { return answeredEra_; }
+
 private:
+    static void call(std::function<void()> &callback)
+    {
+        if (const auto once = std::exchange(callback, nullptr))
+            once();
+    }
+
+    void recordEra() { answeredEra_ = std::max(answeredEra_, currentEra()); }
+
     // Returns the time of the store's own clock, which differs from that of the instance.
     static std::chrono::milliseconds storeTime()
     {
@@ -163,6 +205,8 @@
 
     std::map<std::pair<std::string, std::string>, fleet::StoreRow> rows_;
     std::uint64_t version_ = 0;
+    std::uint64_t restorations_ = 0;
+    std::uint64_t answeredEra_ = 0; ///< Highest era of an answer.
 };
 
 /// Runs the context until `condition` holds. Returns false if that takes more than five seconds.
--- a/packages/fleet/include/fleet/store.h
+++ b/packages/fleet/include/fleet/store.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fleet/store_version.h"
+
 #include <boost/asio/spawn.hpp>
 
 #include <chrono>
@@ -21,6 +23,7 @@
     std::string value;
     std::uint64_t version = 0; ///< Version of the transaction that last changed the row.
     bool isDeleted = false;
+    std::uint64_t era = 0; ///< Era of the store in which the row was read.
 };
 
 /// Rows of a table, or changes to it, and the store version that they reflect.
@@ -32,9 +35,12 @@
     std::optional<std::set<std::string>> presentKeys{};
     /// Time of the store's own steady clock at which `version` was the newest one, 0 if unknown.
     std::chrono::milliseconds storeTime{ 0 };
+    std::uint64_t era = 0; ///< Era that `version` and the versions of the rows belong to.
 };
 
-/// A write that takes effect only if the row still has the expected version.
+/// A write that takes effect only if the row still has the expected version. The store compares
+/// versions without their era, so that the condition may hold by chance if the store was restored
+/// meanwhile.
 struct ConditionalWrite
 {
     std::string table;
@@ -46,7 +52,8 @@
 /// Client of the platform's table service. Errors: `StoreUnavailable` if the service did not answer
 /// or refused the request; `NotFound` if the requested history is no longer available;
 /// `RevisionConflict` if the condition of a write did not hold; `WriteUndecided` if a write got no
-/// answer and may still take effect.
+/// answer and may still take effect. An answer from an older era than an earlier answer counts as
+/// no answer.
 class Store
 {
 public:
@@ -57,15 +64,20 @@
     readAll(const std::string &table, boost::asio::yield_context yield, std::error_code &error) = 0;
 
     /// Returns the changes to a table since version `after`. Waits up to `wait` for the first one.
+    /// If the result is of another era than `after`, changes may be missing.
     virtual std::optional<StoreRows> changes(const std::string &table, std::uint64_t after,
                                              std::chrono::milliseconds wait,
                                              boost::asio::yield_context yield,
                                              std::error_code &error) = 0;
 
-    /// Writes the row and returns its new version.
-    virtual std::optional<std::uint64_t> write(const ConditionalWrite &write,
-                                               boost::asio::yield_context yield,
-                                               std::error_code &error) = 0;
+    /// Writes the row and returns its new version. If that is of another era than the expected
+    /// version, the condition proves nothing, and the row must be read again.
+    virtual std::optional<StoreVersion> write(const ConditionalWrite &write,
+                                              boost::asio::yield_context yield,
+                                              std::error_code &error) = 0;
+
+    /// Returns the highest era that an answer has stated, including answers with an error.
+    virtual std::uint64_t era() const = 0;
 };
 
 } // namespace chervilfield::fleet
--- a/packages/fleet/src/replica.cpp
+++ b/packages/fleet/src/replica.cpp
@@ -16,15 +16,19 @@
     if (row.isDeleted) {
         rows_.erase(row.key);
         deleted_[row.key] = row;
+        deleted_[row.key].era = era_;
     } else {
         deleted_.erase(row.key);
         rows_[row.key] = row;
+        rows_[row.key].era = era_;
     }
     return true;
 }
 
 bool TableReplica::apply(const StoreRows &changes)
 {
+    if (changes.era != era_)
+        return false;
     // Changes without a version do not claim to be complete.
     const bool isCopy = changes.presentKeys && changes.version > 0 && changes.version >= version_;
     bool changed = isCopy && deleteUnlisted(*changes.presentKeys, changes.version);
@@ -59,18 +63,23 @@
 
 bool TableReplica::replace(const StoreRows &all)
 {
-    if (all.version < version_)
+    if (all.era < era_ || (all.era == era_ && all.version < version_))
         return false;
+    const bool isNewEra = all.era > era_;
+    if (isNewEra) {
+        *this = {};
+        era_ = all.era;
+    }
     StoreRows copy = all;
     copy.presentKeys.emplace();
     for (const StoreRow &row : all.rows)
         copy.presentKeys->insert(row.key);
-    return apply(copy);
+    return apply(copy) || isNewEra;
 }
 
 StoreRows TableReplica::changesAfter(std::uint64_t version) const
 {
-    StoreRows result{ .rows = {}, .version = version_ };
+    StoreRows result{ .rows = {}, .version = version_, .era = era_ };
     for (const auto *rows : { &rows_, &deleted_ }) {
         for (const auto &[key, row] : *rows) {
             if (row.version > version)
--- a/packages/leases/include/leases/lease.h
+++ b/packages/leases/include/leases/lease.h
@@ -70,11 +70,13 @@
 {
     std::uint64_t version = 0; ///< Version of the row in the store.
     SteadyTime firstSeen;
+    std::uint64_t era = 0; ///< Era of the store that `version` belongs to.
 };
 
 /// Returns `last` updated with a read of the row that was answered at `now`. A renewal by the
-/// holder restarts the observation.
-Observation observe(const std::optional<Observation> &last, std::uint64_t version, SteadyTime now);
+/// holder restarts the observation, and so does a new era of the store.
+Observation observe(const std::optional<Observation> &last, std::uint64_t version, SteadyTime now,
+                    std::uint64_t era = 0);
 
 /// Returns how long the row must be seen unchanged before it may be taken over. The time covers the
 /// lease, measured by a fast clock here and a slow one at the holder. If the fencing token is
@@ -88,12 +90,35 @@
 bool canTake(const LeaseRow &row, const Observation &observation, FencingMode mode,
              const ClockBounds &clocks, SteadyTime now);
 
+/// Returns the lowest fencing token of the leases taken in an era of the store. All tokens of
+/// earlier eras are lower, because versions of the store and changes of a holder stay below the
+/// distance of two eras. Tokens stay integers that every JSON parser represents exactly.
+constexpr std::uint64_t firstFence(std::uint64_t era)
+{
+    return era << 32U;
+}
+
+/// Returns the lowest fencing token for a lease that is written on condition that the row has
+/// `version`, 0 if it must not exist. In an era after 0, it increases with the version: a row that
+/// was restored, or written by a process that did not know of the era, may have a lower token than
+/// one that was issued in the era.
+constexpr std::uint64_t minFence(std::uint64_t era, std::uint64_t version)
+{
+    return era == 0 ? 0 : firstFence(era) + version + 1;
+}
+
+/// Returns true if the row, or its absence, does not tell who may hold the lease in this era of the
+/// store: it may be a restored one, and a holder of the previous era may have been lost with its
+/// row. The lease may then be taken only after the era has been known for `takeoverWait`.
+bool isFromEarlierEra(const std::optional<LeaseRow> &row, std::uint64_t era);
+
 /// LeaseRequest holds what a process writes into the row to take a lease.
 struct LeaseRequest
 {
     std::string holder; ///< Life of this process.
     std::string target; ///< Engine to which the process will send orders.
     LeaseTimes times;
+    std::uint64_t minFence = 0; ///< Lowest permitted fencing token.
 };
 
 /// Returns the row that takes the lease over from `current`, which is empty if there is no row. The
@@ -109,6 +134,7 @@
     WallTime sentAtWall;       ///< Read before the last successful write was sent.
     /// Time from which the last authorized order can neither be accepted nor have an effect.
     SteadyTime busyUntil;
+    std::uint64_t era = 0; ///< Era of the store that `version` belongs to.
 };
 
 /// Returns the time from which the holder must not act. The lease starts before the write is sent,
--- a/packages/leases/src/lease.cpp
+++ b/packages/leases/src/lease.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace chervilfield::leases {
 
@@ -99,12 +100,18 @@
                      .target = std::string(*target) };
 }
 
-Observation observe(const std::optional<Observation> &last, std::uint64_t version, SteadyTime now)
+Observation observe(const std::optional<Observation> &last, std::uint64_t version, SteadyTime now,
+                    std::uint64_t era)
 {
-    // An older version is a stale read, because versions in the store only increase.
-    if (last && version <= last->version)
+    // An older version is a stale read, because versions in an era of the store only increase.
+    if (last && std::pair(era, version) <= std::pair(last->era, last->version))
         return *last;
-    return { .version = version, .firstSeen = now };
+    return { .version = version, .firstSeen = now, .era = era };
+}
+
+bool isFromEarlierEra(const std::optional<LeaseRow> &row, std::uint64_t era)
+{
+    return era > 0 && (!row || row->fence < firstFence(era));
 }
 
 milliseconds takeoverWait(const LeaseRow &row, FencingMode mode, const ClockBounds &clocks)
@@ -124,7 +131,7 @@
 LeaseRow takenRow(const std::optional<LeaseRow> &current, const LeaseRequest &request)
 {
     return { .holder = request.holder,
-             .fence = current ? current->fence + 1 : 1,
+             .fence = std::max(current ? current->fence + 1 : 1, request.minFence),
              .times = request.times,
              .target = request.target };
 }
--- a/packages/membership/include/membership/protocol.h
+++ b/packages/membership/include/membership/protocol.h
@@ -103,6 +103,7 @@
     std::vector<MemberUpdate> updates;
     std::uint64_t tableHash = 0;             ///< `State::tableHash` of the sender.
     std::uint64_t configurationRevision = 0; ///< Revision in force at the sender.
+    std::uint64_t storeEra = 0;              ///< Era of the store that the revision belongs to.
     bool operator==(const Packet &) const = default;
 };
 
@@ -136,6 +137,7 @@
 struct RevisionChanged
 {
     std::uint64_t revision = 0;
+    std::uint64_t storeEra = 0; ///< Era of the store that the revision belongs to.
 };
 
 /// Leave announces that this daemon accepts no new work.
@@ -172,13 +174,20 @@
     std::optional<MemberState> previous; ///< Empty for a new member.
 };
 
-/// NewerRevision reports that a peer has a newer configuration in force than this daemon.
+/// NewerRevision reports that a peer has a newer configuration in force than this daemon, in the
+/// same era of the store.
 struct NewerRevision
 {
     std::uint64_t revision = 0;
     std::string address;
 };
 
+/// NewerEra reports that a peer knows a later era of the store than this daemon.
+struct NewerEra
+{
+    std::uint64_t storeEra = 0;
+};
+
 /// NameConflict reports that another process with a later life uses this daemon's name at a
 /// different address.
 struct NameConflict
@@ -187,7 +196,8 @@
 };
 
 /// Output is an action or a report for the caller of `step`.
-using Output = std::variant<SendPacket, ExchangeTable, MemberChanged, NewerRevision, NameConflict>;
+using Output = std::variant<SendPacket, ExchangeTable, MemberChanged, NewerRevision, NewerEra,
+                            NameConflict>;
 
 /// Suspicion records since when a member is suspect and which daemons have reported it.
 struct Suspicion
@@ -252,7 +262,8 @@
     /// XOR of the record hashes of this daemon and of all members that are not dead.
     std::uint64_t tableHash = 0;
     std::uint64_t configurationRevision = 0;
-    bool joined = false; ///< Whether any other daemon has answered.
+    std::uint64_t storeEra = 0; ///< Era of the store that the revision belongs to.
+    bool joined = false;        ///< Whether any other daemon has answered.
     TimePoint nextPeriod;
     TimePoint nextGossip;
     TimePoint nextReconnect;
--- a/packages/membership/src/datagrams.cpp
+++ b/packages/membership/src/datagrams.cpp
@@ -42,6 +42,8 @@
     // The constant covers version, table hash, revision, sequence number, field headers and stop
     // bytes.
     std::size_t size = 60 + maxEncodedBytes({ state.self, {} });
+    // The era is below 2^20 and takes three bytes and a field header.
+    size += state.storeEra > 0 ? 4 : 0;
     if (const auto *ping = std::get_if<Ping>(&body))
         size += ping->target.size();
     else if (const auto *indirect = std::get_if<IndirectPing>(&body))
@@ -94,7 +96,8 @@
                    .body = std::move(body),
                    .updates = takeUpdates(state, target, availableBytes),
                    .tableHash = state.tableHash,
-                   .configurationRevision = state.configurationRevision };
+                   .configurationRevision = state.configurationRevision,
+                   .storeEra = state.storeEra };
     context.outputs.emplace_back(SendPacket{ address, std::move(packet) });
 }
 
--- a/packages/membership/src/protocol.cpp
+++ b/packages/membership/src/protocol.cpp
@@ -3,6 +3,7 @@
 #include "internal/probe.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chervilfield::membership {
 
@@ -106,7 +107,10 @@
         completeJoin(context, received.from);
         std::visit(BodyHandler{ context, received }, packet.body);
         compareTables(context, packet, received.from);
-        if (packet.configurationRevision > state.configurationRevision)
+        if (packet.storeEra > state.storeEra)
+            context.outputs.emplace_back(NewerEra{ packet.storeEra });
+        else if (packet.storeEra == state.storeEra
+                 && packet.configurationRevision > state.configurationRevision)
             context.outputs.emplace_back(
                     NewerRevision{ packet.configurationRevision, received.from });
     }
@@ -129,7 +133,12 @@
     void operator()(const RevisionChanged &change) const
     {
         State &state = context.state;
-        state.configurationRevision = std::max(state.configurationRevision, change.revision);
+        // The store issues the same revisions again in each era.
+        const auto [era, revision] =
+                std::max(std::pair(state.storeEra, state.configurationRevision),
+                         std::pair(change.storeEra, change.revision));
+        state.storeEra = era;
+        state.configurationRevision = revision;
     }
 
     void operator()(const Leave &) const { announceToAll(MemberState::Leaving); }
@@ -149,7 +158,8 @@
                              .body = {},
                              .updates = {},
                              .tableHash = state.tableHash,
-                             .configurationRevision = state.configurationRevision };
+                             .configurationRevision = state.configurationRevision,
+                             .storeEra = state.storeEra };
         for (const auto &[name, entry] : state.members) {
             if (entry.member.state != MemberState::Dead)
                 context.outputs.emplace_back(SendPacket{ entry.member.peerAddress, packet });
--- a/packages/peers/include/peers/exchange.h
+++ b/packages/peers/include/peers/exchange.h
@@ -21,6 +21,9 @@
     /// tables. The product's own configuration has no tables.
     std::string table;
     bool acceptsCompressed = false; ///< Whether values may be compressed.
+    /// Era of the store that `after` belongs to. A peer in a later era sends all entries. The
+    /// product's own configuration has no eras.
+    std::uint64_t storeEra = 0;
 };
 
 /// Functions that supply the responses to requests of peers over TCP. They run on the thread of the
@@ -34,8 +37,8 @@
 };
 
 /// Returns the handler for the HTTP server on the peer address. It serves `POST /peer/v1/members`
-/// and `GET /peer/v1/configuration?after=<revision>&table=<name>&compression=zstd`, in which
-/// `table` and `compression` are optional.
+/// and `GET /peer/v1/configuration?after=<revision>&table=<name>&compression=zstd&era=<era>`, in
+/// which `table`, `compression` and `era` are optional.
 net::Handler makeExchangeHandler(ExchangeSource source);
 
 /// Sends the member table of this daemon and returns the table of the peer. On failure, returns no
--- a/packages/peers/include/peers/transfer.h
+++ b/packages/peers/include/peers/transfer.h
@@ -24,6 +24,8 @@
 constexpr std::size_t kMaxValueBytes = 16U << 20U;
 /// Maximum number of keys of a table in one `ConfigurationEntries`.
 constexpr std::size_t kMaxPresentKeys = 4096;
+/// Highest era of the store in a message; larger ones are malformed.
+constexpr std::uint64_t kMaxStoreEra = (1U << 20U) - 1;
 /// Maximum number of weights ages in one `ConfigurationEntries`.
 constexpr std::size_t kMaxWeightsAges = 256;
 
@@ -68,6 +70,8 @@
     /// Keys of all rows that exist at `revisionInForce`, by table, for tables of which the entries
     /// may lack deletions. Only entry instances send them.
     std::map<std::string, std::set<std::string>> presentKeys{};
+    /// Era of the store that the revisions belong to. Only entry instances send it.
+    std::uint64_t storeEra = 0;
     bool operator==(const ConfigurationEntries &) const = default;
 };
 
@@ -86,8 +90,9 @@
 /// exceed `kMaxTransferBytes` or the list `kMaxConfigurationEntries`.
 std::string encodeEntries(const ConfigurationEntries &entries);
 
-/// Decodes configuration entries. Returns no value if the body is malformed, exceeds a limit or is
-/// not in ascending order of revisions. Memory use is bounded as for `decodeTable`.
+/// Decodes configuration entries. Returns no value if the body is malformed, exceeds a limit, is
+/// not in ascending order of revisions or states an impossible era. Memory use is bounded as for
+/// `decodeTable`.
 std::optional<ConfigurationEntries> decodeEntries(std::string_view body);
 
 } // namespace chervilfield::peers
--- a/packages/peers/src/datagram.cpp
+++ b/packages/peers/src/datagram.cpp
@@ -2,6 +2,7 @@
 
 #include "internal/compact.h"
 #include "internal/member_wire.h"
+#include "peers/transfer.h"
 
 #include <algorithm>
 #include <cmath>
@@ -44,6 +45,8 @@
         message.updates.push_back(internal::toWire(update));
     message.tableHash = static_cast<std::int64_t>(packet.tableHash);
     message.configurationRevision = static_cast<std::int64_t>(packet.configurationRevision);
+    if (packet.storeEra > 0)
+        message.__set_storeEra(static_cast<std::int64_t>(packet.storeEra));
     return message;
 }
 
@@ -86,6 +89,9 @@
     }
     packet.tableHash = static_cast<std::uint64_t>(message.tableHash);
     packet.configurationRevision = static_cast<std::uint64_t>(message.configurationRevision);
+    packet.storeEra = static_cast<std::uint64_t>(message.__isset.storeEra ? message.storeEra : 0);
+    if (packet.storeEra > kMaxStoreEra)
+        return std::nullopt;
     return packet;
 }
 
--- a/packages/peers/src/exchange.cpp
+++ b/packages/peers/src/exchange.cpp
@@ -38,20 +38,28 @@
     return thriftResponse(encodeTable(source.exchangeTable(*std::move(members))));
 }
 
+// Returns no value if the text is not a number.
+std::optional<std::uint64_t> parseNumber(const std::string &text)
+{
+    std::uint64_t number = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(number) : std::nullopt;
+}
+
 net::Response answerConfiguration(const ExchangeSource &source, const net::Request &request)
 {
     if (request.method != "GET")
         return errorResponse(base::Result::MethodNotAllowed);
-    const std::string text = net::queryParameter(request.target, "after").value_or("");
-    std::uint64_t after = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, after);
-    if (parsed.ec != std::errc() || parsed.ptr != end)
+    const auto after = parseNumber(net::queryParameter(request.target, "after").value_or(""));
+    const auto era = parseNumber(net::queryParameter(request.target, "era").value_or("0"));
+    if (!after || !era)
         return errorResponse(base::Result::InvalidField);
     const EntriesQuery query{
-        .after = after,
+        .after = *after,
         .table = net::queryParameter(request.target, "table").value_or(""),
-        .acceptsCompressed = net::queryParameter(request.target, "compression") == kCompression
+        .acceptsCompressed = net::queryParameter(request.target, "compression") == kCompression,
+        .storeEra = *era
     };
     return thriftResponse(encodeEntries(source.entries(query)));
 }
@@ -129,6 +137,8 @@
         request.target += "&table=" + net::percentEncode(query.table);
     if (query.acceptsCompressed)
         request.target += "&compression=" + std::string(kCompression);
+    if (query.storeEra > 0)
+        request.target += "&era=" + std::to_string(query.storeEra);
     const auto body = fetch(client, peer, request, limits, std::move(yield), error);
     if (!body)
         return std::nullopt;
--- a/packages/peers/src/transfer.cpp
+++ b/packages/peers/src/transfer.cpp
@@ -134,6 +134,8 @@
         message.__set_weightsAges(toWire(entries.weightsAges));
     if (!entries.presentKeys.empty())
         message.__set_presentKeys(toWire(entries.presentKeys));
+    if (entries.storeEra > 0)
+        message.__set_storeEra(static_cast<std::int64_t>(entries.storeEra));
     return internal::writeCompact(message);
 }
 
@@ -145,6 +147,9 @@
                                   message))
         return std::nullopt;
     ConfigurationEntries result;
+    result.storeEra = static_cast<std::uint64_t>(message.__isset.storeEra ? message.storeEra : 0);
+    if (result.storeEra > kMaxStoreEra)
+        return std::nullopt;
     result.revisionInForce = static_cast<std::uint64_t>(message.revisionInForce);
     for (wire::ConfigurationEntry &entry : message.entries) {
         const auto revision = static_cast<std::uint64_t>(entry.revision);
