--- a/packages/entry/include/entry/view_updater.h
+++ b/packages/entry/include/entry/view_updater.h
@@ -195,6 +195,9 @@
     bool isEraRequested(const std::string &table) const;
     /// Records that the store was restored to an older copy before `copy` of the table was read.
     void beginEra(const std::string &table, const fleet::StoreRows &copy);
+    /// Rebuilds the view, at the end of the time to register again, if the last one has targets
+    /// without a row that only an unconfirmed table has kept since a new era was found.
+    void rebuildAfterEra();
     /// Returns true if the rows that a peer has sent may be applied to the tables. Otherwise they
     /// are of another era, or not all of them have arrived.
     bool mayMerge(const std::map<std::string, fleet::StoreRows> &rows,
@@ -264,6 +267,8 @@
     PreviousTargets previousTargets_;
     /// Time until which changes that the store has lost may not have been written again.
     Clock::time_point eraSettledAt_{};
+    /// Whether the last view has targets without a row, and the table was not confirmed.
+    bool hasUnconfirmedTargets_ = false;
     /// Era in which the row of the last configuration was read.
     std::uint64_t configurationEra_ = 0;
     Clock::time_point startedAt_ = Clock::now();
--- a/packages/entry/src/view_updater.cpp
+++ b/packages/entry/src/view_updater.cpp
@@ -123,8 +123,10 @@
     const bool isFirst = targetsConfirmedAt_ == Clock::time_point{};
     targetsUnconfirmedSince_.reset();
     targetsConfirmedAt_ = now;
-    if (isFirst || timeUnconfirmed <= options_.outageThreshold)
+    if (isFirst || timeUnconfirmed <= options_.outageThreshold) {
+        rebuildAfterEra();
         return;
+    }
     storeRecoveredAt_ = now;
     scheduleRebuild(options_.reregistrationTime + milliseconds(1));
     log_.write("store", "targets-confirmed",
@@ -243,6 +245,7 @@
 
 void ViewUpdater::retainUnlistedTargets(std::vector<fleet::Target> &targets)
 {
+    hasUnconfirmedTargets_ = false;
     const bool hasRecovered = storeRecoveredAt_ == Clock::time_point{}
                               || Clock::now() - storeRecoveredAt_ >= options_.reregistrationTime;
     if (hasRecovered && !targetsUnconfirmedSince_)
@@ -256,6 +259,7 @@
         targets.push_back(previous);
         ++retained;
     }
+    hasUnconfirmedTargets_ = retained > 0 && targetsUnconfirmedSince_;
     if (retained > 0)
         log_.write("store", "registrations-kept",
                    { { "targets", retained },
