--- a/packages/entry/test/quarantine_eras_test.cpp
+++ b/packages/entry/test/quarantine_eras_test.cpp
@@ -116,6 +116,30 @@
     std::vector<std::unique_ptr<Instance>> instances;
 };
 
+enum class Step { Idle, BeforeWrite, AfterWrite, AfterWriteUnanswered, BeforeRead, AfterRead };
+// A restoration of the store.
+struct Restoration
+{
+    std::string name;
+    Step step;
+    bool hasRow; ///< Whether the restored copy has the row, with one of the quarantines.
+};
+
+std::vector<Restoration> makeRestorations()
+{
+    std::vector<Restoration> rows;
+    for (const auto &[name, step] :
+         { std::pair("idle", Step::Idle), std::pair("before a write", Step::BeforeWrite),
+           std::pair("after a write", Step::AfterWrite),
+           std::pair("after a write without answer", Step::AfterWriteUnanswered),
+           std::pair("before a read", Step::BeforeRead),
+           std::pair("after a read", Step::AfterRead) }) {
+        for (const bool hasRow : { false, true })
+            rows.push_back({ name, step, hasRow });
+    }
+    return rows;
+}
+
 } // namespace
 
 class QuarantineErasTest : public CppUnit::TestFixture
@@ -131,31 +155,7 @@
     // against a write by each instance.
     void lostQuarantinesAreSavedAgain()
     {
-        enum class Step {
-            Idle,
-            BeforeWrite,
-            AfterWrite,
-            AfterWriteUnanswered,
-            BeforeRead,
-            AfterRead
-        };
-        struct Row
-        {
-            std::string name;
-            Step step;
-            bool hasRow; ///< Whether the restored copy has the row, with one of the quarantines.
-        };
-        std::vector<Row> rows;
-        for (const auto &[name, step] :
-             { std::pair("idle", Step::Idle), std::pair("before a write", Step::BeforeWrite),
-               std::pair("after a write", Step::AfterWrite),
-               std::pair("after a write without answer", Step::AfterWriteUnanswered),
-               std::pair("before a read", Step::BeforeRead),
-               std::pair("after a read", Step::AfterRead) }) {
-            for (const bool hasRow : { false, true })
-                rows.push_back({ name, step, hasRow });
-        }
-        for (const Row &row : rows) {
+        for (const Restoration &row : makeRestorations()) {
             const std::string name = row.name + std::string(row.hasRow ? ", row" : ", no row");
             Fixture f;
             FakeStore copy = f.store;
--- a/packages/entry/test/rollout_eras_test.cpp
+++ b/packages/entry/test/rollout_eras_test.cpp
@@ -165,6 +165,89 @@
     Instance *stopped = nullptr;
 };
 
+// A step of the protocol at which the store is restored.
+struct Step
+{
+    std::string name;
+    std::function<void(Fixture &, std::function<void()>)> install;
+    bool isWrite = false;
+};
+
+std::vector<Step> makeSteps()
+{
+    const auto afterOrders = [](std::size_t count) {
+        return [count](Fixture &f, const std::function<void()> &restore) {
+            CPPUNIT_ASSERT(f.runUntil([&] { return f.engines.orders.size() >= count; }));
+            restore();
+        };
+    };
+    const auto whileHeld = [](std::function<void()> FakeStore::*callback) {
+        return [callback](Fixture &f, const std::function<void()> &restore) {
+            CPPUNIT_ASSERT(f.runUntil([&] { return !f.engines.orders.empty(); }));
+            // The next call of the holder is a renewal.
+            f.store.*callback = restore;
+            CPPUNIT_ASSERT(f.runUntil([&] { return !(f.store.*callback); }));
+        };
+    };
+    return {
+        { "before the first read",
+          [](Fixture &f, const std::function<void()> &restore) { f.store.beforeRead = restore; } },
+        { "after the first read",
+          [](Fixture &f, const std::function<void()> &restore) { f.store.onRead = restore; } },
+        { "before the first write",
+          [](Fixture &f, const std::function<void()> &restore) { f.store.beforeWrite = restore; },
+          true },
+        { "after the first write",
+          [](Fixture &f, const std::function<void()> &restore) { f.store.onWrite = restore; },
+          true },
+        { "after the first order", afterOrders(1) },
+        { "after some orders", afterOrders(5) },
+        { "before a renewal", whileHeld(&FakeStore::beforeWrite), true },
+        { "after a renewal", whileHeld(&FakeStore::onWrite), true },
+    };
+}
+
+// The row of the lease in the restored copy.
+struct Copy
+{
+    std::string name;
+    std::string holder;
+    bool hasRow;
+};
+
+const Copy kCopies[] = { { "no row", "", false },
+                         { "released row", "", true },
+                         { "row of a lost instance", "x", true },
+                         { "row of a", "a", true },
+                         { "row of b", "b", true } };
+
+// Checks the orders to the engines if the store is restored at the step. With `losesHolder`, the
+// holder stops then; with `losesReplies`, the writes after the restoration get no answer.
+void check(const Step &step, const Copy &copy, bool losesHolder, bool losesReplies)
+{
+    const std::string name = step.name + ", " + copy.name + (losesHolder ? ", holder stops" : "")
+                             + (losesReplies ? ", no answer" : "");
+    Fixture f;
+    if (copy.hasRow)
+        f.putLease(copy.holder, 4);
+    const FakeStore older = f.store;
+    step.install(f, [&] {
+        f.store.restore(older);
+        f.store.dropsWriteReplies = losesReplies;
+    });
+    CPPUNIT_ASSERT_MESSAGE(name, f.runUntil([&] { return f.store.currentEra() == 1; }));
+    f.runUntil([rounds = 0]() mutable { return ++rounds > 3; });
+    f.store.dropsWriteReplies = false;
+    if (losesHolder && !f.engines.orders.empty())
+        f.stopped = f.engines.orders.back().holder == "a" ? f.a.get() : f.b.get();
+    CPPUNIT_ASSERT_MESSAGE(name, f.runUntil([&] { return f.isDone(); }));
+    CPPUNIT_ASSERT_MESSAGE(name, f.engines.areExclusive());
+    // A holder that was stopped has no valid lease when it resumes.
+    f.stopped = nullptr;
+    f.runUntil([rounds = 0]() mutable { return ++rounds > 5; });
+    CPPUNIT_ASSERT_MESSAGE(name, f.engines.areExclusive());
+}
+
 } // namespace
 
 class RolloutErasTest : public CppUnit::TestFixture
@@ -180,59 +263,8 @@
     // if the store is restored at any step of the protocol; and against a rollout that stops.
     void leaseStaysExclusive()
     {
-        struct Step
-        {
-            std::string name;
-            std::function<void(Fixture &, std::function<void()>)> install;
-            bool isWrite = false;
-        };
-        const auto afterOrders = [](std::size_t count) {
-            return [count](Fixture &f, const std::function<void()> &restore) {
-                CPPUNIT_ASSERT(f.runUntil([&] { return f.engines.orders.size() >= count; }));
-                restore();
-            };
-        };
-        const auto whileHeld = [](std::function<void()> FakeStore::*callback) {
-            return [callback](Fixture &f, const std::function<void()> &restore) {
-                CPPUNIT_ASSERT(f.runUntil([&] { return !f.engines.orders.empty(); }));
-                // The next call of the holder is a renewal.
-                f.store.*callback = restore;
-                CPPUNIT_ASSERT(f.runUntil([&] { return !(f.store.*callback); }));
-            };
-        };
-        const Step steps[] = {
-            { "before the first read",
-              [](Fixture &f, const std::function<void()> &restore) {
-                  f.store.beforeRead = restore;
-              } },
-            { "after the first read",
-              [](Fixture &f, const std::function<void()> &restore) { f.store.onRead = restore; } },
-            { "before the first write",
-              [](Fixture &f, const std::function<void()> &restore) {
-                  f.store.beforeWrite = restore;
-              },
-              true },
-            { "after the first write",
-              [](Fixture &f, const std::function<void()> &restore) { f.store.onWrite = restore; },
-              true },
-            { "after the first order", afterOrders(1) },
-            { "after some orders", afterOrders(5) },
-            { "before a renewal", whileHeld(&FakeStore::beforeWrite), true },
-            { "after a renewal", whileHeld(&FakeStore::onWrite), true },
-        };
-        struct Copy
-        {
-            std::string name;
-            std::string holder;
-            bool hasRow;
-        };
-        const Copy copies[] = { { "no row", "", false },
-                                { "released row", "", true },
-                                { "row of a lost instance", "x", true },
-                                { "row of a", "a", true },
-                                { "row of b", "b", true } };
-        for (const Step &step : steps) {
-            for (const Copy &copy : copies) {
+        for (const Step &step : makeSteps()) {
+            for (const Copy &copy : kCopies) {
                 for (const bool losesHolder : { false, true }) {
                     for (const bool losesReplies : { false, true }) {
                         // One kind of fault at a time, and only restored rows that differ in it.
@@ -241,30 +273,7 @@
                             || (isOwnRow && (losesHolder || losesReplies))
                             || (losesReplies && !step.isWrite))
                             continue;
-                        const std::string name = step.name + ", " + copy.name
-                                                 + (losesHolder ? ", holder stops" : "")
-                                                 + (losesReplies ? ", no answer" : "");
-                        Fixture f;
-                        if (copy.hasRow)
-                            f.putLease(copy.holder, 4);
-                        const FakeStore older = f.store;
-                        step.install(f, [&] {
-                            f.store.restore(older);
-                            f.store.dropsWriteReplies = losesReplies;
-                        });
-                        CPPUNIT_ASSERT_MESSAGE(
-                                name, f.runUntil([&] { return f.store.currentEra() == 1; }));
-                        f.runUntil([rounds = 0]() mutable { return ++rounds > 3; });
-                        f.store.dropsWriteReplies = false;
-                        if (losesHolder && !f.engines.orders.empty())
-                            f.stopped =
-                                    f.engines.orders.back().holder == "a" ? f.a.get() : f.b.get();
-                        CPPUNIT_ASSERT_MESSAGE(name, f.runUntil([&] { return f.isDone(); }));
-                        CPPUNIT_ASSERT_MESSAGE(name, f.engines.areExclusive());
-                        // A holder that was stopped has no valid lease when it resumes.
-                        f.stopped = nullptr;
-                        f.runUntil([rounds = 0]() mutable { return ++rounds > 5; });
-                        CPPUNIT_ASSERT_MESSAGE(name, f.engines.areExclusive());
+                        check(step, copy, losesHolder, losesReplies);
                     }
                 }
             }
--- a/packages/entry/test/store_eras_test.cpp
+++ b/packages/entry/test/store_eras_test.cpp
@@ -123,6 +123,78 @@
     return copy;
 }
 
+enum class Step { BetweenPolls, BeforeAnswer, AfterAnswer, BeforeFullRead, AfterFullRead };
+// Restorations of the store during a poll.
+struct Restoration
+{
+    std::string name;
+    Step step;
+    int rowsAfter;    ///< Rows written after the store was restored.
+    bool isOutage;    ///< Whether the store is unreachable until it was restored.
+    int restorations; ///< How often the store is restored to the copy.
+};
+
+std::vector<Restoration> makeRestorations()
+{
+    std::vector<Restoration> rows;
+    for (const auto &[step, name] : { std::pair(Step::BetweenPolls, "between polls"),
+                                      std::pair(Step::BeforeAnswer, "before an answer"),
+                                      std::pair(Step::AfterAnswer, "after an answer"),
+                                      std::pair(Step::BeforeFullRead, "before a full read"),
+                                      std::pair(Step::AfterFullRead, "after a full read") }) {
+        // Up to 30 rows, the versions are below, at or above those of the lost state.
+        for (const int rowsAfter : { 0, 3, 6, 30 })
+            rows.push_back({ name, step, rowsAfter, false, 1 });
+        rows.push_back({ name + std::string(", outage"), step, 6, true, 1 });
+        rows.push_back({ name + std::string(", twice"), step, 6, false, 2 });
+    }
+    return rows;
+}
+
+// Restores the store to the copy, and returns when the instance has read it.
+void restoreDuringPoll(Instance &f, const FakeStore &copy, const Restoration &row)
+{
+    f.store.isUnreachable = row.isOutage;
+    if (row.isOutage)
+        f.context.run_for(milliseconds(10));
+    int left = row.restorations;
+    const std::function<void()> restore = [&] {
+        f.store.restore(copy);
+        for (int i = 0; i < row.rowsAfter; ++i)
+            f.store.put("other", std::to_string(i), "x");
+        --left;
+        if (left > 0)
+            f.store.beforeRead = restore;
+    };
+    switch (row.step) {
+    case Step::BetweenPolls:
+        restore();
+        break;
+    case Step::BeforeFullRead:
+        restore();
+        if (left == 0)
+            f.store.beforeRead = [&] { f.store.put("other", "late", "x"); };
+        break;
+    case Step::AfterFullRead:
+        f.store.hasLostHistory = true;
+        f.store.onRead = restore;
+        break;
+    case Step::BeforeAnswer:
+        f.store.hasLostHistory = true;
+        f.store.beforeRead = restore;
+        break;
+    case Step::AfterAnswer:
+        f.store.onRead = restore;
+        f.store.responseDelay = milliseconds(10);
+        break;
+    }
+    f.store.isUnreachable = false;
+    CPPUNIT_ASSERT_MESSAGE(row.name, runUntil(f.context, [&] {
+                               return left <= 0 && f.isInEra(f.store.currentEra());
+                           }));
+    f.store.responseDelay = milliseconds(0);
+}
+
 } // namespace
 
 class StoreErasTest : public CppUnit::TestFixture
@@ -134,6 +206,7 @@
     CPPUNIT_TEST(peersOfOtherErasAreNotMerged);
     CPPUNIT_TEST(peersAnswerOtherErasInFull);
     CPPUNIT_TEST(impossibleEraCausesOneRead);
+    CPPUNIT_TEST(lateAnswerConfirmsNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -141,71 +214,12 @@
     // rows of the new era, nor take lost state for removed or restored rows for new ones.
     void restoredStoreIsReadInFull()
     {
-        enum class Step { BetweenPolls, BeforeAnswer, AfterAnswer, BeforeFullRead, AfterFullRead };
-        struct Row
-        {
-            std::string name;
-            Step step;
-            int rowsAfter;    ///< Rows written after the store was restored.
-            bool isOutage;    ///< Whether the store is unreachable until it was restored.
-            int restorations; ///< How often the store is restored to the copy.
-        };
-        std::vector<Row> rows;
-        for (const auto &[step, name] : { std::pair(Step::BetweenPolls, "between polls"),
-                                          std::pair(Step::BeforeAnswer, "before an answer"),
-                                          std::pair(Step::AfterAnswer, "after an answer"),
-                                          std::pair(Step::BeforeFullRead, "before a full read"),
-                                          std::pair(Step::AfterFullRead, "after a full read") }) {
-            // Up to 30 rows, the versions are below, at or above those of the lost state.
-            for (const int rowsAfter : { 0, 3, 6, 30 })
-                rows.push_back({ name, step, rowsAfter, false, 1 });
-            rows.push_back({ name + std::string(", outage"), step, 6, true, 1 });
-            rows.push_back({ name + std::string(", twice"), step, 6, false, 2 });
-        }
-        for (const Row &row : rows) {
+        for (const Restoration &row : makeRestorations()) {
             const std::string name = row.name + ", " + std::to_string(row.rowsAfter) + " rows";
             Instance f;
             const FakeStore copy = loseState(f);
-            f.store.isUnreachable = row.isOutage;
-            if (row.isOutage)
-                f.context.run_for(milliseconds(10));
-            int left = row.restorations;
-            const std::function<void()> restore = [&] {
-                f.store.restore(copy);
-                for (int i = 0; i < row.rowsAfter; ++i)
-                    f.store.put("other", std::to_string(i), "x");
-                --left;
-                if (left > 0)
-                    f.store.beforeRead = restore;
-            };
-            switch (row.step) {
-            case Step::BetweenPolls:
-                restore();
-                break;
-            case Step::BeforeFullRead:
-                restore();
-                if (left == 0)
-                    f.store.beforeRead = [&] { f.store.put("other", "late", "x"); };
-                break;
-            case Step::AfterFullRead:
-                f.store.hasLostHistory = true;
-                f.store.onRead = restore;
-                break;
-            case Step::BeforeAnswer:
-                f.store.hasLostHistory = true;
-                f.store.beforeRead = restore;
-                break;
-            case Step::AfterAnswer:
-                f.store.onRead = restore;
-                f.store.responseDelay = milliseconds(10);
-                break;
-            }
-            f.store.isUnreachable = false;
-            CPPUNIT_ASSERT_MESSAGE(name, runUntil(f.context, [&] {
-                                       return left <= 0 && f.isInEra(f.store.currentEra());
-                                   }));
+            restoreDuringPoll(f, copy, row);
             const auto foundAt = ViewUpdater::Clock::now();
-            f.store.responseDelay = milliseconds(0);
             f.store.put("targets", "back", "p");
             f.store.put("targets", "new", "p");
             CPPUNIT_ASSERT_MESSAGE(name,
@@ -427,6 +441,29 @@
         f.store.put("deployment", "version", "8");
         CPPUNIT_ASSERT(runUntil(f.context, [&] { return f.configuration() == 8; }));
     }
+
+    // Guards against an answer of an earlier era that counts as a confirmation of the rows that
+    // were taken from a peer in the meantime.
+    void lateAnswerConfirmsNothing()
+    {
+        Instance peer;
+        peer.store.startEra = 1;
+        peer.store.put("deployment", "version", "4");
+        peer.store.put("targets", "t1", "p");
+        peer.updater.start();
+        CPPUNIT_ASSERT(runUntil(peer.context, [&] { return peer.updater.isStoreReachable(); }));
+        Instance f;
+        f.store.put("targets", "other", "p");
+        f.store.beforeRead = [&] {
+            CPPUNIT_ASSERT(f.updater.merge(peer.updater.entries({}), ViewUpdater::Clock::now()));
+        };
+        f.updater.start();
+        CPPUNIT_ASSERT(runUntil(f.context, [&] {
+            return f.updater.isPollFailing("targets") && f.updater.isPollFailing("deployment");
+        }));
+        CPPUNIT_ASSERT(!f.updater.isStoreReachable());
+        CPPUNIT_ASSERT(f.isInEra(1) && f.poolOf("t1") == "p" && f.poolOf("other").empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreErasTest);
