Server: memory budget of requests, limits of trailers and extensions, descriptors

Cause: heads, trailers, chunk lines and bodies had no common limit, idle connections took all descriptors, and a failed accept was repeated at once. Change: net::HttpServer reserves memory for each connection, head and body from one budget; the read buffer limits trailers and chunk lines; connections that hold memory longest are closed first; at most 7/16 of the descriptors serve callers. HttpServer::setLimits changes the limits while it runs. HttpClient sends a shared body without a copy, closes idle connections that the server has closed, and rejects a status outside 100 to 599 and a body without a length whose request was not written.

--- a/packages/daemon/include/daemon/settings.h
+++ b/packages/daemon/include/daemon/settings.h
@@ -35,6 +35,8 @@
     std::chrono::milliseconds targetDrainTime{ 2000 };
     /// `entry.memory_mb`: memory of the instance in MiB; 0 if unknown.
     double memoryMb = 0;
+    /// `entry.max_fds`: maximum number of open descriptors; 0 for the limit of the process.
+    double maxDescriptors = 0;
     /// `entry.link_mbps`: bandwidth of the instance's network link in Mbit/s; 0 if unknown.
     double linkMbps = 0;
     double retryRatio = 0.2; ///< `entry.retry_ratio`: retries that the platform allows per request.
--- a/packages/daemon/main/main.cpp
+++ b/packages/daemon/main/main.cpp
@@ -2,6 +2,7 @@
 #include "daemon/entry_options.h"
 #include "daemon/settings.h"
 #include "entry/entry_app.h"
+#include "net/descriptors.h"
 #include "platform/adapter.h"
 
 #include <getopt.h>
@@ -72,6 +73,8 @@
     // release, which fragments it.
     constexpr int kMmapThresholdBytes = 256 << 10;
     mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
+    chervilfield::net::lowerDescriptorLimit(
+            static_cast<std::size_t>(settings.entry->maxDescriptors));
     const auto reload = [&file]() -> std::optional<chervilfield::entry::EntryOptions> {
         std::vector<SettingsError> errors;
         const Settings changed = readSettings(file, errors);
--- a/packages/daemon/src/entry_options.cpp
+++ b/packages/daemon/src/entry_options.cpp
@@ -11,6 +11,10 @@
 // Share of the platform's retry allowance that the instances use. The platform also counts callers'
 // own retries and requests that overlap with a failure, so the rest is left for them.
 constexpr double kOwnRetryShare = 0.6;
+// Share of the memory for requests that are read or answered. Responses have a quarter, too; the
+// rest is for the view of the deployment, the allocator and the buffers of connections to targets.
+constexpr double kRequestMemoryShare = 0.25;
+constexpr double kMebibyte = 1U << 20U;
 // Time before the platform kills the process that is reserved for the last writes and the exit.
 constexpr milliseconds kExitMargin{ 400 };
 // Time for requests in progress after new connections are no longer accepted.
@@ -43,6 +47,9 @@
                                  .retryRatio = entry.retryRatio * kOwnRetryShare,
                                  .retryBurst = entry.retryBurst * kOwnRetryShare,
                                  .retryWindow = entry.retryWindow };
+    if (entry.memoryMb > 0)
+        options.requestMemoryBytes =
+                static_cast<std::size_t>(entry.memoryMb * kMebibyte * kRequestMemoryShare);
     options.addressLifetime = std::min(settings.entriesTtl, entry.maxAddressLifetime);
     options.drainLimit = entry.gracePeriod - kExitMargin;
     options.drainListenTime = options.drainLimit - kFinishTime;
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -219,6 +219,8 @@
           entryDurationReader(&E::targetDrainTime, kMillisecond) },
         { "entry", "memory_mb", false, "a number from 0 to 1000000",
           entryNumberReader(&E::memoryMb, 1e6) },
+        { "entry", "max_fds", false, "a number from 0 to 10000000",
+          entryNumberReader(&E::maxDescriptors, 1e7) },
         { "entry", "link_mbps", false, "a number from 0 to 1000000",
           entryNumberReader(&E::linkMbps, 1e6) },
         { "entry", "retry_ratio", false, kNumber, entryNumberReader(&E::retryRatio) },
--- a/packages/daemon/src/traffic_pool.cpp
+++ b/packages/daemon/src/traffic_pool.cpp
@@ -7,10 +7,19 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
+#include <cstdint>
 #include <thread>
 
 namespace chervilfield::daemon {
 
+namespace {
+
+// Two bodies of the maximum size fit even if larger ones are allowed than usual.
+constexpr std::uint64_t kMinRequestMemoryBytes = 256U << 20U;
+
+} // namespace
+
 struct TrafficPool::Worker
 {
     Worker(const Settings &settings, const traffic::Services &services)
@@ -43,11 +52,12 @@
         serverWorkers.push_back(
                 { &worker.context, traffic::makeRequestHandler(worker.thread, instanceInfo) });
     }
-    net::ServerOptions options{ .maxBodyBytes = settings.maxBodyBytes,
-                                .maxConnections = settings.maxConnections,
-                                .errorResponse = [](base::Result result) {
-                                    return http::errorResponse({ .code = result });
-                                } };
+    net::ServerOptions options{
+        .maxBodyBytes = settings.maxBodyBytes,
+        .maxConnections = settings.maxConnections,
+        .requestMemoryBytes = std::max(kMinRequestMemoryBytes, 2 * settings.maxBodyBytes),
+        .errorResponse = [](base::Result result) { return http::errorResponse({ .code = result }); }
+    };
     server_ = std::make_unique<net::HttpServer>(std::move(serverWorkers), std::move(options));
 }
 
--- a/packages/entry/include/entry/options.h
+++ b/packages/entry/include/entry/options.h
@@ -22,6 +22,8 @@
     net::Address metricsAddress;   ///< Address for reads of the metrics.
     net::Address storeAddress;     ///< Address of the platform's store.
     double memoryMb = 0;           ///< Memory of this instance in MiB; 0 if unknown.
+    /// Memory for the requests of all callers while they are read and answered.
+    std::size_t requestMemoryBytes = 96U << 20U;
     /// Bandwidth of this instance's network link in Mbit/s; 0 if unknown.
     std::uint32_t linkMbps = 0;
     std::vector<net::Address> seeds; ///< Peer addresses through which this instance joins.
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -207,7 +207,8 @@
                 [this](net::Exchange &exchange, const yield_context &yield) {
                     relay_.serve(exchange, yield);
                 },
-                { .idleTimeout = kCallerIdleTimeout,
+                { .requestMemoryBytes = options_.requestMemoryBytes,
+                  .idleTimeout = kCallerIdleTimeout,
                   .writeTimeout = kCallerWriteTimeout,
                   .errorResponse = [this](base::Result result) {
                       return platform_.codec.encodeFailure({ .code = result });
--- a/packages/net/include/net/http_client.h
+++ b/packages/net/include/net/http_client.h
@@ -26,6 +26,8 @@
     /// that does not fit ends the exchange. Heads are limited to 8 KiB.
     std::size_t maxBufferedBytes = 64U << 10U;
     std::size_t maxIdleConnectionsPerAddress = 64; ///< Further idle connections are closed.
+    /// Time after which an idle connection is closed. It is checked when a request ends.
+    std::chrono::milliseconds maxIdleTime{ 60'000 };
     /// A connection is closed if the peer acknowledges nothing for about this time. TCP keep-alive
     /// probes detect a peer that has failed while a response is awaited.
     std::chrono::seconds unacknowledgedTimeout{ 3 };
@@ -84,7 +86,9 @@
 /// HTTP/1.1 client with a pool of idle connections for each endpoint. Not thread-safe: each thread
 /// needs its own client. Calls from several coroutines of that thread may overlap. A response with
 /// a transfer coding other than a single "chunked", or with a length beside it, fails with
-/// `TargetFailed`, because its end cannot be determined reliably.
+/// `TargetFailed`, because its end cannot be determined reliably. So does one with a status outside
+/// 100 to 599. A body that ends with its connection is incomplete if the request has not been
+/// written to its end.
 ///
 /// The error shows whether the server can have received the request. `TargetUnreachable` means that
 /// no connection could be opened, so that no byte of the request was sent, with one exception: an
--- a/packages/net/include/net/http_message.h
+++ b/packages/net/include/net/http_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -31,6 +32,8 @@
     /// sends only such a request over a pooled connection, and repeats it if that connection was
     /// closed.
     bool idempotent = true;
+    /// If not null, the client sends this instead of `body` and makes no copy of it.
+    std::shared_ptr<const std::string> sharedBody{};
 };
 
 /// HTTP/1.1 response with its complete body.
--- a/packages/net/include/net/http_server.h
+++ b/packages/net/include/net/http_server.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <system_error>
 #include <vector>
@@ -22,7 +23,17 @@
 {
     std::size_t maxHeadBytes = 16U << 10U; ///< Maximum size of the request line and the headers.
     std::size_t maxBodyBytes = 16U << 20U; ///< Maximum size of a request body.
-    std::size_t maxConnections = 10000;    ///< Further connections are closed at once.
+    /// Maximum number of open connections, reduced to 7/16 of the descriptors of the process: each
+    /// request may need a connection to a target, and an eighth is kept for other purposes. When it
+    /// is reached, a new connection replaces the longest idle one, or is closed.
+    std::size_t maxConnections = 10000;
+    /// Memory that all connections together use for heads, bodies, trailers and buffers. Requests
+    /// that exceed it wait up to a second, then get `Overloaded`; requests that hold much of it for
+    /// long are closed.
+    std::size_t requestMemoryBytes = 256U << 20U;
+    /// Maximum size of all chunk extensions of a request. A chunk line or a trailer may be as large
+    /// as a head.
+    std::size_t maxExtensionBytes = 1U << 20U;
     std::chrono::milliseconds headTimeout{ 5000 };  ///< From the first byte to the end of the head.
     std::chrono::milliseconds bodyTimeout{ 20000 }; ///< From the end of the head.
     std::chrono::milliseconds idleTimeout{ 60000 }; ///< Until the first byte of a request.
@@ -32,6 +43,15 @@
     std::function<Response(base::Result)> errorResponse;
 };
 
+/// Limits that can be changed while a server runs. A value of 0 keeps the value of the options.
+struct ServerLimits
+{
+    std::size_t maxHeadBytes = 0;
+    std::size_t maxBodyBytes = 0;
+    std::chrono::milliseconds headTimeout{ 0 };
+    std::chrono::milliseconds idleTimeout{ 0 };
+};
+
 /// A request and the functions that answer it. The handler calls either `respond()` once, or
 /// `startStream()`, then `write()` any number of times, then `finish()`. If the handler returns
 /// without finishing a stream, the connection is closed without the terminating chunk, so that the
@@ -42,6 +62,9 @@
     virtual ~Exchange() = default;
 
     virtual const Request &request() const = 0;
+    /// Returns the body of the request, which stays valid after the exchange. Forwarding it through
+    /// `Request::sharedBody` makes no copy.
+    virtual std::shared_ptr<const std::string> sharedBody() const = 0;
     /// Returns the address of the sender.
     virtual const Address &peer() const = 0;
 
@@ -82,7 +105,8 @@
 /// robin. Each connection is served by one coroutine. Requests with two lengths, with a length and
 /// a transfer coding, or with a transfer coding other than a single "chunked" are refused, because
 /// intermediaries interpret them differently, which allows request smuggling. The connection is
-/// closed after such a request. Trailer fields are discarded.
+/// closed after such a request. Trailer fields are discarded. When no descriptor is left,
+/// connections are accepted again after a pause.
 class HttpServer
 {
 public:
@@ -96,6 +120,10 @@
     /// Sets `error` if binding fails.
     void listen(const Address &address, std::error_code &error);
 
+    /// Changes the limits of requests and waits that have not begun. Values beyond 16 MiB for heads
+    /// or an hour for times are reduced to these. Thread-safe.
+    void setLimits(const ServerLimits &limits);
+
     /// Returns the bound address.
     Address localAddress() const;
 
@@ -111,6 +139,9 @@
     /// Returns the number of open connections.
     std::size_t openConnections() const;
 
+    /// Returns the memory in use of `ServerOptions::requestMemoryBytes`. Thread-safe.
+    std::size_t requestMemoryInUse() const;
+
 private:
     class Implementation;
     std::shared_ptr<Implementation> implementation_;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "base/result.h"
 #include "message_framing.h"
+#include "net/descriptors.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -9,13 +10,14 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <netinet/tcp.h>
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <map>
 #include <string_view>
 #include <utility>
@@ -32,38 +34,54 @@
 
 namespace {
 
-using WireRequest = http::request<http::string_body>;
+// A request and the body that it refers to.
+struct WireRequest
+{
+    std::shared_ptr<const std::string> body;
+    http::request<http::span_body<const char>> message;
+};
 
 // Connection and the bytes that were read past the end of the last response.
 struct Connection
 {
-    Connection(const asio::any_io_executor &executor, std::size_t maxBufferedBytes)
-        : stream(executor), buffer(maxBufferedBytes)
+    Connection(const asio::any_io_executor &executor, std::size_t maxBufferedBytes,
+               std::shared_ptr<std::size_t> count)
+        : stream(executor), buffer(maxBufferedBytes), openConnections(std::move(count))
     {
+        ++*openConnections;
     }
+    ~Connection() { --*openConnections; }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    std::shared_ptr<std::size_t> openConnections; ///< Connections of the client.
     bool isReused = false; ///< Whether an earlier request used the connection.
     std::chrono::steady_clock::time_point idleSince{};
     /// Request that is still being written. The write can outlast the exchange, because a server
     /// may answer before it has read the whole request. Null if no write is in progress.
     std::shared_ptr<WireRequest> pendingWrite;
+    bool hasWriteFailed = false; ///< Whether the request could not be written to its end.
 };
 
 WireRequest toWire(const Address &address, const Request &request)
 {
-    WireRequest wire(http::string_to_verb(request.method), request.target, 11);
+    WireRequest result{ .body = request.sharedBody,
+                        .message{ http::string_to_verb(request.method), request.target, 11 } };
+    if (result.body == nullptr)
+        result.body = std::make_shared<const std::string>(request.body);
+    auto &wire = result.message;
     if (wire.method() == http::verb::unknown)
         wire.method_string(request.method);
     if (!findHeader(request.headers, "Host"))
         wire.set(http::field::host, toString(address));
     for (const Header &header : request.headers)
         wire.insert(header.name, header.value);
-    wire.body() = request.body;
-    if (!request.body.empty() || request.method != "GET")
+    wire.body() = { result.body->data(), result.body->size() };
+    if (!result.body->empty() || request.method != "GET")
         wire.prepare_payload();
-    return wire;
+    return result;
 }
 
 template<typename Fields>
@@ -87,7 +105,8 @@
 {
 public:
     Implementation(asio::any_io_executor executor, ClientOptions options)
-        : executor_(std::move(executor)), options_(options)
+        : executor_(std::move(executor)), options_(options),
+          maxConnections_(connectionShare(descriptorLimit()))
     {
     }
 
@@ -105,7 +124,14 @@
 
 private:
     asio::any_io_executor executor_;
+    void closeOldestIdle();
+    // Closes idle connections that the server has closed or that have been idle for too long.
+    void sweep(std::chrono::steady_clock::time_point now);
+
     ClientOptions options_;
+    std::size_t maxConnections_;
+    std::shared_ptr<std::size_t> openConnections_ = std::make_shared<std::size_t>(0);
+    std::chrono::steady_clock::time_point nextSweep_{};
     std::map<Address, std::vector<std::shared_ptr<Connection>>> idle_;
 };
 
@@ -115,6 +141,9 @@
 constexpr std::size_t kReadBytes = 16U << 10U;
 // Servers close idle connections sooner than this, which `isStale()` detects.
 constexpr milliseconds kMaxIdleTime{ 3'600'000 };
+// Interval of the search for idle connections to close. Nobody asks for the address of a target
+// that has left, so that its connections would hold their descriptors for good.
+constexpr milliseconds kSweepInterval{ 2000 };
 
 // Makes the kernel probe an idle connection every second and close a connection whose peer
 // acknowledges nothing for about `unacknowledgedTimeout`. Errors are ignored, because the
@@ -183,7 +212,11 @@
         connection->isReused = true;
         return connection;
     }
-    auto connection = std::make_shared<Connection>(executor_, options_.maxBufferedBytes);
+    // Idle connections must not take the descriptors that new ones need.
+    if (*openConnections_ >= maxConnections_)
+        closeOldestIdle();
+    auto connection =
+            std::make_shared<Connection>(executor_, options_.maxBufferedBytes, openConnections_);
     error_code failure;
     const auto host = asio::ip::make_address(address.host, failure);
     if (!failure) {
@@ -200,14 +233,40 @@
     return connection;
 }
 
+void HttpClient::Implementation::closeOldestIdle()
+{
+    std::vector<std::shared_ptr<Connection>> *oldest = nullptr;
+    for (auto &[address, connections] : idle_) {
+        if (!connections.empty()
+            && (oldest == nullptr || connections.front()->idleSince < oldest->front()->idleSince))
+            oldest = &connections;
+    }
+    if (oldest != nullptr)
+        oldest->erase(oldest->begin());
+}
+
+void HttpClient::Implementation::sweep(std::chrono::steady_clock::time_point now)
+{
+    nextSweep_ = now + kSweepInterval;
+    for (auto entry = idle_.begin(); entry != idle_.end();) {
+        std::erase_if(entry->second, [&](const std::shared_ptr<Connection> &connection) {
+            return now - connection->idleSince > options_.maxIdleTime || isStale(*connection);
+        });
+        entry = entry->second.empty() ? idle_.erase(entry) : std::next(entry);
+    }
+}
+
 void HttpClient::Implementation::release(const Address &address,
                                          std::shared_ptr<Connection> connection)
 {
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= nextSweep_)
+        sweep(now);
     auto &idle = idle_[address];
     if (idle.size() >= options_.maxIdleConnectionsPerAddress)
         return;
     connection->stream.expires_never();
-    connection->idleSince = std::chrono::steady_clock::now();
+    connection->idleSince = now;
     idle.push_back(std::move(connection));
 }
 
@@ -252,6 +311,10 @@
                                   yield[failure]);
             const std::size_t received = kReadBytes - body.size;
             out.resize(start + received);
+            // A reset is reported only once. If the write of the request receives it, the read sees
+            // an orderly end, so that a body without a length would look complete.
+            if (!failure && parser_->is_done() && parser_->need_eof() && isWriteIncomplete())
+                failure = asio::error::connection_reset;
             if (failure && failure != http::error::need_buffer) {
                 connection_.reset();
                 error = readResult(failure);
@@ -265,12 +328,17 @@
     }
 
 private:
+    bool isWriteIncomplete() const
+    {
+        return connection_->pendingWrite != nullptr || connection_->hasWriteFailed;
+    }
+
     void returnConnection()
     {
         if (connection_ != nullptr)
             hasSurplusBytes_ = connection_->buffer.size() > 0;
         if (connection_ != nullptr && parser_->get().keep_alive() && !parser_->need_eof()
-            && connection_->pendingWrite == nullptr && !hasSurplusBytes_)
+            && !isWriteIncomplete() && !hasSurplusBytes_)
             owner_->release(address_, std::move(connection_));
         connection_.reset();
     }
@@ -289,11 +357,14 @@
 {
     connection->pendingWrite = std::make_shared<WireRequest>(std::move(wire));
     const std::weak_ptr<Connection> weak = connection;
-    http::async_write(connection->stream, *connection->pendingWrite,
-                      [weak, wire = connection->pendingWrite](const error_code &, std::size_t) {
-                          if (const auto alive = weak.lock())
-                              alive->pendingWrite.reset();
-                      });
+    http::async_write(
+            connection->stream, connection->pendingWrite->message,
+            [weak, wire = connection->pendingWrite](const error_code &error, std::size_t) {
+                if (const auto alive = weak.lock()) {
+                    alive->pendingWrite.reset();
+                    alive->hasWriteFailed = static_cast<bool>(error);
+                }
+            });
 }
 
 // Reads the rest of a skipped response and discards it.
@@ -334,6 +405,10 @@
         const auto &head = parser->get();
         if (!error && !detail::hasReliableLength(head.version(), head, parser->chunked()))
             error = http::error::bad_transfer_encoding;
+        constexpr unsigned kMinStatus = 100;
+        constexpr unsigned kMaxStatus = 599;
+        if (!error && (head.result_int() < kMinStatus || head.result_int() > kMaxStatus))
+            error = http::error::bad_status;
         if (error)
             return nullptr;
         const bool isInterim = http::to_status_class(parser->get().result_int())
@@ -368,7 +443,7 @@
         error_code failure;
         const auto deadline = std::chrono::steady_clock::now() + timeout;
         connection->stream.expires_at(deadline);
-        http::async_write(connection->stream, wire, yield[failure]);
+        http::async_write(connection->stream, wire.message, yield[failure]);
         std::unique_ptr<Parser> parser;
         if (!failure)
             parser = readOwnHead(*connection, exchange, request.method, options_.maxBodyBytes,
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -245,8 +245,8 @@
     return { .method = original.method,
              .target = original.target,
              .headers = context_.codec.encodeTargetHeaders(original, fields),
-             .body = original.body,
-             .idempotent = isRepeatable() };
+             .idempotent = isRepeatable(),
+             .sharedBody = exchange_.sharedBody() };
 }
 
 milliseconds Relay::Flow::headTimeout() const
