Relay test: the acceptor of a target ends with its context

Cause: KeptConnectionTarget outlived the context of its acceptor; the destructor wrote to freed memory (valgrind), and malloc ended relay_test once the layout of the heap had changed. Change: the coroutine owns the acceptor. No check changed.

--- a/packages/relay/test/kept_connection_test.cpp
+++ b/packages/relay/test/kept_connection_test.cpp
@@ -43,13 +43,16 @@
 {
 public:
     KeptConnectionTarget(asio::io_context &context, std::string first, Extra extra)
-        : context_(context), first_(std::move(first)), extra_(std::move(extra)),
-          acceptor_(context, { asio::ip::tcp::v4(), 0 })
+        : context_(context), first_(std::move(first)), extra_(std::move(extra))
     {
-        net::spawnCoroutine(context, "[test]", [this](asio::yield_context yield) {
+        // The coroutine owns the acceptor, because this object outlives the context.
+        auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(
+                context, asio::ip::tcp::endpoint(asio::ip::tcp::v4(), 0));
+        port_ = acceptor->local_endpoint().port();
+        net::spawnCoroutine(context, "[test]", [this, acceptor](asio::yield_context yield) {
             while (true) {
                 auto socket = std::make_shared<asio::ip::tcp::socket>(context_);
-                acceptor_.async_accept(*socket, yield);
+                acceptor->async_accept(*socket, yield);
                 net::spawnCoroutine(context_, "[test]", [this, socket](asio::yield_context inner) {
                     serve(*socket, inner);
                 });
@@ -57,7 +60,7 @@
         });
     }
 
-    net::Address address() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+    net::Address address() const { return { "127.0.0.1", port_ }; }
 
 private:
     void serve(asio::ip::tcp::socket &socket, asio::yield_context yield)
@@ -94,7 +97,7 @@
     std::string first_;
     Extra extra_;
     std::size_t requests_ = 0;
-    asio::ip::tcp::acceptor acceptor_;
+    std::uint16_t port_ = 0;
 };
 
 struct Row
