--- a/packages/net/test/http_server_test.cpp
+++ b/packages/net/test/http_server_test.cpp
@@ -43,16 +43,25 @@
     CPPUNIT_TEST(responsesToHeadHaveNoContent);
     CPPUNIT_TEST(unfinishedStreamIsVisible);
     CPPUNIT_TEST(goodRequestPasses);
+    CPPUNIT_TEST(framingOfChunksIsLimited);
+    CPPUNIT_TEST(limitsChangeWhileTheServerRuns);
+    CPPUNIT_TEST(heldMemoryIsReclaimed);
+    CPPUNIT_TEST(idleConnectionMakesRoom);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void setUp() override
     {
-        ServerOptions options{ .maxHeadBytes = 1024,
-                               .maxBodyBytes = 64,
-                               .headTimeout = milliseconds(200),
-                               .bodyTimeout = milliseconds(200),
-                               .idleTimeout = milliseconds(2000) };
+        start({ .maxHeadBytes = 1024,
+                .maxBodyBytes = 64,
+                .maxExtensionBytes = 8192,
+                .headTimeout = milliseconds(200),
+                .bodyTimeout = milliseconds(200),
+                .idleTimeout = milliseconds(2000) });
+    }
+
+    void start(const ServerOptions &options)
+    {
         const Handler handler = [this](Exchange &exchange, asio::yield_context yield) {
             std::error_code error;
             ++handledRequests_;
@@ -78,7 +87,15 @@
         thread_ = std::thread([this] { context_.run(); });
     }
 
-    void tearDown() override
+    void tearDown() override { stop(); }
+
+    void restart(const ServerOptions &options)
+    {
+        stop();
+        start(options);
+    }
+
+    void stop()
     {
         context_.stop();
         thread_.join();
@@ -121,6 +138,135 @@
         }
     }
 
+    // Tests chunked requests whose body is small. Guards against memory that grows with trailers
+    // and chunk lines, and against limits that refuse ordinary ones.
+    void framingOfChunksIsLimited()
+    {
+        struct Row
+        {
+            std::string name;
+            std::string chunks;
+            std::string expected;
+        };
+        const std::string large(100'000, 'a');
+        std::string lines;
+        std::string extensions;
+        for (int i = 0; i < 20'000; ++i)
+            lines += "A: b\r\n";
+        for (int i = 0; i < 60; ++i)
+            extensions += "1;a=" + std::string(100, 'b') + "\r\nx\r\n";
+        const std::string longExtension = "1;a=" + std::string(3000, 'b') + "\r\nx\r\n";
+        const Row rows[] = {
+            { "trailer", "1\r\nx\r\n0\r\nA: b\r\n\r\n", "HTTP/1.1 200" },
+            { "trailer line", "1\r\nx\r\n0\r\nA: " + large + "\r\n\r\n", "HTTP/1.1 431" },
+            { "trailer lines", "1\r\nx\r\n0\r\n" + lines + "\r\n", "HTTP/1.1 431" },
+            { "extension", "1;a=" + large + "\r\nx\r\n0\r\n\r\n", "HTTP/1.1 431" },
+            { "last extension", "1\r\nx\r\n0;a=" + large + "\r\n\r\n", "HTTP/1.1 431" },
+            { "chunk size", std::string(100'000, '0') + "\r\nx\r\n0\r\n\r\n", "HTTP/1.1 431" },
+            { "extensions", extensions + "0\r\n\r\n", "HTTP/1.1 200" },
+            { "too many extensions", extensions + longExtension + "0\r\n\r\n", "HTTP/1.1 431" },
+            { "body over the limit", "41\r\n", "HTTP/1.1 413" },
+        };
+        for (const Row &row : rows) {
+            const std::string answer =
+                    exchangeRaw(server_->localAddress(), "POST / HTTP/1.1\r\nConnection: close\r\n"
+                                                         "Transfer-Encoding: chunked\r\n\r\n"
+                                                                 + row.chunks);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.expected,
+                                         answer.substr(0, row.expected.size()));
+        }
+    }
+
+    // Guards against limits of the configuration that have no effect, and against a limit that
+    // cannot be removed.
+    void limitsChangeWhileTheServerRuns()
+    {
+        struct Row
+        {
+            std::string name;
+            ServerLimits limits;
+            std::string bytes;
+            std::string expected;
+        };
+        const std::string close = "Connection: close\r\n";
+        const std::string body = "POST / HTTP/1.1\r\n" + close + "Content-Length: 100\r\n\r\n"
+                                 + std::string(100, 'x');
+        const std::string head =
+                "GET / HTTP/1.1\r\n" + close + "A: " + std::string(3000, 'a') + "\r\n\r\n";
+        const std::string plain = "GET / HTTP/1.1\r\n" + close + "\r\n";
+        constexpr auto kMaxTime = milliseconds::max();
+        const Row rows[] = {
+            { "body", {}, body, "HTTP/1.1 413" },
+            { "larger body", { .maxBodyBytes = 100 }, body, "HTTP/1.1 200" },
+            { "body again", {}, body, "HTTP/1.1 413" },
+            { "head", {}, head, "HTTP/1.1 431" },
+            { "larger head", { .maxHeadBytes = 4000 }, head, "HTTP/1.1 200" },
+            { "huge head", { .maxHeadBytes = ~std::size_t{ 0 } }, head, "HTTP/1.1 200" },
+            { "huge head timeout", { .headTimeout = kMaxTime }, plain, "HTTP/1.1 200" },
+            { "huge idle timeout", { .idleTimeout = kMaxTime }, plain, "HTTP/1.1 200" },
+            { "negative",
+              { .headTimeout = milliseconds(-1) },
+              "GET / HTTP/1.1\r\n",
+              "HTTP/1.1 408" },
+            { "idle", { .idleTimeout = milliseconds(50) }, "", "" },
+        };
+        for (const Row &row : rows) {
+            server_->setLimits(row.limits);
+            const std::string answer = exchangeRaw(server_->localAddress(), row.bytes);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.expected,
+                                         answer.substr(0, row.expected.size()));
+        }
+    }
+
+    // Tests a body that stops just short of its end and holds the memory that others need. Guards
+    // against a server that refuses all large bodies until the timeout of the first, and against
+    // memory that is not returned.
+    void heldMemoryIsReclaimed()
+    {
+        restart({ .maxBodyBytes = 300'000,
+                  .requestMemoryBytes = 600'000,
+                  .bodyTimeout = milliseconds(8000),
+                  .idleTimeout = milliseconds(8000) });
+        const std::string close = "Connection: close\r\n";
+        const std::string head = "POST / HTTP/1.1\r\n" + close + "Content-Length: 300000\r\n\r\n";
+        asio::io_context context;
+        asio::ip::tcp::socket held(context);
+        held.connect({ asio::ip::make_address("127.0.0.1"), server_->localAddress().port });
+        asio::write(held, asio::buffer(head + std::string(299'999, 'x')));
+        std::this_thread::sleep_for(milliseconds(1500));
+        const std::string small =
+                exchangeRaw(server_->localAddress(), "GET / HTTP/1.1\r\n" + close + "\r\n");
+        CPPUNIT_ASSERT_MESSAGE(small, small.starts_with("HTTP/1.1 200"));
+        const std::string answer =
+                exchangeRaw(server_->localAddress(), head + std::string(300'000, 'x'));
+        CPPUNIT_ASSERT_MESSAGE(answer.substr(0, 20), answer.starts_with("HTTP/1.1 200"));
+        std::string refusal;
+        boost::system::error_code error;
+        asio::read(held, asio::dynamic_buffer(refusal), error);
+        CPPUNIT_ASSERT_MESSAGE(refusal, refusal.starts_with("HTTP/1.1 503"));
+        held.close();
+        for (int i = 0; i < 200 && server_->requestMemoryInUse() > 0; ++i)
+            std::this_thread::sleep_for(milliseconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), server_->requestMemoryInUse());
+    }
+
+    // Guards against idle connections that keep all callers out until their timeout.
+    void idleConnectionMakesRoom()
+    {
+        restart({ .maxConnections = 2, .idleTimeout = milliseconds(20'000) });
+        asio::io_context context;
+        std::vector<asio::ip::tcp::socket> idle;
+        for (int i = 0; i < 2; ++i) {
+            idle.emplace_back(context);
+            idle.back().connect(
+                    { asio::ip::make_address("127.0.0.1"), server_->localAddress().port });
+        }
+        std::this_thread::sleep_for(milliseconds(1500));
+        const std::string answer =
+                exchangeRaw(server_->localAddress(), "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200"));
+    }
+
     // Tests that a request whose length cannot be determined reliably gets status 400, and that
     // nothing after its head is handled. Guards against request smuggling: a request in the body of
     // another one that is run on its own, or a request that is run without its body.
--- a/packages/relay/test/raw_response_test.cpp
+++ b/packages/relay/test/raw_response_test.cpp
@@ -105,6 +105,22 @@
     };
 }
 
+std::vector<RawRow> answersWithInvalidStatus()
+{
+    std::vector<RawRow> rows;
+    for (const std::string status : { "000", "099", "600", "999", "" }) {
+        for (const std::string version : { "HTTP/1.0 ", "HTTP/1.1 " }) {
+            const std::string head = version + status + " X\r\nId: own\r\nSigned: 1\r\n";
+            const std::string name = version + status;
+            const std::string whole = head + "Content-Length: 5\r\n\r\nwhole";
+            rows.push_back({ name, kIdempotent, { whole }, kRetried });
+            rows.push_back({ name + ", order", kOrder, { whole }, kFailed });
+            rows.push_back({ name + ", order, no length", kOrder, { head + "\r\nx" }, kFailed });
+        }
+    }
+    return rows;
+}
+
 // Checks all rows before it fails, so that one run shows every faulty row.
 void check(const std::vector<RawRow> &rows)
 {
@@ -146,6 +162,7 @@
 {
     CPPUNIT_TEST_SUITE(RawResponseTest);
     CPPUNIT_TEST(unframedResponsesAreCompleteOrInterrupted);
+    CPPUNIT_TEST(invalidStatusIsNoAnswer);
     CPPUNIT_TEST(endlessAnswersAreAbandoned);
     CPPUNIT_TEST(endlessRefusalsAreAbandoned);
     CPPUNIT_TEST(endlessEventsAreAbandoned);
@@ -163,6 +180,9 @@
         check(streamsThatEndWithinAnEvent());
     }
 
+    // Guards against a status that no caller can interpret and that reaches it as an answer.
+    void invalidStatusIsNoAnswer() { check(answersWithInvalidStatus()); }
+
     // Tests targets that send bytes without end. Guards against memory that grows with them,
     // connections that outlast the request, and a thread that is kept from other requests.
     void endlessAnswersAreAbandoned() { check(endlessAnswers()); }
