--- a/packages/peers/src/usage_exchange.cpp
+++ b/packages/peers/src/usage_exchange.cpp
@@ -356,7 +356,8 @@
 bool UsageExchange::sendPending(const std::vector<CustomerKey> &scarce, bool hasReported, Time now)
 {
     const auto interval = scarce.empty() ? options_.replyInterval : options_.scarceInterval;
-    for (auto &[name, peer] : peers_) {
+    for (auto &item : peers_) {
+        Peer &peer = item.second;
         if (peer.pending.empty() || peer.hasReported != hasReported
             || !hasPassed(peer.answeredAt, interval, now))
             continue;
@@ -364,7 +365,7 @@
         std::ranges::copy_if(scarce, std::back_inserter(customers), [&](CustomerKey customer) {
             return std::ranges::find(peer.pending, customer) == peer.pending.end();
         });
-        if (!sendBalancesTo(name, peer, customers, now))
+        if (!sendBalancesTo(item.first, peer, customers, now))
             return false;
     }
     return true;
--- a/packages/usage/include/usage/usage_ledger.h
+++ b/packages/usage/include/usage/usage_ledger.h
@@ -45,7 +45,7 @@
     std::chrono::seconds maxDebt{ 10 };
     /// Age of the usage in a balance when an instance uses it: intervals of reports and balances,
     /// and the time between the threads of both instances.
-    std::chrono::milliseconds informationDelay{ 500 };
+    std::chrono::milliseconds informationDelay{ 600 };
 };
 
 /// Balances of the customers that one instance aggregates, as token buckets that are charged with
@@ -127,7 +127,8 @@
     void charge(Bucket &bucket, double cost, Time now) const;
     /// Charges a cost as far as the balance is positive.
     void chargeToZero(Bucket &bucket, double cost, Time now) const;
-    /// Returns the usage per second, without the largest report.
+    /// Returns the usage per second, without the largest report of each slot: a few large requests
+    /// at the same time do not show that the customer uses more than its rate.
     static double recentRate(const Bucket &bucket, Time now);
     bool isScarce(const Bucket &bucket, Time now) const;
     /// Returns true if the balance of the bucket may be sent.
--- a/packages/usage/include/usage/usage_limiter.h
+++ b/packages/usage/include/usage/usage_limiter.h
@@ -35,7 +35,7 @@
     /// Time after which a balance without an answer to newer usage is no longer used.
     std::chrono::milliseconds maxSilence{ 500 };
     /// The same for a balance below half of the burst, which is sent every 100 ms.
-    std::chrono::milliseconds maxScarceSilence{ 250 };
+    std::chrono::milliseconds maxScarceSilence{ 400 };
     /// Time after which a balance is no longer used if newer ones do not include older usage of
     /// this instance, because its reports do not arrive.
     std::chrono::milliseconds maxUnincluded{ 1200 };
--- a/packages/usage/src/usage_ledger.cpp
+++ b/packages/usage/src/usage_ledger.cpp
@@ -165,14 +165,11 @@
 {
     const auto slotCount = static_cast<std::int64_t>(bucket.recent.slots.size());
     double sum = 0;
-    double largest = 0;
     for (const RecentUsage::Slot &slot : bucket.recent.slots) {
-        if (slot.index <= slotIndex(now) - slotCount)
-            continue;
-        sum += slot.sum;
-        largest = std::max(largest, slot.largest);
+        if (slot.index > slotIndex(now) - slotCount)
+            sum += slot.sum - slot.largest;
     }
-    return (sum - largest) / (Seconds(kSlotTime).count() * static_cast<double>(slotCount));
+    return sum / (Seconds(kSlotTime).count() * static_cast<double>(slotCount));
 }
 
 bool UsageLedger::isScarce(const Bucket &bucket, Time now) const
