--- a/packages/usage/include/usage/usage_limiter.h
+++ b/packages/usage/include/usage/usage_limiter.h
@@ -32,10 +32,12 @@
 /// Limits of `UsageLimiter`.
 struct UsageLimiterOptions
 {
-    /// Time after which a balance without an answer to newer usage is no longer used.
+    /// Time without an answer to newer usage after which a balance is no longer used, if it was at
+    /// least half of the burst.
     std::chrono::milliseconds maxSilence{ 500 };
-    /// The same for a balance below half of the burst, which is sent every 100 ms.
-    std::chrono::milliseconds maxScarceSilence{ 400 };
+    /// The same for a balance that was used up; in between, the time grows linearly. A scarce
+    /// balance is sent every 100 ms, and little of it is left for instances without contact.
+    std::chrono::milliseconds minSilence{ 250 };
     /// Time after which a balance is no longer used if newer ones do not include older usage of
     /// this instance, because its reports do not arrive.
     std::chrono::milliseconds maxUnincluded{ 1200 };
--- a/packages/usage/src/usage_limiter.cpp
+++ b/packages/usage/src/usage_limiter.cpp
@@ -67,8 +67,9 @@
 {
     if (!account.balance)
         return false;
-    const bool isScarce = account.balance->balance < account.limit.burst / 2;
-    const auto maxSilence = isScarce ? options_.maxScarceSilence : options_.maxSilence;
+    const double share = std::clamp(2 * account.balance->balance / account.limit.burst, 0.0, 1.0);
+    const Seconds maxSilence =
+            options_.minSilence + Seconds(options_.maxSilence - options_.minSilence) * share;
     const bool isSilent = account.unansweredSince && now - *account.unansweredSince > maxSilence;
     const bool isUnheard =
             account.unincludedSince && now - *account.unincludedSince > options_.maxUnincluded;
