--- a/packages/peers/test/usage_exchange_test.cpp
+++ b/packages/peers/test/usage_exchange_test.cpp
@@ -86,6 +86,7 @@
 {
     CPPUNIT_TEST_SUITE(UsageExchangeTest);
     CPPUNIT_TEST(floodsStayWithinBound);
+    CPPUNIT_TEST(troublesTogetherStayWithinBound);
     CPPUNIT_TEST(changedLimitsStayWithinBound);
     CPPUNIT_TEST(usualLoadIsNotRefused);
     CPPUNIT_TEST(takeoverEndsRefusals);
@@ -97,14 +98,27 @@
 
 public:
     // Tests that a customer far above its limit gets at most the bound in any window, while
-    // messages are lost and delayed and instances start, die, freeze and are cut off. Guards
-    // against information that is lost, counted for two aggregation points, or used for too long.
+    // messages are lost and delayed and an instance starts, dies or freezes, or some are cut off.
+    // Guards against information that is lost, counted for two aggregation points, or used for too
+    // long.
     void floodsStayWithinBound()
     {
         const bool holds = rc::check("floods stay within the bound", [] {
             const auto seed = randomSeed();
             for (std::uint64_t i = 0; i < kSchedulesPerCase; ++i)
-                RC_ASSERT(floodStaysWithinBound(seed + i));
+                RC_ASSERT(floodStaysWithinBound(seed + i, 1));
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    // Tests the same with two or three such events within 8 s. Guards against faults in the
+    // combination of failures, such as a partition during which an aggregation point dies.
+    void troublesTogetherStayWithinBound()
+    {
+        const bool holds = rc::check("floods with several events stay within the bound", [] {
+            const auto seed = randomSeed();
+            for (std::uint64_t i = 0; i < kSchedulesPerCase; ++i)
+                RC_ASSERT(floodStaysWithinBound(seed + i, 2 + static_cast<int>(i % 2)));
         });
         CPPUNIT_ASSERT(holds);
     }
@@ -360,7 +374,7 @@
                  .costs = costs[uniform(0, 2)] };
     }
 
-    static bool floodStaysWithinBound(std::uint64_t seed)
+    static bool floodStaysWithinBound(std::uint64_t seed, int troubles)
     {
         std::mt19937_64 random(seed);
         UsageConditions conditions = randomConditions(random, milliseconds(300), 0.1);
@@ -375,7 +389,6 @@
         fleet.run(milliseconds(2500), rate * kUsualLoad);
         const double demand = rate * kUsualLoad * (4 + 0.035 * fleet.uniform(0, 100));
         std::string events;
-        const auto troubles = fleet.uniform(1, 3);
         for (int i = 0; i < troubles; ++i) {
             const milliseconds time(fleet.uniform(0, 2600));
             fleet.run(time, demand);
