--- a/packages/peers/src/usage_exchange.cpp
+++ b/packages/peers/src/usage_exchange.cpp
@@ -151,6 +151,7 @@
     for (auto &[name, peer] : peers_)
         addPending(peer, takenOver);
     std::vector<CustomerKey> aggregated;
+    aggregated.reserve(ledgerLimits.size());
     for (const usage::LedgerLimit &limit : ledgerLimits)
         aggregated.push_back(limit.customer);
     for (const std::string &name : newPeers)
