--- a/packages/dispatch/include/dispatch/placement.h
+++ b/packages/dispatch/include/dispatch/placement.h
@@ -106,10 +106,6 @@
     /// Cost of a target in another data centre: the round trip, and the same again for the
     /// bandwidth, the connections kept open there and the greater age of load information.
     Seconds otherDataCentreCost{ 0.02 };
-    /// Cost of a target at which the request would have to wait for others to end, in a pool whose
-    /// targets are known to differ. Above the cost of another data centre with a new connection,
-    /// because the wait is uncertain while the way is not.
-    Seconds queueingCost{ 0.04 };
     /// Relative time from which a target is the home of no prefix, if there is another one.
     double maxHomeRelativeTime = 2.2;
     /// Cost of a target without an idle connection: another round trip, and the connection that is
--- a/packages/dispatch/src/internal/candidate.h
+++ b/packages/dispatch/src/internal/candidate.h
@@ -40,8 +40,6 @@
     bool isExpectedAtHome = false; ///< The prefix is expected to be cached at its home.
     const fleet::Target *fetchSource = nullptr;
     bool shouldAvoid = false;
-    /// The request would wait at the target, which runs as many as it does with benefit.
-    bool wouldQueue = false;
     performance::Sample conditions{}; ///< State of the target, for `InFlightRequest`.
     Seconds sendDelay{}; ///< Time until the target accepts another request of this instance.
     Seconds cost{};
--- a/packages/dispatch/src/placement.cpp
+++ b/packages/dispatch/src/placement.cpp
@@ -106,9 +106,6 @@
         candidate.cost += options_.otherDataCentreCost;
     if (!targetTracker_.hasIdleConnection(target, now))
         candidate.cost += options_.newConnectionCost;
-    candidate.wouldQueue = wouldQueue(target, now);
-    if (candidate.wouldQueue)
-        candidate.cost += options_.queueingCost;
     if (const TargetStatus *status = targetTracker_.find(target)) {
         candidate.shouldAvoid = status->avoidUntil > now || status->loadingUntil > now;
         candidate.cost += options_.costPerFault * status->faultCount;
--- a/packages/performance/src/performance_model.cpp
+++ b/packages/performance/src/performance_model.cpp
@@ -607,12 +607,13 @@
         state->sharedAt = now;
         const auto opinion =
                 findUsefulConcurrency(state->curve, variance, now, options_.concurrencyDecayTime);
-        result.push_back({ .target = target,
-                           .startedAt = state->startedAt,
-                           .relativeTime = std::exp(
-                                   std::clamp(state->logTime.mean(), -kMaxLogRatio, kMaxLogRatio)),
-                           .usefulConcurrency = opinion.usefulConcurrency,
-                           .weight = evidence(*state, variance, now) });
+        result.push_back(
+                { .target = target,
+                  .startedAt = state->startedAt,
+                  .relativeTime =
+                          std::exp(std::clamp(state->logTime.mean(), -kMaxLogRatio, kMaxLogRatio)),
+                  .usefulConcurrency = opinion.usefulConcurrency,
+                  .weight = std::min(evidence(*state, variance, now), options_.maxSharedWeight) });
     }
     return result;
 }
--- a/packages/performance/test/performance_model_test.cpp
+++ b/packages/performance/test/performance_model_test.cpp
@@ -198,6 +198,21 @@
         run(30);
         const double recovered = meanTime(world, 90, 7);
         CPPUNIT_ASSERT_MESSAGE(std::to_string(recovered), recovered < 1.2);
+        double lowest = 1;
+        double highest = 1;
+        for (std::size_t i = 0; i < 90; ++i) {
+            double previous = 1;
+            for (const PerformanceChange &change : world.model(i).takeChanges()) {
+                CPPUNIT_ASSERT_EQUAL(PerformanceWorld::keyOf(7), change.target);
+                CPPUNIT_ASSERT_EQUAL(previous, change.before);
+                previous = change.relativeTime;
+                lowest = std::min(lowest, previous);
+                highest = std::max(highest, previous);
+            }
+            CPPUNIT_ASSERT_EQUAL(previous, steady[i]);
+            CPPUNIT_ASSERT(world.model(i).takeChanges().empty());
+        }
+        CPPUNIT_ASSERT(lowest >= 1 && highest > 2);
         // Up and down through at most four steps each.
         CPPUNIT_ASSERT_MESSAGE(std::to_string(steadyChanges), steadyChanges <= 90 * 8);
     }
@@ -450,7 +465,7 @@
                 }
                 for (const SharedFigures &shared : model.takeShared(6, time)) {
                     RC_ASSERT(shared.relativeTime > 0.1 && shared.relativeTime < 10);
-                    RC_ASSERT(shared.weight >= 0 && shared.weight < 1e6);
+                    RC_ASSERT(shared.weight >= 0 && shared.weight <= 40);
                 }
             }
         });
