--- a/packages/dispatch/include/dispatch/target_tracker.h
+++ b/packages/dispatch/include/dispatch/target_tracker.h
@@ -78,8 +78,9 @@
 /// Times of an answer that was received without a fault.
 struct AnswerTimes
 {
-    /// Time from the send to the first event or, for other answers, to the whole answer; 0 if it
-    /// was recorded before.
+    /// Time from the send to the first event of a stream or to the whole answer of a plain service;
+    /// 0 if it was recorded before. Whole answers of engines are not recorded, because their times
+    /// depend on the length of the answer.
     Seconds timeToFirstEvent{ 0 };
     /// Mean time between two events of a stream that has ended.
     std::optional<Seconds> eventInterval;
