--- a/packages/entry/test/rollout_eras_test.cpp
+++ b/packages/entry/test/rollout_eras_test.cpp
@@ -82,7 +82,7 @@
 struct Instance
 {
     Instance(const std::string &name, FakeStore &store, FakeEngines &engines,
-             const fleet::ViewPtr &view)
+             const fleet::ViewPtr &view, milliseconds leaseDuration = kLeaseDuration)
         : rollout(context, store, engines, log,
                   { .view = [view] { return view; },
                     .liveInstances =
@@ -91,7 +91,7 @@
                             },
                     .progress = [](const LoadTask &, LoadStage) {} },
                   { .instance = name,
-                    .lease = { .duration = kLeaseDuration, .orderLifetime = milliseconds(20) },
+                    .lease = { .duration = leaseDuration, .orderLifetime = milliseconds(20) },
                     .tickInterval = milliseconds(2),
                     .standbyDelay = milliseconds(60),
                     .statePollInterval = milliseconds(5),
@@ -255,6 +255,8 @@
     CPPUNIT_TEST_SUITE(RolloutErasTest);
     CPPUNIT_TEST(leaseStaysExclusive);
     CPPUNIT_TEST(renewalThatHitsAnotherRowDoesNotCount);
+    CPPUNIT_TEST(lostHolderKeepsItsTime);
+    CPPUNIT_TEST(holderWritesItsLeaseAgain);
     CPPUNIT_TEST(fencesIncreaseAcrossEras);
     CPPUNIT_TEST_SUITE_END();
 
@@ -316,6 +318,53 @@
         }
     }
 
+    // Guards against a second holder: the store confirmed the lease to an instance and lost it, and
+    // the write of another one, which read the row before, takes effect in the next era.
+    void lostHolderKeepsItsTime()
+    {
+        for (const bool hasRow : { false, true }) {
+            for (const bool isAnswered : { false, true }) {
+                Fixture f;
+                f.stopped = f.b.get();
+                if (hasRow)
+                    f.putLease("", 4);
+                const FakeStore older = f.store;
+                std::chrono::steady_clock::time_point lostAt;
+                f.store.beforeWrite = [&] {
+                    f.putLease("x", 5);
+                    lostAt = std::chrono::steady_clock::now();
+                    f.store.restore(older);
+                    f.store.dropsWriteReplies = !isAnswered;
+                    f.store.onWrite = [&] {
+                        f.store.beforeRead = [&] { f.store.dropsWriteReplies = false; };
+                    };
+                };
+                CPPUNIT_ASSERT(f.runUntil([&] { return f.isDone(); }));
+                CPPUNIT_ASSERT(f.engines.orders.front().sentAt - lostAt >= kLeaseDuration);
+                CPPUNIT_ASSERT(f.engines.orders.front().fence > 5);
+            }
+        }
+    }
+
+    // Guards against a rollout that pauses until the lease has expired, although its holder was not
+    // lost.
+    void holderWritesItsLeaseAgain()
+    {
+        constexpr milliseconds kLongLease{ 1000 };
+        Fixture f;
+        f.stopped = f.b.get();
+        f.a = std::make_unique<Instance>("a", f.store, f.engines, f.view, kLongLease);
+        f.engines.isFailing = true;
+        const FakeStore older = f.store;
+        CPPUNIT_ASSERT(f.runUntil([&] { return !f.engines.orders.empty(); }));
+        f.store.restore(older);
+        const auto restoredAt = std::chrono::steady_clock::now();
+        CPPUNIT_ASSERT(f.runUntil([&] { return f.lease().has_value(); }));
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - restoredAt < kLongLease * 9 / 10);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), f.lease()->holder);
+        CPPUNIT_ASSERT(f.lease()->fence > leases::firstFence(1));
+    }
+
     // Guards against a token below one that was issued before the store was restored, also if the
     // restored row has a lower one.
     void fencesIncreaseAcrossEras()
