--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -26,6 +26,7 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 // Longer than any known caller keeps an idle connection for reuse.
+constexpr std::size_t kMaxQueryBytes = 64U << 10U;
 constexpr milliseconds kCallerIdleTimeout{ 60'000 };
 constexpr milliseconds kCallerWriteTimeout{ 6'000 };
 
@@ -197,12 +198,16 @@
             (this->*member)(exchange, yield);
         };
     };
+    // Requests on these addresses have no large bodies, and must leave the memory to callers'
+    // requests.
+    const net::ServerOptions queryOptions{ .maxBodyBytes = kMaxQueryBytes,
+                                           .requestMemoryBytes = options_.requestMemoryBytes / 4 };
     startServer(readinessServer_, controlContext_, options_.readinessAddress,
-                bindHandler(&EntryApp::serveReadiness), {});
+                bindHandler(&EntryApp::serveReadiness), queryOptions);
     startServer(directoryServer_, controlContext_, options_.directoryAddress,
-                bindHandler(&EntryApp::serveDirectory), {});
+                bindHandler(&EntryApp::serveDirectory), queryOptions);
     startServer(metricsServer_, controlContext_, options_.metricsAddress,
-                bindHandler(&EntryApp::serveMetrics), {});
+                bindHandler(&EntryApp::serveMetrics), queryOptions);
     startServer(callerServer_, trafficContext_, options_.callerAddress,
                 [this](net::Exchange &exchange, const yield_context &yield) {
                     relay_.serve(exchange, yield);
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -444,6 +444,7 @@
     socket.set_option(tcp::no_delay(true), error);
     const Address peer{ remote.address().to_string(), remote.port() };
     ServerConnection connection(std::move(socket), memory_);
+    connection.setState(HolderState::Idle);
     reserve(connection, 0, true, yield, error);
     if (error)
         return;
--- a/packages/net/test/early_response_test.cpp
+++ b/packages/net/test/early_response_test.cpp
@@ -129,6 +129,80 @@
     return outcome;
 }
 
+struct Row
+{
+    std::string name;
+    Behaviour behaviour;
+};
+
+// Adds the row for a fresh and for a kept connection.
+void addBoth(std::vector<Row> &rows, std::string name, Behaviour behaviour)
+{
+    rows.push_back({ name + ", fresh", behaviour });
+    behaviour.keepsFirstRequest = true;
+    rows.push_back({ name.append(", kept"), std::move(behaviour) });
+}
+
+std::vector<Row> earlyResponses()
+{
+    const std::string heads[] = {
+        "HTTP/1.0 200 OK\r\n",
+        "HTTP/1.0 200 OK\r\nConnection: close\r\n",
+        "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n",
+    };
+    struct Ending
+    {
+        std::string name;
+        std::size_t readBytes;
+        milliseconds delay;
+        bool closesInOrder;
+    };
+    constexpr std::size_t kPart = 1U << 20U;
+    const Ending endings[] = {
+        { "reset at once", 0, milliseconds(0), false },
+        { "reset later", 0, milliseconds(20), false },
+        { "read, reset at once", kPart, milliseconds(0), false },
+        { "read, reset later", kPart, milliseconds(20), false },
+        { "close at once", 0, milliseconds(0), true },
+        { "close later", 0, milliseconds(20), true },
+        { "read, close at once", kPart, milliseconds(0), true },
+        { "read, close later", kPart, milliseconds(20), true },
+    };
+    std::vector<Row> rows;
+    for (const std::string &head : heads) {
+        for (const Ending &ending : endings) {
+            std::string name = head;
+            name.append(ending.name);
+            addBoth(rows, std::move(name),
+                    { .response = head + "\r\npart",
+                      .readBytes = ending.readBytes,
+                      .delay = ending.delay,
+                      .closesInOrder = ending.closesInOrder });
+        }
+    }
+    return rows;
+}
+
+std::vector<Row> invalidStatuses()
+{
+    std::vector<Row> rows;
+    for (const char *status : { "000", "001", "099", "600", "999", "", "20", "-20" }) {
+        for (const char *version : { "HTTP/1.0 ", "HTTP/1.1 " }) {
+            for (const char *rest : { " X\r\nContent-Length: 2\r\n\r\nok", " X\r\n\r\nok" }) {
+                std::string response = version;
+                response.append(status).append(rest);
+                std::string name = response;
+                addBoth(rows, std::move(name),
+                        { .response = std::move(response), .closesInOrder = true });
+            }
+        }
+    }
+    return rows;
+}
+
 } // namespace
 
 class EarlyResponseTest : public CppUnit::TestFixture
@@ -147,31 +221,10 @@
     {
         const std::string body(16U << 20U, 'x');
         std::string failures;
-        for (const std::string version : { "1.0", "1.1" }) {
-            for (const std::string fields :
-                 { "", "Connection: close\r\n", "Connection: keep-alive\r\n" }) {
-                for (const bool isKept : { false, true }) {
-                    for (const bool closesInOrder : { false, true }) {
-                        for (const std::size_t readBytes : { 0U, 1U << 20U }) {
-                            for (const int delay : { 0, 20 }) {
-                                const std::string head = "HTTP/" + version + " 200 OK\r\n" + fields;
-                                const auto outcome = upload({ .response = head + "\r\npart",
-                                                              .readBytes = readBytes,
-                                                              .delay = milliseconds(delay),
-                                                              .closesInOrder = closesInOrder,
-                                                              .keepsFirstRequest = isKept },
-                                                            body);
-                                if (!outcome || outcome->isComplete)
-                                    failures += head + (isKept ? "kept " : "fresh ")
-                                                + (closesInOrder ? "close " : "reset ")
-                                                + std::to_string(readBytes) + " bytes read, "
-                                                + std::to_string(delay) + " ms: "
-                                                + (outcome ? "complete" : "no outcome") + '\n';
-                            }
-                        }
-                    }
-                }
-            }
+        for (const Row &row : earlyResponses()) {
+            const auto outcome = upload(row.behaviour, body);
+            if (!outcome || outcome->isComplete)
+                failures += row.name + (outcome ? ": complete\n" : ": no outcome\n");
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), failures);
     }
@@ -196,21 +249,10 @@
     void invalidStatusIsNoResponse()
     {
         std::string failures;
-        for (const std::string status : { "000", "001", "099", "600", "999", "", "20", "-20" }) {
-            for (const std::string version : { "1.0", "1.1" }) {
-                for (const bool isKept : { false, true }) {
-                    for (const std::string body : { "Content-Length: 2\r\n\r\nok", "\r\nok" }) {
-                        const std::string head = "HTTP/" + version + ' ' + status;
-                        const auto outcome = upload({ .response = head + " X\r\n" + body,
-                                                      .closesInOrder = true,
-                                                      .keepsFirstRequest = isKept },
-                                                    "question");
-                        if (!outcome || outcome->status != 0
-                            || outcome->error != Result::TargetFailed)
-                            failures += head + (isKept ? ", kept\n" : ", fresh\n");
-                    }
-                }
-            }
+        for (const Row &row : invalidStatuses()) {
+            const auto outcome = upload(row.behaviour, "question");
+            if (!outcome || outcome->status != 0 || outcome->error != Result::TargetFailed)
+                failures += row.name + '\n';
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), failures);
     }
