--- a/packages/daemon/src/entry_options.cpp
+++ b/packages/daemon/src/entry_options.cpp
@@ -15,6 +15,8 @@
 // rest is for the view of the deployment, the allocator and the buffers of connections to targets.
 constexpr double kRequestMemoryShare = 0.25;
 constexpr double kMebibyte = 1U << 20U;
+// A body of 4 MiB fits, whatever the settings say.
+constexpr double kMinRequestMemory = 8 * kMebibyte;
 // Time before the platform kills the process that is reserved for the last writes and the exit.
 constexpr milliseconds kExitMargin{ 400 };
 // Time for requests in progress after new connections are no longer accepted.
@@ -48,8 +50,8 @@
                                  .retryBurst = entry.retryBurst * kOwnRetryShare,
                                  .retryWindow = entry.retryWindow };
     if (entry.memoryMb > 0)
-        options.requestMemoryBytes =
-                static_cast<std::size_t>(entry.memoryMb * kMebibyte * kRequestMemoryShare);
+        options.requestMemoryBytes = static_cast<std::size_t>(
+                std::max(entry.memoryMb * kMebibyte * kRequestMemoryShare, kMinRequestMemory));
     options.addressLifetime = std::min(settings.entriesTtl, entry.maxAddressLifetime);
     options.drainLimit = entry.gracePeriod - kExitMargin;
     options.drainListenTime = options.drainLimit - kFinishTime;
