Entry: learn the performance of targets, and apply the configuration's limits of requests

Cause: the learned performance of targets and the limits that the configuration sets for callers had no users. Change: the relay records the times of answers; instances exchange what they have observed once a second. Heads, bodies and idle connections of callers are limited as the configuration says, with 2 s more for heads that are held up.

--- a/packages/entry/include/entry/entry_app.h
+++ b/packages/entry/include/entry/entry_app.h
@@ -64,6 +64,10 @@
     void exchangeTraffic();
     /// Sends a notice to the other instances and applies it here.
     void handleWeightsChange(const peers::WeightsNotice &notice);
+    /// Adds learned performance of targets to the digest once per interval, and logs its changes.
+    void collectPerformance(TrafficDigest &digest);
+    /// Applies the limits of the configuration to the requests of callers.
+    void applyCallerLimits(const fleet::View &view);
     /// Updates the other instances' requests in flight. Runs on the traffic thread.
     void updateOthersWork(const std::vector<dispatch::TargetWork> &work);
     void applyWeightsNotice(const peers::WeightsNotice &notice);
@@ -103,8 +107,9 @@
     PeerMesh peerMesh_;
     QuarantineSharing quarantineSharing_;
     Rollout rollout_;
-    net::HttpClient httpClient_;       ///< Used on the traffic thread.
-    usage::UsageLimiter usageLimiter_; ///< Used on the traffic thread.
+    net::HttpClient httpClient_;                 ///< Used on the traffic thread.
+    Clock::time_point performanceCollectedAt_{}; ///< Used on the traffic thread.
+    usage::UsageLimiter usageLimiter_;           ///< Used on the traffic thread.
     dispatch::Placer placer_;
     quarantine::PartQuarantine partQuarantine_; ///< Used by the traffic thread.
     relay::Metrics metrics_;
--- a/packages/entry/include/entry/peer_mesh.h
+++ b/packages/entry/include/entry/peer_mesh.h
@@ -12,6 +12,7 @@
 #include "net/http_server.h"
 #include "peers/hint_exchange.h"
 #include "peers/load_exchange.h"
+#include "peers/performance_exchange.h"
 #include "peers/quarantine_exchange.h"
 #include "peers/udp_transport.h"
 #include "peers/usage_exchange.h"
@@ -37,6 +38,8 @@
     std::vector<dispatch::TargetWork> work;  ///< Requests in flight of this instance by target.
     std::vector<dispatch::PrefixHint> hints; ///< Recent placements of prefixes.
     std::vector<usage::UsageTotal> usage;    ///< Usage of customers with a limit.
+    /// Learned performance of targets; empty if it was not collected this time.
+    std::vector<performance::SharedFigures> performance;
 };
 
 /// Callbacks that pass on what the other instances send. The mesh calls them on the control I/O
@@ -49,6 +52,10 @@
             updateOthersWork;
     /// Called with the recent placements of another instance.
     std::function<void(std::vector<dispatch::PrefixHint>)> mergeHints;
+    /// Called with the performance of targets that another instance has observed. `sender`
+    /// identifies that instance.
+    std::function<void(std::uint64_t sender, std::vector<performance::SharedFigures>)>
+            mergePerformance;
     /// Called with the latest balances of customers with a usage limit.
     std::function<void(std::vector<usage::UsageBalance>)> applyUsageBalances;
     /// Called when another instance has ordered an engine to load weights or seen it finish.
@@ -177,6 +184,7 @@
     peers::HintExchange hintExchange_;
     peers::QuarantineExchange quarantineExchange_;
     peers::UsageExchange usageExchange_;
+    peers::PerformanceExchange performanceExchange_;
     // Members and view from which the aggregation points of the exchanges were computed.
     control::MemberSnapshotPtr assignedMembers_;
     fleet::ViewPtr assignedView_;
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_app.h"
 
+#include "base/hash.h"
 #include "entry/directory.h"
 
 #include <boost/asio/post.hpp>
@@ -22,6 +23,8 @@
 constexpr milliseconds kMinIdleBeforeExit{ 200 }; // Several round trips to callers.
 // Interval between sends of loads and placement hints to other instances.
 constexpr milliseconds kExchangeInterval{ 50 };
+// Interval between sends of learned performance of targets.
+constexpr milliseconds kPerformanceInterval{ 1000 };
 constexpr std::size_t kMaxAddresses = 64; // Callers read no more addresses of a response.
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
@@ -248,8 +251,25 @@
     return 0;
 }
 
+void EntryApp::applyCallerLimits(const fleet::View &view)
+{
+    if (!view.isComplete())
+        return;
+    // The head of a request may be held up by lost packets and by this process itself.
+    constexpr milliseconds kHeadDelayAllowance{ 2000 };
+    const fleet::CallerLimits &limits = view.configuration().limits;
+    const bool hasHeadTimeout = limits.headTimeout > milliseconds::zero();
+    callerServer_->setLimits({ .maxHeadBytes = limits.maxHeadBytes,
+                               .maxBodyBytes = limits.maxBodyBytes,
+                               .headTimeout = hasHeadTimeout
+                                                      ? limits.headTimeout + kHeadDelayAllowance
+                                                      : milliseconds::zero(),
+                               .idleTimeout = limits.idleTimeout });
+}
+
 void EntryApp::handleViewPublished(const fleet::ViewPtr &view)
 {
+    applyCallerLimits(*view);
     peerMesh_.setRevision(viewUpdater_.revision());
     boost::asio::post(trafficContext_, [this, view] {
         placer_.targetTracker().retain(view->targets(), Clock::now());
@@ -273,6 +293,14 @@
                              placer_.mergeHints(hints, Clock::now());
                          });
                      },
+             .mergePerformance =
+                     [this](std::uint64_t sender, std::vector<performance::SharedFigures> figures) {
+                         boost::asio::post(trafficContext_,
+                                           [this, sender, figures = std::move(figures)] {
+                                               placer_.targetTracker().performance().mergeShared(
+                                                       sender, figures, Clock::now());
+                                           });
+                     },
              .applyUsageBalances =
                      [this](std::vector<usage::UsageBalance> balances) {
                          boost::asio::post(trafficContext_, [this, balances = std::move(balances)] {
@@ -362,6 +390,7 @@
                           .hints = placer_.takeHints(peers::HintExchange::kMaxHints),
                           .usage = usageLimiter_.totals(Clock::now()) };
     metrics_.setUsage(usageLimiter_.counters());
+    collectPerformance(digest);
     relay_.reportQuarantines();
     boost::asio::post(controlContext_,
                       [this, digest = std::move(digest)] { peerMesh_.exchangeDigest(digest); });
@@ -370,6 +399,23 @@
     timer->async_wait([this, timer](const auto &) { exchangeTraffic(); });
 }
 
+void EntryApp::collectPerformance(TrafficDigest &digest)
+{
+    const auto now = Clock::now();
+    if (now - performanceCollectedAt_ < kPerformanceInterval)
+        return;
+    performanceCollectedAt_ = now;
+    auto &model = placer_.targetTracker().performance();
+    digest.performance = model.takeShared(peers::PerformanceExchange::kMaxFigures, now);
+    for (const performance::PerformanceChange &change : model.takeChanges())
+        log_.write("placement", "performance-changed",
+                   { { "pool", change.pool },
+                     { "target", base::toHex(change.target) },
+                     { "started_at", change.startedAt },
+                     { "before", change.before },
+                     { "relative_time", change.relativeTime } });
+}
+
 void EntryApp::updateOthersWork(const std::vector<dispatch::TargetWork> &work)
 {
     const fleet::ViewPtr view = viewUpdater_.view();
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -67,6 +67,9 @@
               std::random_device{}()),
       usageExchange_(options.instance, life,
                      [this](const std::string &to, const auto &datagram) { sendTo(to, datagram); }),
+      performanceExchange_(
+              options.instance, std::random_device{}(),
+              [this](const std::string &to, const auto &datagram) { sendTo(to, datagram); }),
       client_(context.get_executor(), { .connectTimeout = kPeerTimeout }),
       rowFetcher_(client_, viewUpdater, log), random_(std::random_device{}())
 {
@@ -179,6 +182,8 @@
         loadExchange_.receive(toString(from), *report, now);
     } else if (const auto *sums = std::get_if<peers::LoadSums>(&datagram)) {
         loadExchange_.receive(*sums, now);
+    } else if (auto *figures = std::get_if<peers::PerformanceFigures>(&datagram)) {
+        hooks_.mergePerformance(base::hash64(toString(from)), std::move(figures->figures));
     } else if (const auto *usageReport = std::get_if<peers::UsageReport>(&datagram)) {
         usageExchange_.receive(toString(from), *usageReport, usage::Time::clock::now());
     } else if (const auto *balances = std::get_if<peers::UsageBalances>(&datagram)) {
@@ -250,6 +255,8 @@
     const dispatch::InstanceShare share = instanceShare();
     hooks_.updateOthersWork(std::move(othersWork), share);
     exchangeUsage(digest.usage, share);
+    if (!digest.performance.empty() && performanceExchange_.isDue(now))
+        performanceExchange_.send(assignedMembers_->members, { digest.performance }, now);
     peers::PlacementHints message;
     for (const dispatch::PrefixHint &hint : digest.hints)
         message.hints.push_back({ hint.prefix, hint.target, hint.startedAt });
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -321,6 +321,7 @@
     target_ = &attemptState_.view->targets()[placement.target];
     inFlightRequest_ = placement.inFlightRequest;
     firstEventAt_.reset();
+    eventCount_ = 0;
     hasTargetResponded_ = false;
     hasBegun_ = false;
     responseMemory_.resize(targetFailure_ ? targetFailure_->body.size() : 0);
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -113,6 +113,11 @@
     /// responses use it. Returns `Wait` if the request ended before, and `Refused` if the response
     /// must be dropped.
     base::MemoryGrant reserveMemory(std::size_t bytes);
+    /// Records the time to the first event, or to the whole answer of a plain service, from which
+    /// the performance of the target is learned.
+    void recordFirstEventTime();
+    /// Records the mean time between the events of a complete stream.
+    void recordEventInterval();
     /// Records a complete answer, or a fault if further bytes follow it.
     void recordAnswer(const net::ResponseStream &response);
     /// Records what the response tells about the target.
@@ -182,6 +187,7 @@
     bool hasBegun_ = false; ///< The current attempt has received an event or the whole answer.
     /// Arrival of the first bytes of a stream in the current attempt.
     std::optional<Clock::time_point> firstEventAt_;
+    std::size_t eventCount_ = 0;                ///< Events of the current attempt.
     dispatch::InFlightRequest inFlightRequest_; ///< Load of the current attempt on its target.
     bool mayHaveRun_ = false;                  ///< A target has run the request or may have run it.
     bool hasResponseStarted_ = false;          ///< The response head was sent to the caller.
--- a/packages/relay/src/flow_answers.cpp
+++ b/packages/relay/src/flow_answers.cpp
@@ -165,6 +165,24 @@
         targetTracker.recordSuccess(*target_, Clock::now());
 }
 
+void Relay::Flow::recordFirstEventTime()
+{
+    const auto now = Clock::now();
+    context_.placer.targetTracker().recordTimes(*target_, inFlightRequest_,
+                                                { .timeToFirstEvent = now - sentAt_ }, now);
+}
+
+void Relay::Flow::recordEventInterval()
+{
+    if (eventCount_ < 2 || !firstEventAt_)
+        return;
+    const auto now = Clock::now();
+    const dispatch::Seconds total = now - *firstEventAt_;
+    context_.placer.targetTracker().recordTimes(
+            *target_, inFlightRequest_,
+            { .eventInterval = total / static_cast<double>(eventCount_ - 1) }, now);
+}
+
 base::MemoryGrant Relay::Flow::reserveMemory(std::size_t bytes)
 {
     // The last server error is kept until the caller has a response.
@@ -225,6 +243,8 @@
         return SendOutcome::Failed;
     }
     recordAnswer(response);
+    if (caller_.model.empty() && isSuccess(whole.status))
+        recordFirstEventTime();
     // An error may be returned before the engine begins on the prompt.
     if (isSuccess(whole.status))
         recordBegin();
@@ -241,6 +261,8 @@
     std::error_code error;
     while (const auto event = splitter.next()) {
         recordBegin();
+        if (++eventCount_ == 1)
+            recordFirstEventTime();
         if (event->id && lastEventId_ && *event->id <= *lastEventId_)
             continue;
         if (!hasResponseStarted_) {
@@ -295,10 +317,12 @@
         return SendOutcome::Cancelled;
     }
     const bool isComplete = !error && timeLeft() > milliseconds::zero();
-    if (isComplete && !splitter.hasPartialEvent())
+    if (isComplete && !splitter.hasPartialEvent()) {
         recordAnswer(response);
-    else
+        recordEventInterval();
+    } else {
         targetTracker.recordFault(*target_, dispatch::Fault::Broken, Clock::now());
+    }
     return finishStream(isComplete, splitter);
 }
 
