Revert "Load exchange: assume no idle target where the load is not known"

Cause: the change was to keep instances from sending to a target whose load they do not know. The requests that reached one engine at once were those of a home of new weights, which mends. Change: the load exchange and the estimates are as before.

--- a/packages/dispatch/include/dispatch/target_tracker.h
+++ b/packages/dispatch/include/dispatch/target_tracker.h
@@ -107,9 +107,9 @@
     std::chrono::milliseconds refusedPause{ 100 };
     /// Age at which a load report counts half; answers arrive several times a second.
     std::chrono::milliseconds reportHalfLife{ 700 };
-    /// Maximum age at which the work that other instances reported counts. It is set again with
-    /// each exchange, many times a second, as long as it is known.
-    std::chrono::milliseconds maxOthersWorkAge{ 1000 };
+    /// Maximum age at which the work that other instances reported counts; they repeat it more
+    /// often.
+    std::chrono::milliseconds maxOthersWorkAge{ 3000 };
     /// Time for which an idle connection is expected to be usable; see the connection reuse of
     /// package relay.
     std::chrono::milliseconds idleConnectionLifetime{ 4000 };
@@ -182,10 +182,6 @@
     /// Replaces the reported work of all other instances at the target.
     void setOthersWork(const fleet::Target &target, const TargetWork &work, Time now);
 
-    /// Sets the work of all other instances that targets of the pool have on average. It is assumed
-    /// for targets whose work is not known, which would otherwise look idle to all instances.
-    void setTypicalWork(const std::string &pool, const TargetWork &work, Time now);
-
     /// Returns the estimated number of requests of all instances at the target.
     double estimatedRequests(const fleet::Target &target, Time now) const;
 
@@ -258,14 +254,6 @@
     /// instances begins elsewhere for each target, so that an instance does not get the permits of
     /// many targets at the same time.
     InstanceShare shareOf(const fleet::Target &target) const;
-    /// Work of other instances that is assumed for a target whose work is not known.
-    struct TypicalWork
-    {
-        TargetWork work;
-        Time updatedAt{};
-    };
-    /// Returns the typical work of the target's pool, or null if none is known.
-    const TargetWork *typicalWork(const fleet::Target &target, Time now) const;
     /// Returns the fault count, decayed to `now`.
     double recentFaults(const TargetStatus &status, Time now) const;
 
@@ -276,7 +264,6 @@
     performance::PerformanceModel performance_;
     InstanceShare instanceShare_;
     std::unordered_map<std::string, TargetStatus> targets_; ///< By target id.
-    std::map<std::string, TypicalWork> typicalWork_;        ///< By pool.
     std::map<Run, Time> leavingRuns_; ///< When this instance learned that the run is leaving.
 };
 
--- a/packages/dispatch/src/target_tracker.cpp
+++ b/packages/dispatch/src/target_tracker.cpp
@@ -146,56 +146,35 @@
         recordWeights(target, model, version, now);
 }
 
-void TargetTracker::setTypicalWork(const std::string &pool, const TargetWork &work, Time now)
-{
-    typicalWork_[pool] = { work, now };
-}
-
-const TargetWork *TargetTracker::typicalWork(const fleet::Target &target, Time now) const
-{
-    const auto found = typicalWork_.find(target.pool);
-    const bool isRecent = found != typicalWork_.end()
-                          && now - found->second.updatedAt < options_.maxOthersWorkAge;
-    return isRecent ? &found->second.work : nullptr;
-}
-
 double TargetTracker::estimatedRequests(const fleet::Target &target, Time now) const
 {
     const TargetStatus *entry = find(target);
-    const TargetWork *typical = typicalWork(target, now);
-    const double typicalRequests = typical == nullptr ? 0 : typical->requests;
     if (entry == nullptr)
-        return typicalRequests;
+        return 0;
     if (now - entry->othersReportedAt < options_.maxOthersWorkAge)
         return entry->inFlight + entry->othersRequests;
     const double reported = entry->report.running + entry->report.waiting;
     const double others = std::max(0.0, reported - entry->ownRequestsAtReport);
     const Seconds age = now - entry->reportedAt;
-    // A recent report replaces the assumption.
-    const double reportWeight = std::exp2(-age / Seconds(options_.reportHalfLife));
-    return entry->inFlight + others * reportWeight + typicalRequests * (1 - reportWeight);
+    return entry->inFlight + others * std::exp2(-age / Seconds(options_.reportHalfLife));
 }
 
 double TargetTracker::estimatedWaitingTokens(const fleet::Target &target, Time now) const
 {
     const TargetStatus *entry = find(target);
-    const TargetWork *typical = typicalWork(target, now);
-    const double typicalTokens = typical == nullptr ? 0 : typical->waitingTokens;
     if (entry == nullptr)
-        return typicalTokens;
+        return 0;
     const bool isRecent = now - entry->othersReportedAt < options_.maxOthersWorkAge;
-    return entry->waitingTokens + (isRecent ? entry->othersWaitingTokens : typicalTokens);
+    return entry->waitingTokens + (isRecent ? entry->othersWaitingTokens : 0);
 }
 
 double TargetTracker::estimatedMemoryTokens(const fleet::Target &target, Time now) const
 {
     const TargetStatus *entry = find(target);
-    const TargetWork *typical = typicalWork(target, now);
-    const double typicalTokens = typical == nullptr ? 0 : typical->memoryTokens;
     if (entry == nullptr)
-        return typicalTokens;
+        return 0;
     const bool isRecent = now - entry->othersReportedAt < options_.maxOthersWorkAge;
-    return entry->memoryTokens + (isRecent ? entry->othersMemoryTokens : typicalTokens);
+    return entry->memoryTokens + (isRecent ? entry->othersMemoryTokens : 0);
 }
 
 std::uint64_t TargetTracker::weightsOf(const fleet::Target &target, const std::string &model) const
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
-#include <map>
 #include <random>
 #include <utility>
 
@@ -420,31 +419,11 @@
 {
     const fleet::ViewPtr view = viewUpdater_.view();
     const auto now = Clock::now();
-    struct PoolWork
-    {
-        dispatch::TargetWork sum;
-        double targets = 0;
-    };
-    std::map<std::string, PoolWork> pools;
     for (const dispatch::TargetWork &entry : work) {
         const auto target = std::ranges::find(view->targets(), entry.target, &fleet::Target::id);
-        if (target == view->targets().end())
-            continue;
-        placer_.targetTracker().setOthersWork(*target, entry, now);
-        PoolWork &pool = pools[target->pool];
-        pool.sum.requests += entry.requests;
-        pool.sum.waitingTokens += entry.waitingTokens;
-        pool.sum.memoryTokens += entry.memoryTokens;
-        ++pool.targets;
+        if (target != view->targets().end())
+            placer_.targetTracker().setOthersWork(*target, entry, now);
     }
-    for (const auto &[name, pool] : pools)
-        placer_.targetTracker().setTypicalWork(
-                name,
-                { .target = {},
-                  .requests = pool.sum.requests / pool.targets,
-                  .waitingTokens = pool.sum.waitingTokens / pool.targets,
-                  .memoryTokens = pool.sum.memoryTokens / pool.targets },
-                now);
 }
 
 void EntryApp::handleWeightsChange(const peers::WeightsNotice &notice)
--- a/packages/entry/src/peer_mesh.cpp
+++ b/packages/entry/src/peer_mesh.cpp
@@ -28,16 +28,9 @@
 
 // Reports are sent more often and for smaller changes than in a large fleet: each instance has few
 // requests at a target, and 60 ms are a small part of the shortest latency goals.
-// The sums of all targets are asked for, because a target of which nothing is known looks idle to
-// all instances at the same time. They are short-lived, so that those of an aggregation point that
-// has failed are not taken for the present load.
 constexpr membership::LoadDigestOptions kLoadOptions{ .minSendInterval = milliseconds(60),
                                                       .minPrefillTokenChange = 512,
-                                                      .minRequestChange = 1,
-                                                      .refreshInterval = milliseconds(1000),
-                                                      .maxAge = milliseconds(2000),
-                                                      .idleSendInterval = milliseconds(500),
-                                                      .remoteRefreshInterval = milliseconds(1000) };
+                                                      .minRequestChange = 1 };
 // Indexes into the classes of a load. Entry instances report the requests in flight and their
 // waiting tokens in the first class, and the tokens that they hold in memory in the second one.
 constexpr std::size_t kWorkIndex = 0;
--- a/packages/membership/include/membership/load_digest.h
+++ b/packages/membership/include/membership/load_digest.h
@@ -67,13 +67,6 @@
     /// Time after which a value is repeated, because datagrams get lost.
     Duration refreshInterval = std::chrono::seconds(5);
     Duration maxAge = std::chrono::seconds(12); ///< Older values are dropped.
-    /// Minimum time between two datagrams of sums to a daemon without work at the targets. No value
-    /// for `minSendInterval`.
-    std::optional<Duration> idleSendInterval{};
-    /// Time after which a daemon asks aggregation points of other data centres for their sums if it
-    /// has no work at their targets. No value if it does not ask them. Without the sums, such
-    /// targets look idle.
-    std::optional<Duration> remoteRefreshInterval{};
 };
 
 /// SentLoads records what one daemon has sent to another about a set of targets.
@@ -121,9 +114,6 @@
 void recordReport(ReportedLoads &reported, std::string_view reporter, std::uint64_t life,
                   std::span<const LoadEntry> entries, TimePoint now);
 
-/// Returns true if `reporter` has work in flight at the targets aggregated here.
-bool hasWork(const ReportedLoads &reported, std::string_view reporter);
-
 /// Returns the sums of the other daemons' load that are due to be sent to `reporter`.
 std::vector<LoadEntry> takeSums(ReportedLoads &reported, std::string_view reporter, TimePoint now,
                                 const LoadDigestOptions &options);
--- a/packages/membership/src/load_digest.cpp
+++ b/packages/membership/src/load_digest.cpp
@@ -108,15 +108,6 @@
     }
 }
 
-bool hasWork(const ReportedLoads &reported, std::string_view reporter)
-{
-    const auto found = reported.reporters.find(reporter);
-    return found != reported.reporters.end()
-           && std::ranges::any_of(found->second.targets, [](const auto &target) {
-                  return target.second.load != TargetLoad{};
-              });
-}
-
 std::vector<LoadEntry> takeSums(ReportedLoads &reported, std::string_view reporter, TimePoint now,
                                 const LoadDigestOptions &options)
 {
--- a/packages/peers/src/load_exchange.cpp
+++ b/packages/peers/src/load_exchange.cpp
@@ -101,10 +101,8 @@
         return;
     }
     const bool isRelevant = point.isLocal || !current.empty();
-    const auto interval =
-            isRelevant ? std::optional(options_.refreshInterval) : options_.remoteRefreshInterval;
     const bool shouldRequestSums =
-            interval && changes.empty() && now - point.lastReportAt >= *interval;
+            isRelevant && changes.empty() && now - point.lastReportAt >= options_.refreshInterval;
     if (changes.empty() && !shouldRequestSums)
         return;
     point.lastReportAt = now;
@@ -118,12 +116,8 @@
 {
     membership::mergeSums(receivedSums_, membership::takeSums(reportedLoads_, self_, now, options_),
                           now);
-    membership::LoadDigestOptions idleOptions = options_;
-    idleOptions.minSendInterval = options_.idleSendInterval.value_or(options_.minSendInterval);
     for (const auto &[reporter, address] : reporterAddresses_) {
-        const bool isActive = membership::hasWork(reportedLoads_, reporter);
-        const auto sums = membership::takeSums(reportedLoads_, reporter, now,
-                                               isActive ? options_ : idleOptions);
+        const auto sums = membership::takeSums(reportedLoads_, reporter, now, options_);
         sendInBatches(send_, address, LoadSums{}, sums);
     }
 }
