HTTP server test: wait on conditions instead of fixed times

Cause: heldMemoryIsReclaimed and idleConnectionMakesRoom waited 1.5 s for a connection to become old enough. Change: they repeat a refused request until it is served, within 20 s; the server's own timeouts are 60 s there, so that service before the timeouts is still what is checked.

--- a/packages/net/test/http_server_test.cpp
+++ b/packages/net/test/http_server_test.cpp
@@ -31,6 +31,19 @@
     return answer;
 }
 
+// Sends the request again until it gets status 200, for at most `patience`, and returns the last
+// response. A refused request may be repeated.
+std::string exchangeUntilServed(const Address &address, const std::string &bytes,
+                                std::chrono::seconds patience)
+{
+    const auto deadline = std::chrono::steady_clock::now() + patience;
+    std::string answer;
+    do
+        answer = exchangeRaw(address, bytes);
+    while (!answer.starts_with("HTTP/1.1 200") && std::chrono::steady_clock::now() < deadline);
+    return answer;
+}
+
 } // namespace
 
 class HttpServerTest : public CppUnit::TestFixture
@@ -225,20 +238,25 @@
     {
         restart({ .maxBodyBytes = 300'000,
                   .requestMemoryBytes = 600'000,
-                  .bodyTimeout = milliseconds(8000),
-                  .idleTimeout = milliseconds(8000) });
+                  .bodyTimeout = milliseconds(60'000),
+                  .idleTimeout = milliseconds(60'000) });
         const std::string close = "Connection: close\r\n";
         const std::string head = "POST / HTTP/1.1\r\n" + close + "Content-Length: 300000\r\n\r\n";
         asio::io_context context;
         asio::ip::tcp::socket held(context);
         held.connect({ asio::ip::make_address("127.0.0.1"), server_->localAddress().port });
         asio::write(held, asio::buffer(head + std::string(299'999, 'x')));
-        std::this_thread::sleep_for(milliseconds(1500));
+        // Until the server has read the head and reserved the memory.
+        const auto readDeadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (server_->requestMemoryInUse() < 300'000
+               && std::chrono::steady_clock::now() < readDeadline)
+            std::this_thread::yield();
         const std::string small =
                 exchangeRaw(server_->localAddress(), "GET / HTTP/1.1\r\n" + close + "\r\n");
         CPPUNIT_ASSERT_MESSAGE(small, small.starts_with("HTTP/1.1 200"));
         const std::string answer =
-                exchangeRaw(server_->localAddress(), head + std::string(300'000, 'x'));
+                exchangeUntilServed(server_->localAddress(), head + std::string(300'000, 'x'),
+                                    std::chrono::seconds(20));
         CPPUNIT_ASSERT_MESSAGE(answer.substr(0, 20), answer.starts_with("HTTP/1.1 200"));
         std::string refusal;
         boost::system::error_code error;
@@ -253,7 +271,7 @@
     // Guards against idle connections that keep all callers out until their timeout.
     void idleConnectionMakesRoom()
     {
-        restart({ .maxConnections = 2, .idleTimeout = milliseconds(20'000) });
+        restart({ .maxConnections = 2, .idleTimeout = milliseconds(60'000) });
         asio::io_context context;
         std::vector<asio::ip::tcp::socket> idle;
         for (int i = 0; i < 2; ++i) {
@@ -261,9 +279,9 @@
             idle.back().connect(
                     { asio::ip::make_address("127.0.0.1"), server_->localAddress().port });
         }
-        std::this_thread::sleep_for(milliseconds(1500));
-        const std::string answer =
-                exchangeRaw(server_->localAddress(), "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+        const std::string answer = exchangeUntilServed(
+                server_->localAddress(), "GET / HTTP/1.1\r\nConnection: close\r\n\r\n",
+                std::chrono::seconds(20));
         CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200"));
     }
 
