Learned performance: off unless the settings ask for it

Change: entry.learn_performance, false by default; without it no time is recorded, shared or merged. Result: tests of daemon (3), relay (16) and platform_adapter (20) pass.

--- a/packages/daemon/include/daemon/settings.h
+++ b/packages/daemon/include/daemon/settings.h
@@ -21,6 +21,8 @@
     net::Address metrics;   ///< `entry.metrics`: address that serves the metrics.
     /// `entry.engines_check_fences`: whether engines refuse an old fencing token.
     bool enginesCheckFences = false;
+    /// `entry.learn_performance`: whether the performance of targets is learned.
+    bool learnsPerformance = false;
     /// `entry.lease_ms`: duration of the weight rollout lease.
     std::chrono::milliseconds leaseDuration{ 3000 };
     /// `entry.grace_s`: time from the stop signal until the platform kills the process.
--- a/packages/daemon/src/entry_options.cpp
+++ b/packages/daemon/src/entry_options.cpp
@@ -43,6 +43,7 @@
                                  .protocolPeriod = settings.protocolPeriod,
                                  .leaseDuration = entry.leaseDuration,
                                  .enginesCheckFences = entry.enginesCheckFences,
+                                 .learnsPerformance = entry.learnsPerformance,
                                  .staleWeightsLimit = entry.staleWeightsLimit,
                                  .settleTime = entry.settleTime,
                                  .targetDrainTime = entry.targetDrainTime,
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -209,6 +209,8 @@
         { "entry", "metrics", false, kAddress, entryAddressReader(&E::metrics) },
         { "entry", "engines_check_fences", false, "true or false",
           entryFlagReader(&E::enginesCheckFences) },
+        { "entry", "learn_performance", false, "true or false",
+          entryFlagReader(&E::learnsPerformance) },
         { "entry", "lease_ms", false, kNumber,
           entryDurationReader(&E::leaseDuration, kMillisecond) },
         { "entry", "grace_s", false, kNumber, entryDurationReader(&E::gracePeriod, kSecond) },
--- a/packages/entry/include/entry/options.h
+++ b/packages/entry/include/entry/options.h
@@ -42,6 +42,7 @@
     std::chrono::milliseconds protocolPeriod{ 500 }; ///< Period of the membership protocol.
     std::chrono::milliseconds leaseDuration{ 3000 }; ///< Duration of the weight rollout lease.
     bool enginesCheckFences = false; ///< Whether engines refuse an old fencing token.
+    bool learnsPerformance = false;  ///< Whether the performance of targets is learned.
     /// Time after the operator sets a new weight version from which no request may start on an
     /// older one.
     std::chrono::milliseconds staleWeightsLimit{ 10'000 };
--- a/packages/entry/src/entry_app.cpp
+++ b/packages/entry/src/entry_app.cpp
@@ -50,7 +50,8 @@
                                                          .window = options.retryWindow },
         .retryBudget = { .earnedPerRequest = options.retryRatio,
                          .earnedPerSecond = options.retryBurst / window,
-                         .maxSaved = options.retryBurst }
+                         .maxSaved = options.retryBurst },
+        .recordsTimes = options.learnsPerformance
     };
     constexpr double kResponseMemoryShare = 0.25;
     constexpr double kMebibyte = 1U << 20U;
@@ -294,6 +295,8 @@
                      },
              .mergePerformance =
                      [this](std::uint64_t sender, std::vector<performance::SharedFigures> figures) {
+                         if (!options_.learnsPerformance)
+                             return;
                          boost::asio::post(trafficContext_,
                                            [this, sender, figures = std::move(figures)] {
                                                placer_.targetTracker().performance().mergeShared(
@@ -401,7 +404,7 @@
 void EntryApp::collectPerformance(TrafficDigest &digest)
 {
     const auto now = Clock::now();
-    if (now - performanceCollectedAt_ < kPerformanceInterval)
+    if (!options_.learnsPerformance || now - performanceCollectedAt_ < kPerformanceInterval)
         return;
     performanceCollectedAt_ = now;
     auto &model = placer_.targetTracker().performance();
--- a/packages/relay/include/relay/relay.h
+++ b/packages/relay/include/relay/relay.h
@@ -91,6 +91,9 @@
     std::chrono::milliseconds breakSpread{ 15 };
     /// Time for which an engine that accepted a connection counts as running.
     std::chrono::milliseconds runningEngineAge{ 100 };
+    /// Whether the times of answers are recorded, from which the performance of targets is learned.
+    /// Without them, all targets count as equal.
+    bool recordsTimes = false;
     /// Number of engines that may crash under a request before it is not sent again.
     std::size_t maxCrashesPerRequest = 2;
 };
--- a/packages/relay/src/flow_answers.cpp
+++ b/packages/relay/src/flow_answers.cpp
@@ -167,6 +167,8 @@
 
 void Relay::Flow::recordFirstEventTime()
 {
+    if (!context_.options.recordsTimes)
+        return;
     const auto now = Clock::now();
     context_.placer.targetTracker().recordTimes(*target_, inFlightRequest_,
                                                 { .timeToFirstEvent = now - sentAt_ }, now);
@@ -174,7 +176,7 @@
 
 void Relay::Flow::recordEventInterval()
 {
-    if (eventCount_ < 2 || !firstEventAt_)
+    if (!context_.options.recordsTimes || eventCount_ < 2 || !firstEventAt_)
         return;
     const auto now = Clock::now();
     const dispatch::Seconds total = now - *firstEventAt_;
