--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -161,6 +161,10 @@
     }
 }
 
+static_assert(dispatch::PlacementOptions{}.longPromptThresholdTokens
+                      == scheduling::kLongPromptTokens,
+              "Placement and urgency must agree which prompts are long.");
+
 scheduling::ScheduledRequest Relay::Flow::scheduledRequest() const
 {
     const bool hasOwnPriority = customer_ != nullptr && customer_->priority;
