Review case 7: an instance hangs when the reader of its logs stands still

Cause: glog writes the line of a refused request to standard error with a blocking write on the traffic thread.

--- a/review/lib2/world.h
+++ b/review/lib2/world.h
@@ -386,7 +386,8 @@
     int peerPort() const { return ports_[1]; }
     pid_t pid() const { return pid_; }
 
-    void start(const std::vector<int> &seedPorts)
+    /// Output goes to `logDescriptor`, or to a file in the folder if it is negative.
+    void start(const std::vector<int> &seedPorts, int logDescriptor = -1)
     {
         const std::string file = folder_ + "/" + options_.name + ".toml";
         const auto at = [](int port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
@@ -409,7 +410,9 @@
         const std::string program = "target/bin/chervilfieldd";
         pid_ = ::fork();
         if (pid_ == 0) {
-            const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+            const int fd = logDescriptor >= 0
+                                   ? logDescriptor
+                                   : ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(fd, 1);
             ::dup2(fd, 2);
             ::execl(program.c_str(), program.c_str(), "--config", file.c_str(), nullptr);
