--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -40,6 +40,7 @@
     const pid_t pid = ::fork();
     if (pid != 0)
         return pid;
+    endWithParent();
     ::close(writeEnd);
     char bytes[4096];
     while (::read(readEnd, bytes, sizeof bytes) > 0) {
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,7 +4,10 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/case-7
 [ -x "$program" ] && [ -x target/bin/chervilfieldd ] || exit 2
-timeout -k 5 110 "$program"
+timeout -k 5 110 "$program" &
+child=$!
+trap 'kill "$child"; wait "$child"; exit 2' TERM INT
+wait "$child"
 status=$?
 [ "$status" -le 2 ] && exit "$status"
 exit 2
--- a/review/lib2/world.h
+++ b/review/lib2/world.h
@@ -9,6 +9,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <condition_variable>
@@ -340,6 +341,12 @@
     Server server_;
 };
 
+/// Ends the calling process when the main thread of its parent ends, whatever the cause.
+inline void endWithParent()
+{
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 /// Returns `count` ports of 127.0.0.1 that are free.
 inline std::vector<int> freePorts(std::size_t count)
 {
@@ -410,6 +417,7 @@
         const std::string program = "target/bin/chervilfieldd";
         pid_ = ::fork();
         if (pid_ == 0) {
+            endWithParent();
             const int fd = logDescriptor >= 0
                                    ? logDescriptor
                                    : ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
