--- a/review/lib2/world.h
+++ b/review/lib2/world.h
@@ -88,6 +88,19 @@
         rows_[{ table, key }] = { table, key, toBase64(value), ++version_, false };
         changed_.notify_all();
     }
+    /// While the store is cut off from the instance, connections to it are reset.
+    void setCut(bool isCut)
+    {
+        const std::lock_guard lock(mutex_);
+        isCut_ = isCut;
+        changed_.notify_all();
+    }
+    /// Time of the last answer about the targets.
+    Clock::time_point targetsAnsweredAt()
+    {
+        const std::lock_guard lock(mutex_);
+        return targetsAnsweredAt_;
+    }
     void remove(const std::string &table, const std::string &key)
     {
         const std::lock_guard lock(mutex_);
@@ -119,8 +132,18 @@
                                { { "Content-Type", "application/json" } });
     }
 
+    bool isCut()
+    {
+        const std::lock_guard lock(mutex_);
+        return isCut_;
+    }
+
     bool serve(const Request &request, Connection &connection)
     {
+        if (isCut()) {
+            connection.reset();
+            return false;
+        }
         if (request.path() == "/-/rows-get")
             return get(request, connection);
         if (request.path() == "/-/rows-feed")
@@ -162,9 +185,15 @@
                 if (key.first == request.query("table") && row.version > after)
                     rows.push_back(row);
             }
+            if (isCut_) {
+                connection.reset();
+                return false;
+            }
             if (!rows.empty() || changed_.wait_until(lock, deadline) == std::cv_status::timeout)
                 break;
         }
+        if (request.query("table") == "servers")
+            targetsAnsweredAt_ = Clock::now();
         std::ranges::sort(rows, {}, &Row::version);
         json::object object = answer();
         json::array list;
@@ -221,6 +250,8 @@
     std::condition_variable changed_;
     std::map<std::pair<std::string, std::string>, Row> rows_;
     std::uint64_t version_ = 0;
+    bool isCut_ = false;
+    Clock::time_point targetsAnsweredAt_{};
     Server server_;
 };
 
@@ -391,6 +422,7 @@
 
     int callerPort() const { return ports_[0]; }
     int peerPort() const { return ports_[1]; }
+    int directoryPort() const { return ports_[3]; }
     pid_t pid() const { return pid_; }
 
     /// Output goes to `logDescriptor`, or to a file in the folder if it is negative.
