--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,4 +1,5 @@
-// A dedicated tenant's key is replaced by another one. Its requesters use a route that needs no key.
+// A dedicated tenant's key is replaced by another one. Its requesters use a route that needs no
+// key.
 
 #include "../lib2/world.h"
 
@@ -27,7 +28,8 @@
              R"("kv-tokens":138640,"kv-token-bytes":18432,"link-mbps":740000.0,"max-inflight":12,)"
              R"("models":[{"name":"m-review"}]}}],"limits":{"max-header-bytes":16384,)"
              R"("max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},)"
-             R"("tenants":[{"name":"studio","api-keys":[)" + studioKeys
+             R"("tenants":[{"name":"studio","api-keys":[)"
+           + studioKeys
            + R"(],"priority":1,"dedicated":true},)"
              R"({"name":"shop","api-keys":["key-shop-1"],"priority":1,"dedicated":false}]})";
 }
@@ -40,7 +42,8 @@
                           { "Request-Id", id },
                           { "Model", kModel },
                           { "Token-Usage", "1700,10" },
-                          { "Prompt-Prefix", "aa01:1500,ee" + id.substr(id.find('-') + 1) + ":200" },
+                          { "Prompt-Prefix",
+                            "aa01:1500,ee" + id.substr(id.find('-') + 1) + ":200" },
                           { "Deadline-Ms", "3000" },
                           { "Authorization", "Bearer " + key } },
              .body = "prompt" };
@@ -81,7 +84,8 @@
         std::this_thread::sleep_for(std::chrono::seconds(6));
         if (trouble) {
             store_.put("op", "config", configuration(9, kNewKey));
-            record_.write("the store confirms version 9, in which key-studio-2 replaces key-studio-1");
+            record_.write(
+                    "the store confirms version 9, in which key-studio-2 replaces key-studio-1");
         }
         send("studio", "key-studio-2", std::chrono::seconds(3));
         send("shop", "key-shop-1", std::chrono::seconds(3));
@@ -101,13 +105,17 @@
     {
         const auto end = Clock::now() + time;
         std::vector<std::thread> clients;
+        clients.reserve(64);
         for (std::size_t instance = 0; instance < daemons_.size(); ++instance) {
             clients.emplace_back([&, instance] {
                 for (int i = 0; Clock::now() < end; ++i) {
                     const std::string id =
                             tenant + "-" + std::to_string(instance + 1) + std::to_string(1000 + i);
-                    record_.write(id + " is sent with " + key + " to instance "
-                                  + std::to_string(instance + 1));
+                    std::string sent = id;
+                    sent += " is sent with ";
+                    sent += key;
+                    sent += " to instance " + std::to_string(instance + 1);
+                    record_.write(sent);
                     const Response response = call("127.0.0.1", daemons_[instance]->callerPort(),
                                                    makeRequest(id, key), Milliseconds(3000));
                     record_.write(id + " is answered " + std::to_string(response.status)
@@ -154,7 +162,7 @@
 
     Record record_{ "review/6/record.txt" };
     TemporaryFolder folder_;
-    Store store_{ "127.0.0.1", record_ };
+    Store store_{ "127.0.0.1" };
     std::vector<std::unique_ptr<Runner>> runners_;
     std::vector<std::unique_ptr<Daemon>> daemons_;
     std::atomic<int> answered_{ 0 };
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -6,8 +6,8 @@
 
 using namespace review;
 
-constexpr Milliseconds kDrain{ 2000 };         ///< `drain-ms`.
-constexpr Milliseconds kStableWindow{ 3000 };  ///< `stable-window-ms`.
+constexpr Milliseconds kDrain{ 2000 };        ///< `drain-ms`.
+constexpr Milliseconds kStableWindow{ 3000 }; ///< `stable-window-ms`.
 constexpr Milliseconds kFirstCut{ 5000 };
 constexpr Milliseconds kSecondCut{ 600 };
 /// Time from the first answer after the first cut to the second cut.
@@ -81,10 +81,11 @@
         const auto lastDisruption = Clock::now();
         std::this_thread::sleep_until(std::max(lastDisruption + kStableWindow, leftAt + kDrain)
                                       + Milliseconds(200));
-        record_.write("the instance is in touch; the runner left "
-                      + std::to_string(std::chrono::duration_cast<Milliseconds>(Clock::now() - leftAt)
-                                               .count())
-                      + " ms ago");
+        record_.write(
+                "the instance is in touch; the runner left "
+                + std::to_string(
+                        std::chrono::duration_cast<Milliseconds>(Clock::now() - leftAt).count())
+                + " ms ago");
         const std::size_t runsBefore = runners_[0]->runs().size();
         const int served = send("judged", std::chrono::seconds(2));
         const std::size_t late = runners_[0]->runs().size() - runsBefore;
@@ -117,6 +118,7 @@
         std::atomic<int> number{ 0 };
         const auto end = Clock::now() + time;
         std::vector<std::thread> clients;
+        clients.reserve(64);
         for (int client = 0; client < 12; ++client) {
             clients.emplace_back([&] {
                 while (Clock::now() < end) {
@@ -138,7 +140,7 @@
 
     Record record_{ "review/7/record.txt" };
     TemporaryFolder folder_;
-    Store store_{ "127.0.0.1", record_ };
+    Store store_{ "127.0.0.1" };
     std::vector<std::unique_ptr<Runner>> runners_;
     Daemon daemon_{ { .name = "edge-1", .zone = "zone-a", .storeAddress = store_.address() },
                     folder_.path() };
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -23,7 +23,8 @@
              R"("models":[{"name":"m-review"}]}}],"limits":{"max-header-bytes":16384,)"
              R"("max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},)"
              R"("tenants":[{"name":"studio","api-keys":[)"
-           + (hasOldKey ? R"("key-studio-1",)" : "") + R"("key-studio-2"],"priority":1,"dedicated":true},)"
+           + (hasOldKey ? R"("key-studio-1",)" : "")
+           + R"("key-studio-2"],"priority":1,"dedicated":true},)"
              R"({"name":"shop","api-keys":["key-shop-1"],"priority":1,"dedicated":false}]})";
 }
 
@@ -35,7 +36,8 @@
                           { "Request-Id", id },
                           { "Model", kModel },
                           { "Token-Usage", "1700,10" },
-                          { "Prompt-Prefix", "aa01:1500,ee" + id.substr(id.find('-') + 1) + ":200" },
+                          { "Prompt-Prefix",
+                            "aa01:1500,ee" + id.substr(id.find('-') + 1) + ":200" },
                           { "Deadline-Ms", "3000" },
                           { "Authorization", "Bearer key-studio-1" } },
              .body = "prompt" };
@@ -100,6 +102,7 @@
     {
         const auto end = Clock::now() + time;
         std::vector<std::thread> clients;
+        clients.reserve(64);
         for (std::size_t instance = 0; instance < daemons_.size(); ++instance) {
             clients.emplace_back([&, instance] {
                 for (int i = 0; Clock::now() < end; ++i) {
@@ -140,7 +143,7 @@
 
     Record record_{ "review/9/record.txt" };
     TemporaryFolder folder_;
-    Store store_{ "127.0.0.1", record_ };
+    Store store_{ "127.0.0.1" };
     std::vector<std::unique_ptr<Runner>> runners_;
     std::vector<std::unique_ptr<Daemon>> daemons_;
     std::atomic<int> served_{ 0 };
--- a/review/lib2/http.h
+++ b/review/lib2/http.h
@@ -112,8 +112,7 @@
         if (::connect(fd, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0) {
             pollfd event{ .fd = fd, .events = POLLOUT, .revents = 0 };
             socklen_t size = sizeof error;
-            if (errno != EINPROGRESS
-                || ::poll(&event, 1, static_cast<int>(timeout.count())) <= 0
+            if (errno != EINPROGRESS || ::poll(&event, 1, static_cast<int>(timeout.count())) <= 0
                 || ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
                 ::close(fd);
                 return nullptr;
@@ -142,8 +141,8 @@
         const auto deadline = Clock::now() + timeout;
         std::size_t sent = 0;
         while (sent < bytes.size()) {
-            const auto count =
-                    ::send(fd_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+            const auto count = ::send(fd_, bytes.data() + sent, bytes.size() - sent,
+                                      MSG_NOSIGNAL | MSG_DONTWAIT);
             if (count > 0)
                 sent += static_cast<std::size_t>(count);
             else if (errno != EAGAIN || !wait(POLLOUT, deadline))
@@ -364,8 +363,7 @@
     std::string line;
     if (connection.readLine(line, deadline) && connection.readHeaders(response.headers, deadline)) {
         response.status = std::stoi(line.substr(9, 3));
-        response.isComplete =
-                connection.readBody(response.headers, response.body, true, deadline);
+        response.isComplete = connection.readBody(response.headers, response.body, true, deadline);
     }
     if (!response.isComplete)
         response.problem = connection.problem;
--- a/review/lib2/world.h
+++ b/review/lib2/world.h
@@ -53,7 +53,8 @@
     for (std::size_t i = 0; i < bytes.size(); i += 3) {
         std::uint32_t group = 0;
         for (std::size_t j = 0; j < 3; ++j)
-            group = group << 8U | (i + j < bytes.size() ? static_cast<std::uint8_t>(bytes[i + j]) : 0U);
+            group = group << 8U
+                    | (i + j < bytes.size() ? static_cast<std::uint8_t>(bytes[i + j]) : 0U);
         for (std::size_t j = 0; j < 4; ++j)
             text += i + j > bytes.size() ? '=' : kDigits[group >> (18 - 6 * j) & 63U];
     }
@@ -71,9 +72,8 @@
         bool isDeleted = false;
     };
 
-    explicit Store(const std::string &host, Record &record)
-        : record_(record),
-          server_(host, [this](const Request &request, Connection &connection) {
+    explicit Store(const std::string &host)
+        : server_(host, [this](const Request &request, Connection &connection) {
               return serve(request, connection);
           })
     {
@@ -111,8 +111,9 @@
 private:
     static json::object toJson(const Row &row)
     {
-        json::object object{ { "table", row.table }, { "part", "" }, { "key", row.key },
-                             { "ver", row.version } };
+        json::object object{
+            { "table", row.table }, { "part", "" }, { "key", row.key }, { "ver", row.version }
+        };
         if (row.isDeleted)
             object["deleted"] = true;
         else
@@ -172,7 +173,8 @@
     bool feed(const Request &request, Connection &connection)
     {
         const auto deadline =
-                Clock::now() + Milliseconds(std::min(30000L, std::atol(request.query("wait-ms").c_str())));
+                Clock::now()
+                + Milliseconds(std::min(30000L, std::atol(request.query("wait-ms").c_str())));
         const std::uint64_t after = std::stoull(request.query("after"));
         std::unique_lock lock(mutex_);
         if (after > version_) {
@@ -245,7 +247,6 @@
         return send(connection, 200, object);
     }
 
-    Record &record_;
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::pair<std::string, std::string>, Row> rows_;
@@ -281,12 +282,19 @@
     std::string registration(const std::string &service, const std::string &zone) const
     {
         return json::serialize(json::object{
-                { "service", service }, { "address", address() }, { "zone", zone },
-                { "version", "v1" }, { "slots", 64 }, { "state", "ready" }, { "cold-left-ms", 0 },
+                { "service", service },
+                { "address", address() },
+                { "zone", zone },
+                { "version", "v1" },
+                { "slots", 64 },
+                { "state", "ready" },
+                { "cold-left-ms", 0 },
                 { "stage", "unified" },
-                { "models", json::array{ json::object{ { "name", model_ }, { "version", 1 },
-                                                       { "adapters", json::array{} } } } },
-                { "seq", 1 }, { "born", 1780000000000 } });
+                { "models",
+                  json::array{ json::object{
+                          { "name", model_ }, { "version", 1 }, { "adapters", json::array{} } } } },
+                { "seq", 1 },
+                { "born", 1780000000000 } });
     }
     std::vector<Run> runs()
     {
@@ -475,10 +483,7 @@
         }
         return false;
     }
-    bool isRunning()
-    {
-        return pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == 0;
-    }
+    bool isRunning() { return pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == 0; }
     void stop(int signal)
     {
         if (pid_ <= 0)
