Reject unknown API keys on routes that require no key

What callers saw: on a route that allows anonymous requests, a request with a key that the instance did not know ran as an anonymous one.

Cause: `Flow::authenticate()` asked only whether the route requires a key, so "no key" and "a key that nobody holds" were one case. The same held for a configuration without customers: the requests of the first customers counted as anonymous at instances that did not have their configuration yet.

Change: `CallerFields::apiKey` has no value if the caller sent none. Only then is the request anonymous. With an unknown key it gets 401, or 503 if the view is stale, as on other routes; it reaches no target and has no cache scope.

--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -111,10 +111,13 @@
 
 bool Relay::Flow::authenticate()
 {
-    if (!caller_.apiKey.empty())
-        customer_ = admissionState_.view->findCustomer(caller_.apiKey);
-    if (customer_ != nullptr || route_->allowsAnonymous
-        || admissionState_.view->configuration().customers.empty())
+    const fleet::View &view = *admissionState_.view;
+    if (caller_.apiKey)
+        customer_ = view.findCustomer(*caller_.apiKey);
+    // A request with an unknown key is not anonymous on any route: the key may be a new one of an
+    // isolated customer, whose prompts others must not share, or one that was removed.
+    const bool mayBeAnonymous = route_->allowsAnonymous || view.configuration().customers.empty();
+    if (customer_ != nullptr || (!caller_.apiKey && mayBeAnonymous))
         return true;
     if (admissionState_.isFresh)
         respondWithFailure(Result::Unauthorized, WorkStatus::NotRun);
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -59,9 +59,9 @@
     /// Checks the request against the view and chooses its pool. Responds with a failure and
     /// returns false if the request is refused.
     bool admit();
-    /// Identifies the customer. Responds with a failure and returns false if the route requires an
-    /// API key and the view lacks the caller's key. No key is required if the view has no
-    /// customers.
+    /// Identifies the customer. Responds with a failure and returns false if the view lacks the
+    /// caller's API key, or if the caller sent none and the route requires one. No key is required
+    /// if the view has no customers.
     bool authenticate();
     /// Charges the request to the usage limit of its customer. Responds with a failure and returns
     /// false if the limit is used up.
--- a/packages/relay/test/relay_fixture.h
+++ b/packages/relay/test/relay_fixture.h
@@ -25,6 +25,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+inline std::optional<std::string> decodeKey(const net::Headers &headers)
+{
+    const auto key = net::findHeader(headers, "Key");
+    return key ? std::optional<std::string>(*key) : std::nullopt;
+}
+
 inline Codec testCodec()
 {
     const auto field = [](const net::Headers &headers, std::string_view name) {
@@ -34,7 +40,7 @@
                      [field](const net::Request &request) {
                          return CallerFields{ .requestId = field(request.headers, "Id"),
                                               .timeout = milliseconds(1500),
-                                              .apiKey = field(request.headers, "Key"),
+                                              .apiKey = decodeKey(request.headers),
                                               .model = field(request.headers, "Model"),
                                               .promptTokens = 100,
                                               .promptParts =
