Reject credentials from which no API key can be read

What callers saw: a request whose `Authorization` field had another scheme, no scheme, an empty key, or that had two such fields, ran as an anonymous one on a route that requires no key. A dedicated customer's prompt with malformed credentials so got into the shared cache. On the product's own interface, a request without a readable key ran for a customer whose configured hash is that of the empty text.

Cause: the decoders returned an empty key both for no credentials and for credentials without a key. The first of several fields counted.

Neither interface looks an empty key up.

--- a/packages/fleet/src/view.cpp
+++ b/packages/fleet/src/view.cpp
@@ -28,8 +28,11 @@
                 routes, [](auto a, auto b) { return a->prefix.size() > b->prefix.size(); });
     }
     for (const Customer &customer : configuration.customers) {
-        for (const std::string &key : customer.keys)
-            index->customersByKey.emplace(key, &customer);
+        // An empty key would match credentials that contain none.
+        for (const std::string &key : customer.keys) {
+            if (!key.empty())
+                index->customersByKey.emplace(key, &customer);
+        }
     }
     return index;
 }
--- a/packages/relay/include/relay/codec.h
+++ b/packages/relay/include/relay/codec.h
@@ -20,8 +20,8 @@
 {
     std::string requestId;                            ///< Identifies one attempt of the caller.
     std::optional<std::chrono::milliseconds> timeout; ///< Time that the caller waits.
-    /// Key in the caller's credentials; no value if the caller sent none, which makes the request
-    /// an anonymous one.
+    /// Key in the caller's credentials, empty if it cannot be read. No value if the caller sent
+    /// none, which makes the request an anonymous one.
     std::optional<std::string> apiKey;
     std::string lastEventId; ///< Last event that the caller has received; empty for a new stream.
     std::string model;       ///< Empty for requests to plain services.
--- a/packages/traffic/src/request_scope.cpp
+++ b/packages/traffic/src/request_scope.cpp
@@ -30,8 +30,11 @@
         error = Result::NotReady;
     if (error)
         return scope;
-    const auto keyHash = configuration::hashApiKey(scope.context.apiKey);
-    scope.customer = scope.table->configuration().findCustomer(keyHash);
+    // An absent key must not match a customer that was given the hash of the empty text.
+    if (!scope.context.apiKey.empty()) {
+        const auto keyHash = configuration::hashApiKey(scope.context.apiKey);
+        scope.customer = scope.table->configuration().findCustomer(keyHash);
+    }
     if (scope.customer == nullptr)
         error = Result::Unauthorized;
     return scope;
--- a/packages/traffic/test/request_handler_test.cpp
+++ b/packages/traffic/test/request_handler_test.cpp
@@ -44,6 +44,9 @@
         const Row rows[] = {
             { "wrong key", post(path, good, wrongKey), 1006 },
             { "wrong key on a path", { .target = "/status/1", .headers = wrongKey }, 1006 },
+            { "other scheme", post(path, good, { { "Authorization", "Basic a2V5" } }), 1006 },
+            { "credentials without a key", post(path, good, { { "Authorization", "Bearer" } }),
+              1006 },
             { "unknown model", post(path, R"({"model":"x","prompt":"p"})"), 1007 },
             { "unknown path", { .target = "/nothing" }, 1008 },
             { "path of another segment", { .target = "/statusboard" }, 1008 },
--- a/packages/traffic/test/traffic_fixture.h
+++ b/packages/traffic/test/traffic_fixture.h
@@ -166,6 +166,8 @@
                 Customer{ .name = "c", .apiKeyHash = hashApiKey(kTestKey) }));
         set.customers.push_back(std::make_shared<Customer>(
                 Customer{ .name = "d", .apiKeyHash = hashApiKey(kOtherKey) }));
+        set.customers.push_back(std::make_shared<Customer>(
+                Customer{ .name = "without key", .apiKeyHash = hashApiKey("") }));
         set.intents.push_back(std::make_shared<RoutingIntent>(
                 RoutingIntent{ .name = "chat", .model = "m", .pools = select("chat") }));
         set.intents.push_back(
