Send the cache scope with requests that name no model

What callers saw: a request of a dedicated customer with parts of a prompt, but without `Model`, was forwarded without `Cache-Salt`. An engine that accepts it caches the prompt in the scope of all requests without that field.

Cause: `forwardedRequest()` took a request without a model for one to a plain service, which has no cache.

Evidence: found by going through all places that decide a cache scope.

Change: a request has a cache key if it names a model, lists parts of a prompt, or belongs to a customer with a scope of its own.

--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -266,6 +266,12 @@
     timer.async_wait(yield_[ignored]);
 }
 
+bool Relay::Flow::needsCacheKey() const
+{
+    const bool isIsolated = customer_ != nullptr && customer_->isolatesCache;
+    return !caller_.model.empty() || !caller_.promptParts.empty() || isIsolated;
+}
+
 net::Request Relay::Flow::forwardedRequest(const dispatch::Placement &placement) const
 {
     const net::Request &original = exchange_.request();
@@ -280,7 +286,7 @@
                           .cacheStore = placement.cacheStore,
                           .urgency = scheduling::engineUrgency(scheduledRequest()),
                           .lastEventId = caller_.lastEventId };
-    if (!caller_.model.empty())
+    if (needsCacheKey())
         fields.cacheKey = base::toHex(dispatch::prefixHash(request, 0, placement.weights));
     if (lastEventId_)
         fields.lastEventId = std::to_string(*lastEventId_);
