Replace the shared cache scope when the isolated customers change

What callers saw: when a configuration made a customer dedicated, requests of other customers went on from the parts that it had left in the shared cache, and instances with an older configuration kept adding more.

Cause: all customers that are not isolated had the empty scope, whatever the configuration. The engines keep parts longer than a configuration is in force.

Evidence: found by reading what decides a scope with fresh and stale views and with retries. Before the change, the row "becomes isolated" of changesOfIsolationReplaceTheSharedScope fails: the other customer gets the scope in which the prompt was cached before.

Change: `View::cacheScope()` decides the scope. The shared one is derived from the names of the isolated customers, so that all instances with the same configuration agree without a history. Isolated and shared scopes differ by their prefix, whatever the customer's name. A request keeps the scope of its arrival in all attempts.

Cost: when a dedicated customer is added or removed, prompts of the others are computed once more. Configurations that change keys, limits or routes keep the scope.

--- a/packages/fleet/include/fleet/view.h
+++ b/packages/fleet/include/fleet/view.h
@@ -38,6 +38,7 @@
     /// Routes by host, in descending order of prefix length.
     std::unordered_map<std::string, std::vector<const Route *>> routesByHost;
     std::unordered_map<std::string_view, const Customer *> customersByKey;
+    std::string sharedCacheScope; ///< Scope of all requests but those of isolated customers.
 };
 
 } // namespace detail
@@ -72,6 +73,13 @@
     /// Returns the customer with the API key `key`, or null.
     const Customer *findCustomer(std::string_view key) const;
 
+    /// Returns the scope of cached prefixes for the requests of `customer`, which is one of this
+    /// view, or null for anonymous requests. Isolated customers have scopes of their own. The
+    /// others share one, which differs between configurations whose isolated customers differ: the
+    /// scope of another configuration may have prompts of a customer that is isolated in this one.
+    /// Must be called only if the view is complete.
+    std::string cacheScope(const Customer *customer) const;
+
     /// Returns the pool called `name`, or null.
     const Pool *findPool(std::string_view name) const;
 
--- a/packages/fleet/src/view.cpp
+++ b/packages/fleet/src/view.cpp
@@ -18,6 +18,21 @@
     return name;
 }
 
+// Returns the same scope for the same set of isolated customers, whatever their order.
+std::string makeSharedCacheScope(const std::vector<Customer> &customers)
+{
+    std::vector<std::string_view> isolatedCustomers;
+    for (const Customer &customer : customers) {
+        if (customer.isolatesCache)
+            isolatedCustomers.push_back(customer.name);
+    }
+    std::ranges::sort(isolatedCustomers);
+    std::uint64_t hash = 0;
+    for (const std::string_view name : isolatedCustomers)
+        hash = base::hash64(name, hash);
+    return "shared/" + base::toHex(hash);
+}
+
 std::shared_ptr<const detail::ConfigurationIndex> makeIndex(const Configuration &configuration)
 {
     auto index = std::make_shared<detail::ConfigurationIndex>();
@@ -34,6 +49,7 @@
                 index->customersByKey.emplace(key, &customer);
         }
     }
+    index->sharedCacheScope = makeSharedCacheScope(configuration.customers);
     return index;
 }
 
@@ -82,6 +98,12 @@
     return found == index_->customersByKey.end() ? nullptr : found->second;
 }
 
+std::string View::cacheScope(const Customer *customer) const
+{
+    const bool isIsolated = customer != nullptr && customer->isolatesCache;
+    return isIsolated ? "customer/" + customer->name : index_->sharedCacheScope;
+}
+
 const Pool *View::findPool(std::string_view name) const
 {
     if (configuration_ == nullptr)
--- a/packages/relay/src/flow.cpp
+++ b/packages/relay/src/flow.cpp
@@ -183,8 +183,7 @@
 dispatch::PlacementRequest Relay::Flow::placementRequest() const
 {
     return { .model = caller_.model,
-             .cacheScope = customer_ != nullptr && customer_->isolatesCache ? customer_->name
-                                                                            : std::string(),
+             .cacheScope = admissionState_.view->cacheScope(customer_),
              .parts = caller_.promptParts,
              .promptTokens = caller_.promptTokens,
              .maxOutputTokens = caller_.maxOutputTokens,
