Drop targets without a row as soon as the reason to keep them ends

Cause: a view keeps ready targets without a row while nobody confirms the table and for the time to register again after an outage. It was rebuilt once, at the end of that time. If the table was unconfirmed at that moment, the targets stayed; the confirmation that followed rebuilt the view only after an outage, or in an era after the first. The class is a reason to keep a target that ends without a rebuild.

Change: the view updater counts the targets that its last view keeps without a row. Whenever it keeps one, and whenever the table is confirmed, it sets one timer to the end of the time to register again, or at once if that has passed. While the table is unconfirmed there is no end yet. This replaces `rebuildAfterEra()` and the rebuild after an outage. The log line `registrations-dropped` shows the end.

--- a/packages/entry/include/entry/view_updater.h
+++ b/packages/entry/include/entry/view_updater.h
@@ -11,9 +11,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -195,9 +197,6 @@
     bool isEraRequested(const std::string &table) const;
     /// Records that the store was restored to an older copy before `copy` of the table was read.
     void beginEra(const std::string &table, const fleet::StoreRows &copy);
-    /// Rebuilds the view, at the end of the time to register again, if the last one has targets
-    /// without a row that only an unconfirmed table has kept since a new era was found.
-    void rebuildAfterEra();
     /// Returns true if the rows that a peer has sent may be applied to the tables. Otherwise they
     /// are of another era, or not all of them have arrived.
     bool mayMerge(const std::map<std::string, fleet::StoreRows> &rows,
@@ -210,6 +209,10 @@
     /// Adds ready targets of the last view that have no row, while registrations may be missing
     /// because of an outage.
     void retainUnlistedTargets(std::vector<fleet::Target> &targets);
+    /// Rebuilds the view when the reason to retain targets without a row has ended. Must be called
+    /// when one is retained, and when the table of targets is confirmed: no change of a row may
+    /// follow that would rebuild the view.
+    void scheduleRetentionEnd();
     /// Adds new desired versions to the history. They were not set before `knownUntil`, which has
     /// no value if this instance has just started.
     void recordDesiredWeights(const std::map<std::string, std::uint64_t> &weights,
@@ -267,8 +270,8 @@
     PreviousTargets previousTargets_;
     /// Time until which changes that the store has lost may not have been written again.
     Clock::time_point eraSettledAt_{};
-    /// Whether the last view has targets without a row, and the table was not confirmed.
-    bool hasUnconfirmedTargets_ = false;
+    std::size_t retainedTargetCount_ = 0;      ///< Targets of the last view that have no row.
+    boost::asio::steady_timer retentionTimer_; ///< Rebuilds the view without these targets.
     /// Era in which the row of the last configuration was read.
     std::uint64_t configurationEra_ = 0;
     Clock::time_point startedAt_ = Clock::now();
--- a/packages/entry/src/view_updater.cpp
+++ b/packages/entry/src/view_updater.cpp
@@ -23,7 +23,7 @@
                          const fleet::DeploymentSchema &schema, base::EventLog &log, Hooks hooks,
                          ViewUpdaterOptions options)
     : context_(context), store_(store), schema_(schema), log_(log), hooks_(std::move(hooks)),
-      options_(options), view_(std::make_shared<const fleet::View>())
+      options_(options), retentionTimer_(context), view_(std::make_shared<const fleet::View>())
 {
     for (const std::string &table : schema_.tables)
         tables_[table] = {};
@@ -123,14 +123,13 @@
     const bool isFirst = targetsConfirmedAt_ == Clock::time_point{};
     targetsUnconfirmedSince_.reset();
     targetsConfirmedAt_ = now;
-    if (isFirst || timeUnconfirmed <= options_.outageThreshold) {
-        rebuildAfterEra();
-        return;
-    }
-    storeRecoveredAt_ = now;
-    scheduleRebuild(options_.reregistrationTime + milliseconds(1));
-    log_.write("store", "targets-confirmed",
-               { { "silent_ms", std::chrono::duration_cast<milliseconds>(timeUnconfirmed) } });
+    const bool isAfterOutage = !isFirst && timeUnconfirmed > options_.outageThreshold;
+    if (isAfterOutage)
+        storeRecoveredAt_ = now;
+    scheduleRetentionEnd();
+    if (isAfterOutage)
+        log_.write("store", "targets-confirmed",
+                   { { "silent_ms", std::chrono::duration_cast<milliseconds>(timeUnconfirmed) } });
 }
 
 void ViewUpdater::recordFollowerResult(const std::string &table, FollowerResult result)
@@ -245,25 +244,41 @@
 
 void ViewUpdater::retainUnlistedTargets(std::vector<fleet::Target> &targets)
 {
-    hasUnconfirmedTargets_ = false;
+    const std::size_t previouslyRetained = std::exchange(retainedTargetCount_, 0);
     const bool hasRecovered = storeRecoveredAt_ == Clock::time_point{}
                               || Clock::now() - storeRecoveredAt_ >= options_.reregistrationTime;
-    if (hasRecovered && !targetsUnconfirmedSince_)
+    if (hasRecovered && !targetsUnconfirmedSince_) {
+        if (previouslyRetained > 0)
+            log_.write("store", "registrations-dropped", { { "targets", previouslyRetained } });
         return;
-    std::size_t retained = 0;
+    }
     for (const fleet::Target &previous : view()->targets()) {
         const bool isListed =
                 std::ranges::find(targets, previous.id, &fleet::Target::id) != targets.end();
         if (isListed || previous.state != fleet::TargetState::Ready)
             continue;
         targets.push_back(previous);
-        ++retained;
+        ++retainedTargetCount_;
     }
-    hasUnconfirmedTargets_ = retained > 0 && targetsUnconfirmedSince_;
-    if (retained > 0)
+    if (retainedTargetCount_ > 0)
         log_.write("store", "registrations-kept",
-                   { { "targets", retained },
+                   { { "targets", retainedTargetCount_ },
                      { "unconfirmed", targetsUnconfirmedSince_.has_value() } });
+    scheduleRetentionEnd();
+}
+
+void ViewUpdater::scheduleRetentionEnd()
+{
+    // The next confirmation calls this again.
+    if (retainedTargetCount_ == 0 || targetsUnconfirmedSince_)
+        return;
+    const auto remaining = std::max(storeRecoveredAt_ + options_.reregistrationTime - Clock::now(),
+                                    Clock::duration::zero());
+    retentionTimer_.expires_after(std::chrono::ceil<milliseconds>(remaining) + milliseconds(1));
+    retentionTimer_.async_wait([this](const auto &error) {
+        if (!error)
+            rebuildView();
+    });
 }
 
 bool ViewUpdater::applyPeerAge(std::vector<fleet::DesiredVersion> &history,
--- a/packages/entry/src/view_updater_eras.cpp
+++ b/packages/entry/src/view_updater_eras.cpp
@@ -62,14 +62,6 @@
     scheduleRebuild(options_.reregistrationTime + milliseconds(1));
 }
 
-void ViewUpdater::rebuildAfterEra()
-{
-    if (eraSettledAt_ == Clock::time_point{} || !std::exchange(hasUnconfirmedTargets_, false))
-        return;
-    const auto remaining = std::max(eraSettledAt_ - Clock::now(), Clock::duration::zero());
-    scheduleRebuild(std::chrono::ceil<milliseconds>(remaining) + milliseconds(1));
-}
-
 bool ViewUpdater::mayMerge(const std::map<std::string, fleet::StoreRows> &rows,
                            const std::vector<std::string> &tables)
 {
