--- a/packages/relay/test/relay_fixture.h
+++ b/packages/relay/test/relay_fixture.h
@@ -88,7 +88,7 @@
     std::string body;
     bool isComplete = false;
     std::vector<std::size_t> sends;
-    // Set only if the first target is a `RawTarget`.
+    // Set only if a target is a `RawTarget`.
     std::size_t rawConnections = 0;
     std::size_t rawOpenConnections = 0; ///< Left open after the response.
     std::size_t rawBytes = 0;
@@ -118,8 +118,9 @@
     milliseconds exitIn{ 0 };
     ViewChange change = ViewChange::None;
     admission::RetryBudgetOptions retryBudget = admission::kRetryBudget;
-    /// Replaces the behaviour of the first target.
+    /// Replaces the behaviour of the target with the index `rawIndex`.
     std::optional<RawResponse> raw{};
+    std::size_t rawIndex = 0;
     /// Starts a target that replaces the first one, and returns its address. May be empty.
     std::function<net::Address(asio::io_context &)> startFirstTarget{};
     milliseconds pause{ 0 }; ///< Time between two requests.
@@ -317,7 +318,7 @@
     std::unique_ptr<RawTarget> rawTarget;
     if (scenario.raw) {
         rawTarget = std::make_unique<RawTarget>(context, *scenario.raw);
-        addresses.front() = rawTarget->address();
+        addresses[scenario.rawIndex] = rawTarget->address();
     }
     if (scenario.startFirstTarget)
         addresses.front() = scenario.startFirstTarget(context);
