Do not let confirmations postpone a due rebuild

Cause: each confirmation of the targets sets the retention timer again. With a delay of a millisecond, confirmations that follow each other faster could have postponed the rebuild without end.

Change: a rebuild that is due has no delay, so that the handler runs before another confirmation can cancel it.

--- a/packages/entry/include/entry/view_updater.h
+++ b/packages/entry/include/entry/view_updater.h
@@ -209,9 +209,10 @@
     /// Adds ready targets of the last view that have no row, while registrations may be missing
     /// because of an outage.
     void retainUnlistedTargets(std::vector<fleet::Target> &targets);
-    /// Rebuilds the view when the reason to retain targets without a row has ended. Must be called
-    /// when one is retained, and when the table of targets is confirmed: no change of a row may
-    /// follow that would rebuild the view.
+    /// Schedules a rebuild for the end of the time for which the last view retains targets without
+    /// a row. Does nothing if it has none, or while their table is unconfirmed. Must be called
+    /// after each change of either, since a change of a row, which rebuilds the view as well, may
+    /// never follow.
     void scheduleRetentionEnd();
     /// Adds new desired versions to the history. They were not set before `knownUntil`, which has
     /// no value if this instance has just started.
--- a/packages/entry/src/view_updater.cpp
+++ b/packages/entry/src/view_updater.cpp
@@ -123,13 +123,12 @@
     const bool isFirst = targetsConfirmedAt_ == Clock::time_point{};
     targetsUnconfirmedSince_.reset();
     targetsConfirmedAt_ = now;
-    const bool isAfterOutage = !isFirst && timeUnconfirmed > options_.outageThreshold;
-    if (isAfterOutage)
+    if (!isFirst && timeUnconfirmed > options_.outageThreshold) {
         storeRecoveredAt_ = now;
-    scheduleRetentionEnd();
-    if (isAfterOutage)
         log_.write("store", "targets-confirmed",
                    { { "silent_ms", std::chrono::duration_cast<milliseconds>(timeUnconfirmed) } });
+    }
+    scheduleRetentionEnd();
 }
 
 void ViewUpdater::recordFollowerResult(const std::string &table, FollowerResult result)
@@ -269,12 +268,13 @@
 
 void ViewUpdater::scheduleRetentionEnd()
 {
-    // The next confirmation calls this again.
     if (retainedTargetCount_ == 0 || targetsUnconfirmedSince_)
         return;
-    const auto remaining = std::max(storeRecoveredAt_ + options_.reregistrationTime - Clock::now(),
-                                    Clock::duration::zero());
-    retentionTimer_.expires_after(std::chrono::ceil<milliseconds>(remaining) + milliseconds(1));
+    const auto remaining = storeRecoveredAt_ + options_.reregistrationTime - Clock::now();
+    // Without a delay, frequent confirmations cannot postpone a rebuild that is due.
+    const bool isDue = remaining <= Clock::duration::zero();
+    retentionTimer_.expires_after(
+            isDue ? milliseconds(0) : std::chrono::ceil<milliseconds>(remaining) + milliseconds(1));
     retentionTimer_.async_wait([this](const auto &error) {
         if (!error)
             rebuildView();
--- a/packages/relay/src/flow.h
+++ b/packages/relay/src/flow.h
@@ -82,8 +82,8 @@
     void waitForCapacity();
     /// Sends the request to the chosen target and handles the response.
     SendOutcome send(const dispatch::Placement &placement);
-    /// Returns true if the request may reach an engine, which caches the prompts of all requests
-    /// without a cache key in one scope.
+    /// Returns true if the request must have a cache key. An engine caches the prompts of all
+    /// requests without one in the same scope.
     bool needsCacheKey() const;
     net::Request forwardedRequest(const dispatch::Placement &placement) const;
     net::ExchangeOptions exchangeOptions() const;
