--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases of the third review into target/review-3/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-3
+for source in review/1[1-5]/case.cpp; do
+  [ -e "$source" ] || continue
+  name=$(basename "$(dirname "$source")")
+  g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-3/case-$name" "$source"
+done
