--- a/review/lib3/rig.h
+++ b/review/lib3/rig.h
@@ -181,8 +181,9 @@
     /// is complete; `complete` tells whether the body is.
     std::optional<Message> read(double timeout, bool isResponse = false)
     {
-        deadline_ = Clock::now() + std::chrono::duration_cast<Clock::duration>(
-                                           std::chrono::duration<double>(timeout));
+        deadline_ = Clock::now()
+                    + std::chrono::duration_cast<Clock::duration>(
+                            std::chrono::duration<double>(timeout));
         std::size_t end;
         while ((end = buffer_.find("\r\n\r\n")) == std::string::npos) {
             if (!fill())
@@ -206,7 +207,8 @@
         if (strcasecmp(message.header("Transfer-Encoding").c_str(), "chunked") == 0) {
             message.complete = readChunks(message.body);
         } else if (message.has("Content-Length")) {
-            const std::size_t length = strtoull(message.header("Content-Length").c_str(), nullptr, 10);
+            const std::size_t length =
+                    strtoull(message.header("Content-Length").c_str(), nullptr, 10);
             while (buffer_.size() < length && fill()) {
             }
             message.complete = buffer_.size() >= length;
@@ -226,7 +228,8 @@
 private:
     bool fill()
     {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - Clock::now());
+        const auto left =
+                std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - Clock::now());
         pollfd request{ fd_, POLLIN, 0 };
         if (left.count() <= 0 || poll(&request, 1, static_cast<int>(left.count())) != 1)
             return false;
@@ -305,7 +308,8 @@
 inline bool answer(int fd, int status, const std::string &headers, const std::string &body)
 {
     return sendAll(fd, "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers
-                               + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+                               + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+                               + body);
 }
 
 inline std::string queryValue(const std::string &target, const std::string &name)
@@ -338,7 +342,8 @@
     for (std::size_t i = 0; i < bytes.size(); i += 3) {
         uint32_t group = 0;
         for (std::size_t j = 0; j < 3; ++j)
-            group = group << 8U | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0U);
+            group = group << 8U
+                    | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0U);
         for (std::size_t j = 0; j < 4; ++j)
             text += i + j <= bytes.size() ? digits[group >> (18 - 6 * j) & 63U] : '=';
     }
@@ -383,8 +388,9 @@
 private:
     std::string rowText(const std::string &table, const std::string &key, const Row &row)
     {
-        return R"({"table":")" + table + R"(","part":"","key":")" + key + R"(","value":")" + row.value
-               + R"(","ver":)" + std::to_string(row.version) + (row.deleted ? R"(,"deleted":true})" : "}");
+        return R"({"table":")" + table + R"(","part":"","key":")" + key + R"(","value":")"
+               + row.value + R"(","ver":)" + std::to_string(row.version)
+               + (row.deleted ? R"(,"deleted":true})" : "}");
     }
 
     std::string tail()
@@ -424,7 +430,8 @@
         }
         if (path == "/-/rows-feed") {
             const uint64_t after = strtoull(queryValue(target, "after").c_str(), nullptr, 10);
-            const auto wait = std::chrono::milliseconds(atoi(queryValue(target, "wait-ms").c_str()));
+            const auto wait =
+                    std::chrono::milliseconds(atoi(queryValue(target, "wait-ms").c_str()));
             std::unique_lock lock(mutex_);
             std::string rows;
             const auto collect = [&] {
@@ -479,7 +486,8 @@
 
 inline Listen freeListen(const std::string &host)
 {
-    return { freeAddress(host), freeAddress(host), freeAddress(host), freeAddress(host), freeAddress(host) };
+    return { freeAddress(host), freeAddress(host), freeAddress(host), freeAddress(host),
+             freeAddress(host) };
 }
 
 /// Renders deploy/settings.toml.tmpl for a machine of the site amabie-red.
@@ -500,12 +508,27 @@
              "retry_burst = 54\nretry_window_s = 10\naddress_lifetime_s = 5\n";
 }
 
+/// Returns the registration of the runner `i-app1`.
+inline std::string registration(const std::string &service, const Address &address)
+{
+    return R"({"service":")" + service + R"(","address":")" + address.text()
+           + R"(","zone":"leon-a","version":"v1","slots":6,"state":"ready","cold-left-ms":0,)"
+             R"("seq":1,"born":1700000000000})";
+}
+
+/// Opens the file for the output of a daemon.
+inline int openLog(const std::string &folder)
+{
+    return open((folder + "/daemon.log").c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+}
+
 /// A daemon as a child process.
 class Daemon
 {
 public:
     /// Starts `program --config FILE`. The outputs go to `output`.
-    void start(const std::string &program, const std::string &file, const std::string &text, int output)
+    void start(const std::string &program, const std::string &file, const std::string &text,
+               int output)
     {
         FILE *out = fopen(file.c_str(), "w");
         fputs(text.c_str(), out);
@@ -554,7 +577,8 @@
 };
 
 /// Sends one request on a connection of its own and returns the answer, if any.
-inline std::optional<Message> call(const Address &address, const std::string &request, double timeout)
+inline std::optional<Message> call(const Address &address, const std::string &request,
+                                   double timeout)
 {
     const int fd = connectTo(address, timeout);
     if (fd < 0)
